--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,163 @@
+//! Assembles an agent, and stops it in order.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use yokefall_api::v1::caller_server::CallerServer;
+use yokefall_peer::PeerClient;
+use yokefall_rpc::{serve_incoming, Authenticator, FileError};
+use yokefall_settings::Settings;
+use yokefall_telemetry::{Event, HealthState, Level, MetricsServer};
+use yokefall_types::NodeName;
+
+use crate::calls::CallClient;
+use crate::jobs::JobClient;
+use crate::members::Members;
+use crate::port::{CallerPort, Gate};
+
+/// Interval at which a stop looks whether anything still runs.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for the last responses to leave.
+const FAREWELL_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why an agent could not start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AgentStartError {
+    /// A port could not be opened.
+    Listen {
+        /// The settings key of the port.
+        port: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// The cause.
+        cause: String,
+    },
+    /// A file could not be read.
+    File(String),
+}
+
+impl fmt::Display for AgentStartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AgentStartError::Listen { port, address, cause } => {
+                write!(formatter, "open listen.{port} {address}: {cause}")
+            }
+            AgentStartError::File(cause) => formatter.write_str(cause),
+        }
+    }
+}
+
+impl std::error::Error for AgentStartError {}
+
+impl From<FileError> for AgentStartError {
+    fn from(error: FileError) -> Self {
+        AgentStartError::File(error.to_string())
+    }
+}
+
+/// Open ports of an agent.
+pub struct AgentListeners {
+    /// Callers.
+    pub rpc: TcpListener,
+    /// Metrics and health.
+    pub metrics: TcpListener,
+}
+
+impl AgentListeners {
+    /// Opens the ports that the settings name.
+    pub async fn open(settings: &Settings) -> Result<Self, AgentStartError> {
+        Ok(Self {
+            rpc: listen("rpc", settings.listen.rpc).await?,
+            metrics: listen("metrics", settings.listen.metrics).await?,
+        })
+    }
+}
+
+async fn listen(port: &'static str, address: SocketAddr) -> Result<TcpListener, AgentStartError> {
+    TcpListener::bind(address).await.map_err(|error| AgentStartError::Listen {
+        port,
+        address,
+        cause: error.to_string(),
+    })
+}
+
+/// A running agent.
+pub struct Agent {
+    gate: Arc<Gate>,
+    health: Arc<HealthState>,
+    members: Members,
+    server: JoinHandle<()>,
+    rpc_address: SocketAddr,
+}
+
+impl Agent {
+    /// Starts an agent on open ports.
+    pub async fn start(
+        settings: &Settings,
+        listeners: AgentListeners,
+    ) -> Result<Self, AgentStartError> {
+        let secret_file = &settings.fleet.secret_file;
+        let secret = std::fs::read_to_string(secret_file).map_err(|error| {
+            let file = secret_file.display();
+            AgentStartError::File(format!("read fleet.secret_file {file}: {error}"))
+        })?;
+        let io_error = |error: std::io::Error| AgentStartError::File(error.to_string());
+        let rpc_address = listeners.rpc.local_addr().map_err(io_error)?;
+        let reload = Duration::from_millis(settings.security.reload_interval_ms);
+        let keys_file = settings.security.keys_file.clone();
+        let authenticator = Authenticator::start(keys_file, reload)?;
+        let incoming = serve_incoming(listeners.rpc, &settings.security)?;
+        let health = Arc::new(HealthState::default());
+        MetricsServer::start(listeners.metrics, health.clone()).map_err(io_error)?;
+        let peers = PeerClient::new(NodeName::new(&settings.node.name), secret.trim().to_owned());
+        let members = Members::start(peers.clone(), settings.fleet.seeds.clone(), health.clone());
+        let gate = Arc::new(Gate::default());
+        let port = CallerPort {
+            authenticator,
+            calls: CallClient { peers: peers.clone(), members: members.clone() },
+            jobs: JobClient {
+                peers,
+                members: members.clone(),
+                data_nodes: settings.fleet.data_nodes.iter().map(NodeName::new).collect(),
+            },
+            gate: gate.clone(),
+        };
+        let serving = tonic::transport::Server::builder()
+            .add_service(CallerServer::new(port))
+            .serve_with_incoming(incoming);
+        let server = tokio::spawn(async move {
+            let _ = serving.await;
+        });
+        Event::new(Level::Info, "start").peer(rpc_address).write("agent started");
+        Ok(Self { gate, health, members, server, rpc_address })
+    }
+
+    /// Address for callers.
+    pub fn rpc_address(&self) -> SocketAddr {
+        self.rpc_address
+    }
+
+    /// Daemons known.
+    pub fn member_count(&self) -> usize {
+        self.members.load().len()
+    }
+
+    /// Stops as planned: takes nothing new and finishes what runs. Returns whether everything was
+    /// finished.
+    pub async fn stop(self, drain: Duration) -> bool {
+        self.health.set_ready(false);
+        self.gate.close();
+        let begun = Instant::now();
+        while self.gate.inside() > 0 && begun.elapsed() < drain {
+            tokio::time::sleep(DRAIN_INTERVAL).await;
+        }
+        let clean = self.gate.inside() == 0;
+        tokio::time::sleep(FAREWELL_PAUSE).await;
+        self.server.abort();
+        clean
+    }
+}
--- /dev/null
+++ b/crates/agent/src/jobs.rs
@@ -0,0 +1,254 @@
+//! Batch jobs: upload, progress, results, cancellation.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tonic::{Status, Streaming};
+use yokefall_api::v1;
+use yokefall_core::fleet::job_home;
+use yokefall_peer::{JobHeader, PeerClient, PeerReply, PeerRequest};
+use yokefall_rpc::convert;
+use yokefall_types::limits::{
+    check_name, MAX_JOB_DEADLINE_MS, MAX_JOB_ITEMS, MAX_PROMPT_BYTES, MAX_TOKENS,
+};
+use yokefall_types::{ItemResult, JobId, NodeName, PartnerName, ServiceName, TenantName};
+
+use crate::members::Members;
+
+/// Bytes of items sent to the store at once.
+const UPLOAD_BATCH_BYTES: usize = 1024 * 1024;
+/// Items sent to the store at once.
+const UPLOAD_BATCH_ITEMS: usize = 2_000;
+/// Time within which the store must answer.
+const STORE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before a follower asks for results again.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
+/// Tries of a read while the store is out of reach, and the pause between them.
+const READ_TRIES: u32 = 20;
+const READ_PAUSE: Duration = Duration::from_millis(500);
+
+/// Calls the job stores.
+#[derive(Clone, Debug)]
+pub struct JobClient {
+    /// Connections to daemons.
+    pub peers: PeerClient,
+    /// The fleet.
+    pub members: Members,
+    /// Names of the data daemons.
+    pub data_nodes: Vec<NodeName>,
+}
+
+/// A job's identity from a schema reference.
+pub fn job_id(partner: PartnerName, reference: &v1::JobRef) -> Result<JobId, Status> {
+    check_name("tenant", &reference.tenant).map_err(Status::invalid_argument)?;
+    check_name("job_key", &reference.job_key).map_err(Status::invalid_argument)?;
+    Ok(JobId {
+        partner,
+        tenant: TenantName::new(&reference.tenant),
+        key: reference.job_key.as_str().into(),
+    })
+}
+
+fn job_header(partner: PartnerName, header: v1::JobHeader) -> Result<JobHeader, Status> {
+    let reference = v1::JobRef { tenant: header.tenant, job_key: header.job_key };
+    let job = job_id(partner, &reference)?;
+    check_name("service", &header.service).map_err(Status::invalid_argument)?;
+    if !(1..=MAX_JOB_DEADLINE_MS).contains(&header.deadline_ms) {
+        let message = format!("deadline_ms: give 1 to {MAX_JOB_DEADLINE_MS}");
+        return Err(Status::invalid_argument(message));
+    }
+    if header.max_tokens > MAX_TOKENS {
+        let message = format!("max_tokens: give at most {MAX_TOKENS}");
+        return Err(Status::invalid_argument(message));
+    }
+    Ok(JobHeader {
+        job,
+        service: ServiceName::new(&header.service),
+        priority: header.priority,
+        repeat: convert::repeat_from(header.repeat),
+        deadline_ms: header.deadline_ms,
+        max_tokens: header.max_tokens,
+    })
+}
+
+impl JobClient {
+    fn store_of(&self, job: &JobId) -> Result<SocketAddr, Status> {
+        let Some(node) = job_home(job, &self.data_nodes) else {
+            return Err(Status::failed_precondition("fleet.data_nodes: no data daemon is set"));
+        };
+        self.members.address_of(node).ok_or_else(|| {
+            Status::unavailable(format!("data daemon {node}, which holds the job, is not live"))
+        })
+    }
+
+    async fn call(&self, job: &JobId, request: PeerRequest) -> Result<PeerReply, Status> {
+        let store = self.store_of(job)?;
+        match self.peers.call(store, request, STORE_TIMEOUT).await {
+            Ok(PeerReply::Refused(refusal)) => Err(convert::status_from(&refusal)),
+            Ok(reply) => Ok(reply),
+            Err(error) => Err(Status::unavailable(error.to_string())),
+        }
+    }
+
+    /// Uploads a job and has it accepted. After a lost answer the caller submits it again under
+    /// the same key and joins it.
+    pub async fn submit(
+        &self,
+        partner: PartnerName,
+        mut parts: Streaming<v1::SubmitJobRequest>,
+    ) -> Result<v1::SubmitJobResponse, Status> {
+        let first = parts.message().await?.and_then(|message| message.part);
+        let Some(v1::submit_job_request::Part::Header(header)) = first else {
+            return Err(Status::invalid_argument("header: must be the first message"));
+        };
+        let header = job_header(partner, header)?;
+        let job = header.job.clone();
+        let opened = self.call(&job, PeerRequest::OpenJob(header)).await?;
+        let PeerReply::UploadOpened(upload) = opened else { return Err(unexpected()) };
+        self.upload_items(&job, upload, &mut parts).await?;
+        match self.call(&job, PeerRequest::CommitJob { upload }).await? {
+            PeerReply::JobAccepted { accepted, joined } => {
+                Ok(v1::SubmitJobResponse { accepted, joined })
+            }
+            _ => Err(unexpected()),
+        }
+    }
+
+    async fn upload_items(
+        &self,
+        job: &JobId,
+        upload: u64,
+        parts: &mut Streaming<v1::SubmitJobRequest>,
+    ) -> Result<(), Status> {
+        let mut bodies = Vec::new();
+        let mut bytes = 0;
+        let mut count = 0u32;
+        while let Some(message) = parts.message().await? {
+            let Some(v1::submit_job_request::Part::Item(item)) = message.part else {
+                return Err(Status::invalid_argument("item: expected after the header"));
+            };
+            check_item(count, &item)?;
+            count += 1;
+            bytes += item.body.len();
+            bodies.push(item.body);
+            if bytes >= UPLOAD_BATCH_BYTES || bodies.len() >= UPLOAD_BATCH_ITEMS {
+                self.append(job, upload, std::mem::take(&mut bodies)).await?;
+                bytes = 0;
+            }
+        }
+        if !bodies.is_empty() {
+            self.append(job, upload, bodies).await?;
+        }
+        Ok(())
+    }
+
+    async fn append(&self, job: &JobId, upload: u64, bodies: Vec<Vec<u8>>) -> Result<(), Status> {
+        self.call(job, PeerRequest::AppendItems { upload, bodies }).await.map(|_| ())
+    }
+
+    /// Progress of a job.
+    pub async fn progress(&self, job: JobId) -> Result<v1::JobStatus, Status> {
+        match self.call(&job.clone(), PeerRequest::GetJob(job)).await? {
+            PeerReply::Job(progress) => Ok(convert::progress_to(&progress)),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: JobId) -> Result<v1::JobStatus, Status> {
+        match self.call(&job.clone(), PeerRequest::CancelJob(job)).await? {
+            PeerReply::Job(progress) => Ok(convert::progress_to(&progress)),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Sends the results of a job in order of index. A follower gets every item; otherwise only
+    /// those that have ended are sent.
+    pub async fn results(
+        &self,
+        job: JobId,
+        from_index: u32,
+        follow: bool,
+        results: mpsc::Sender<Result<v1::JobResult, Status>>,
+    ) {
+        let mut next = from_index;
+        loop {
+            let (page, items, last_page) = match self.page(&job, next).await {
+                Ok(page) => page,
+                Err(status) => {
+                    let _ = results.send(Err(status)).await;
+                    return;
+                }
+            };
+            for result in page {
+                if follow && result.index != next {
+                    break;
+                }
+                next = result.index + 1;
+                if results.send(Ok(result_to(result))).await.is_err() {
+                    return;
+                }
+            }
+            if next >= items || (last_page && !follow) {
+                return;
+            }
+            if last_page {
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+            }
+            if results.is_closed() {
+                return;
+            }
+        }
+    }
+
+    async fn page(
+        &self,
+        job: &JobId,
+        from_index: u32,
+    ) -> Result<(Vec<ItemResult>, u32, bool), Status> {
+        let mut tries = 0;
+        loop {
+            let request = PeerRequest::ListResults { job: job.clone(), from_index };
+            match self.call(job, request).await {
+                Ok(PeerReply::Results { results, items, last_page }) => {
+                    return Ok((results, items, last_page));
+                }
+                Ok(_) => return Err(unexpected()),
+                Err(status) if status.code() == tonic::Code::Unavailable && tries < READ_TRIES => {
+                    tries += 1;
+                    tokio::time::sleep(READ_PAUSE).await;
+                }
+                Err(status) => return Err(status),
+            }
+        }
+    }
+}
+
+fn check_item(index: u32, item: &v1::JobItem) -> Result<(), Status> {
+    if index >= MAX_JOB_ITEMS {
+        let message = format!("items: more than {MAX_JOB_ITEMS} in one job");
+        return Err(Status::invalid_argument(message));
+    }
+    if item.body.len() > MAX_PROMPT_BYTES {
+        let message = format!(
+            "items[{index}].body: {} bytes, the limit is {MAX_PROMPT_BYTES}",
+            item.body.len()
+        );
+        return Err(Status::invalid_argument(message));
+    }
+    Ok(())
+}
+
+fn result_to(result: ItemResult) -> v1::JobResult {
+    v1::JobResult {
+        index: result.index,
+        outcome: convert::outcome_to(result.outcome) as i32,
+        attempt: result.attempt,
+        body: result.body,
+    }
+}
+
+fn unexpected() -> Status {
+    Status::internal("the data daemon sent an unexpected reply")
+}
--- /dev/null
+++ b/crates/app/src/commands/check.rs
@@ -0,0 +1,93 @@
+//! `yokefall check`, `yokefall example` and `yokefall key-line`.
+
+use std::path::PathBuf;
+
+use clap::{Args, ValueEnum};
+use yokefall_settings::{example, Role, Settings};
+use yokefall_types::key::digest_hex;
+use yokefall_types::limits::check_name;
+
+use crate::exit::{fail, ExitStatus};
+
+/// Arguments of `check`.
+#[derive(Debug, Args)]
+pub struct CheckArguments {
+    /// The settings file.
+    file: PathBuf,
+}
+
+/// Checks a settings file.
+pub fn run(arguments: &CheckArguments) -> ExitStatus {
+    match Settings::load(&arguments.file) {
+        Ok(settings) => {
+            println!("{}: good, role {:?}", arguments.file.display(), settings.role);
+            ExitStatus::Done
+        }
+        Err(error) => fail(ExitStatus::BadInput, error),
+    }
+}
+
+/// A role on the command line.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum RoleArgument {
+    /// Serves calls and jobs.
+    Daemon,
+    /// Stands beside a caller.
+    Agent,
+}
+
+/// Arguments of `example`.
+#[derive(Debug, Args)]
+pub struct ExampleArguments {
+    /// The role.
+    role: RoleArgument,
+}
+
+/// Prints an example.
+pub fn example(arguments: &ExampleArguments) -> ExitStatus {
+    let role = match arguments.role {
+        RoleArgument::Daemon => Role::Daemon,
+        RoleArgument::Agent => Role::Agent,
+    };
+    print!("{}", example::example(role));
+    ExitStatus::Done
+}
+
+/// A key's role on the command line.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum KeyRole {
+    /// Calls services and submits jobs.
+    Caller,
+    /// Applies and reads declarations.
+    Operator,
+}
+
+/// Arguments of `key-line`.
+#[derive(Debug, Args)]
+pub struct KeyLineArguments {
+    /// The partner that owns the key.
+    partner: String,
+    /// What the key permits.
+    role: KeyRole,
+}
+
+/// Prints a line for a key file.
+pub fn key_line(arguments: &KeyLineArguments) -> ExitStatus {
+    if let Err(error) = check_name("partner", &arguments.partner) {
+        return fail(ExitStatus::BadInput, error);
+    }
+    let mut secret = String::new();
+    if let Err(error) = std::io::stdin().read_line(&mut secret) {
+        return fail(ExitStatus::BadInput, format!("read secret: {error}"));
+    }
+    let secret = secret.trim_end();
+    if secret.is_empty() {
+        return fail(ExitStatus::BadInput, "secret: standard input is empty");
+    }
+    let role = match arguments.role {
+        KeyRole::Caller => "caller",
+        KeyRole::Operator => "operator",
+    };
+    println!("{} {role} {}", arguments.partner, digest_hex(secret));
+    ExitStatus::Done
+}
--- /dev/null
+++ b/crates/app/src/commands/mod.rs
@@ -0,0 +1,10 @@
+//! The subcommands.
+
+pub mod ask;
+pub mod check;
+pub mod connect;
+pub mod ctl;
+pub mod declarations;
+pub mod demo;
+pub mod job;
+pub mod serve;
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,362 @@
+//! A whole fleet in one process: stand-ins, daemons and agents on loopback, port 0.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+use yokefall_agent::{Agent, AgentListeners};
+use yokefall_api::v1;
+use yokefall_daemon::{Daemon, Listeners};
+use yokefall_objects::MachineState;
+use yokefall_settings::{DataSettings, Role, Settings};
+use yokefall_types::key::digest_hex;
+use yokefall_types::{BackendSpec, Declaration, ServiceKind, ServiceName, ServiceSpec};
+
+use crate::deployment::{PartnerPlan, ServicePlan};
+use crate::ledger::Ledger;
+use crate::standin::engine::{EngineParameters, EngineStandIn};
+use crate::standin::machines::MachineList;
+use crate::standin::objects::ObjectApiStandIn;
+use crate::standin::plain::PlainStandIn;
+use yokefall_rpc::client::{Caller, Operator, Target};
+
+/// Time within which the fleet must have its configuration in force.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time within which a daemon or agent must stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(15);
+const READY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Secret of the fleet's processes.
+const FLEET_SECRET: &str = "demonstration-fleet-secret";
+
+/// The caller's key of a partner of a local fleet.
+pub fn caller_key(partner: &str) -> String {
+    format!("{partner}-caller-key")
+}
+
+/// The operator's key of a partner of a local fleet.
+pub fn operator_key(partner: &str) -> String {
+    format!("{partner}-operator-key")
+}
+
+/// A back end of a local fleet.
+pub enum Backend {
+    /// A model engine.
+    Engine(EngineStandIn),
+    /// A plain service.
+    Plain(PlainStandIn),
+}
+
+/// A back end with its place.
+pub struct PlacedBackend {
+    /// Object name.
+    pub name: String,
+    /// Partner.
+    pub partner: &'static str,
+    /// Service.
+    pub service: &'static str,
+    /// The stand-in.
+    pub backend: Backend,
+}
+
+/// Where a local fleet keeps its files, and how its daemons are laid out.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Parameters of every engine.
+    pub engine: EngineParameters,
+    /// Daemons in a zone.
+    pub daemons_per_zone: usize,
+    /// Lag of the machine list.
+    pub machine_list_lag: Duration,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            engine: EngineParameters::default(),
+            daemons_per_zone: 1,
+            machine_list_lag: Duration::from_millis(500),
+        }
+    }
+}
+
+/// A running fleet.
+pub struct LocalFleet {
+    /// Deployments.
+    pub plans: Vec<PartnerPlan>,
+    /// What the back ends ran.
+    pub ledger: Arc<Ledger>,
+    /// The object API.
+    pub objects: ObjectApiStandIn,
+    /// The machine list.
+    pub machines: MachineList,
+    /// Back ends.
+    pub backends: Vec<PlacedBackend>,
+    /// Daemons.
+    pub daemons: Vec<Daemon>,
+    /// Agents, one a partner, in the order of the plans.
+    pub agents: Vec<Agent>,
+    _folder: TempDir,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Writes the secret and the key file of a fleet.
+pub fn write_credentials(folder: &Path, partners: &[&str]) -> std::io::Result<()> {
+    std::fs::write(folder.join("fleet.secret"), FLEET_SECRET)?;
+    let mut keys = String::from("# PARTNER ROLE SHA256-HEX\n");
+    for partner in partners {
+        let caller = digest_hex(&caller_key(partner));
+        let operator = digest_hex(&operator_key(partner));
+        keys.push_str(&format!("{partner} caller {caller}\n{partner} operator {operator}\n"));
+    }
+    std::fs::write(folder.join("keys.txt"), keys)
+}
+
+impl LocalFleet {
+    /// Starts everything and waits until the configuration is in force at every daemon.
+    pub async fn start(plans: Vec<PartnerPlan>, options: &FleetOptions) -> Result<Self, String> {
+        let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+        let partners: Vec<&str> = plans.iter().map(|plan| plan.partner).collect();
+        write_credentials(folder.path(), &partners).map_err(|error| error.to_string())?;
+        let ledger = Arc::new(Ledger::default());
+        let objects = ObjectApiStandIn::start(any_port()).await.map_err(|e| e.to_string())?;
+        let machines = MachineList::start(any_port(), options.machine_list_lag)
+            .await
+            .map_err(|error| error.to_string())?;
+        let mut fleet = Self {
+            plans,
+            ledger,
+            objects,
+            machines,
+            backends: Vec::new(),
+            daemons: Vec::new(),
+            agents: Vec::new(),
+            _folder: folder,
+        };
+        fleet.start_daemons(options).await?;
+        fleet.start_agents().await?;
+        fleet.declare(options).await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    fn settings(&self, role: Role, name: &str, plan: &PartnerPlan, zone: &str) -> Settings {
+        let folder = self._folder.path();
+        let mut settings = Settings { role, ..Settings::default() };
+        settings.node.name = name.to_owned();
+        settings.node.zone = zone.to_owned();
+        settings.node.region = plan.region.to_owned();
+        settings.listen.peer = any_port();
+        settings.listen.rpc = any_port();
+        settings.listen.metrics = any_port();
+        settings.fleet.secret_file = folder.join("fleet.secret");
+        settings.fleet.data_nodes = self.data_nodes();
+        settings.security.keys_file = folder.join("keys.txt");
+        settings.security.allow_plaintext = true;
+        settings.platform.object_api = format!("http://{}", self.objects.server.address());
+        settings.platform.machine_list = format!("http://{}", self.machines.server.address());
+        settings
+    }
+
+    /// The first daemon of each partner's first zone has a disk.
+    fn data_nodes(&self) -> Vec<String> {
+        self.plans.iter().map(|plan| daemon_name(plan.zones[0], 0)).collect()
+    }
+
+    async fn start_daemons(&mut self, options: &FleetOptions) -> Result<(), String> {
+        let mut seeds: Vec<SocketAddr> = Vec::new();
+        for plan in self.plans.clone() {
+            for zone in plan.zones {
+                for number in 0..options.daemons_per_zone {
+                    let name = daemon_name(zone, number);
+                    let mut settings = self.settings(Role::Daemon, &name, &plan, zone);
+                    if settings.fleet.data_nodes.contains(&name) {
+                        let folder = self._folder.path().join(&name);
+                        settings.data = Some(DataSettings { folder });
+                    }
+                    let listeners =
+                        Listeners::open(&settings).await.map_err(|error| error.to_string())?;
+                    let own = listeners.peer_address().map_err(|error| error.to_string())?;
+                    settings.fleet.seeds = if seeds.is_empty() { vec![own] } else { seeds.clone() };
+                    let daemon = Daemon::start(&settings, listeners)
+                        .await
+                        .map_err(|error| error.to_string())?;
+                    if seeds.len() < 2 {
+                        seeds.push(daemon.peer_address());
+                    }
+                    self.daemons.push(daemon);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_agents(&mut self) -> Result<(), String> {
+        let seeds: Vec<SocketAddr> =
+            self.daemons.iter().take(2).map(Daemon::peer_address).collect();
+        for plan in self.plans.clone() {
+            let name = format!("agent-{}", plan.partner);
+            let mut settings = self.settings(Role::Agent, &name, &plan, plan.zones[0]);
+            settings.fleet.seeds.clone_from(&seeds);
+            let listeners =
+                AgentListeners::open(&settings).await.map_err(|error| error.to_string())?;
+            let agent =
+                Agent::start(&settings, listeners).await.map_err(|error| error.to_string())?;
+            self.agents.push(agent);
+        }
+        Ok(())
+    }
+
+    /// Starts the back ends and declares everything as an operator would.
+    async fn declare(&mut self, options: &FleetOptions) -> Result<(), String> {
+        for plan in self.plans.clone() {
+            let mut operator = self.operator(plan.partner).await?;
+            for service in &plan.services {
+                apply(&mut operator, service.name, &service_declaration(service)).await?;
+                for number in 0..service.backends {
+                    let zone = plan.zones[number % plan.zones.len()];
+                    let (placed, address) =
+                        self.start_backend(&plan, service, number, options).await?;
+                    let machine = format!("machine-{}", placed.name);
+                    self.machines.set(&machine, MachineState::Live);
+                    let declaration = Declaration::Backend(BackendSpec {
+                        service: ServiceName::new(service.name),
+                        address: address.to_string(),
+                        zone: zone.to_owned(),
+                        machine,
+                        slots: service.slots,
+                    });
+                    apply(&mut operator, &placed.name, &declaration).await?;
+                    self.backends.push(placed);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_backend(
+        &self,
+        plan: &PartnerPlan,
+        service: &ServicePlan,
+        number: usize,
+        options: &FleetOptions,
+    ) -> Result<(PlacedBackend, SocketAddr), String> {
+        let ledger = self.ledger.clone();
+        let failed = |error: std::io::Error| error.to_string();
+        let (backend, address) = match service.kind {
+            ServiceKind::Model => {
+                let mut parameters = options.engine.clone();
+                parameters.max_sequences = service.slots as usize;
+                parameters.models = vec![service.name.to_owned()];
+                let engine = EngineStandIn::start(any_port(), parameters, ledger, None)
+                    .await
+                    .map_err(failed)?;
+                let address = engine.server.address();
+                (Backend::Engine(engine), address)
+            }
+            ServiceKind::Plain => {
+                let slots = service.slots as usize;
+                let plain = PlainStandIn::start(any_port(), slots, service.service_time, ledger)
+                    .await
+                    .map_err(failed)?;
+                let address = plain.server.address();
+                (Backend::Plain(plain), address)
+            }
+        };
+        let name = format!("{}-{number}", service.name);
+        let placed = PlacedBackend { name, partner: plan.partner, service: service.name, backend };
+        Ok((placed, address))
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), String> {
+        let begun = Instant::now();
+        let wanted = (self.backends.len(), self.daemons.len());
+        let ready = || {
+            self.daemons.iter().all(|daemon| daemon.view_size() == wanted)
+                && self.agents.iter().all(|agent| agent.member_count() == wanted.1)
+        };
+        while !ready() {
+            if begun.elapsed() > READY_TIMEOUT {
+                let sizes: Vec<(usize, usize)> =
+                    self.daemons.iter().map(Daemon::view_size).collect();
+                return Err(format!("not ready: want {wanted:?} everywhere, have {sizes:?}"));
+            }
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// An operator of a partner, at the first daemon.
+    pub async fn operator(&self, partner: &str) -> Result<Operator, String> {
+        let address = self.daemons[0].rpc_address();
+        Target::plain(address, &operator_key(partner)).operator().await
+    }
+
+    /// A caller of a partner, at its agent.
+    pub async fn caller(&self, partner: &str) -> Result<Caller, String> {
+        let position = self.plans.iter().position(|plan| plan.partner == partner);
+        let position = position.ok_or_else(|| format!("no partner {partner}"))?;
+        let address = self.agents[position].rpc_address();
+        Target::plain(address, &caller_key(partner)).caller().await
+    }
+
+    /// Stops agents, then daemons, as planned. Returns whether all were clean.
+    pub async fn stop(self) -> bool {
+        let mut clean = true;
+        let agents = self.agents.into_iter().map(|agent| agent.stop(STOP_TIMEOUT));
+        for stopped in futures::future::join_all(agents).await {
+            clean &= stopped;
+        }
+        let daemons = self.daemons.into_iter().map(|daemon| daemon.stop(STOP_TIMEOUT));
+        for report in futures::future::join_all(daemons).await {
+            clean &= report.clean;
+        }
+        clean
+    }
+}
+
+fn daemon_name(zone: &str, number: usize) -> String {
+    format!("daemon-{zone}-{number}")
+}
+
+fn service_declaration(service: &ServicePlan) -> Declaration {
+    let model = match service.kind {
+        ServiceKind::Model => service.name.to_owned(),
+        ServiceKind::Plain => String::new(),
+    };
+    Declaration::Service(ServiceSpec {
+        kind: service.kind,
+        model,
+        reserved_slots: service.reserved_slots,
+        queue_limit: 256,
+        max_prompt_bytes: 32 * 1024,
+        max_tokens: 2_048,
+    })
+}
+
+/// Creates a declaration as an operator.
+pub async fn apply(
+    operator: &mut Operator,
+    name: &str,
+    declaration: &Declaration,
+) -> Result<u64, String> {
+    let kind = declaration.kind().name();
+    let request = v1::ApplyRequest {
+        object: Some(v1::Object {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            version: 0,
+            spec_json: declaration.spec_json(),
+        }),
+        expected_version: 0,
+        change_id: format!("create-{kind}-{name}"),
+        delete: false,
+    };
+    let response = operator.apply(request).await;
+    response.map(|r| r.into_inner().version).map_err(|status| format!("{kind}/{name}: {status}"))
+}
--- /dev/null
+++ b/crates/bench/src/load/batch.rs
@@ -0,0 +1,219 @@
+//! Batch jobs in heaps, and the check of every result.
+
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+use yokefall_api::v1;
+
+use crate::ledger::Ledger;
+use crate::report::OutcomeCounts;
+use crate::text::model_answer;
+use yokefall_rpc::client::Caller;
+
+/// Interval between heaps.
+const HEAP_INTERVAL: Duration = Duration::from_secs(10);
+/// Deadline of a job.
+const JOB_DEADLINE: Duration = Duration::from_secs(4 * 3600);
+/// Pause before a failed call is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Tries of a submission.
+const SUBMIT_TRIES: u32 = 50;
+
+/// Batch load of one partner.
+#[derive(Clone, Debug)]
+pub struct BatchLoad {
+    /// Partner.
+    pub partner: String,
+    /// Service.
+    pub service: String,
+    /// Jobs in a heap.
+    pub jobs_per_heap: usize,
+    /// Items in a job.
+    pub items_per_job: std::ops::RangeInclusive<u32>,
+    /// Tokens of an item's answer.
+    pub tokens: u32,
+    /// Time for which heaps arrive.
+    pub duration: Duration,
+    /// Time after the last heap until what is left is cancelled.
+    pub grace: Duration,
+    /// Seed of sizes.
+    pub seed: u64,
+}
+
+/// One job to be submitted.
+#[derive(Clone, Debug)]
+struct JobPlan {
+    key: String,
+    items: u32,
+    no_repeat: bool,
+}
+
+/// What the submitter saw of one job.
+#[derive(Clone, Debug)]
+pub struct JobRecord {
+    /// Id as in the ledgers: partner, tenant and job.
+    pub ledger_id: String,
+    /// Whether its items may run only once.
+    pub no_repeat: bool,
+    /// Items accepted; zero when the submission failed.
+    pub accepted: u32,
+    /// Results as they were listed.
+    pub results: Vec<v1::JobResult>,
+    /// Tokens of each answer.
+    pub tokens: u32,
+}
+
+/// Completed items, as they are listed.
+pub type CompletedCounter = Arc<AtomicU64>;
+
+const TENANT: &str = "planning";
+
+/// Submits heaps, follows every job to its end, and returns what was seen.
+pub async fn send(load: BatchLoad, caller: Caller, completed: CompletedCounter) -> Vec<JobRecord> {
+    let begun = Instant::now();
+    let mut generator = SmallRng::seed_from_u64(load.seed);
+    let mut jobs = Vec::new();
+    let mut heap = 0u32;
+    while HEAP_INTERVAL * heap < load.duration {
+        tokio::time::sleep_until(begun + HEAP_INTERVAL * heap).await;
+        for number in 0..load.jobs_per_heap {
+            let plan = JobPlan {
+                key: format!("{}-{heap}-{number}", load.seed),
+                items: generator.random_range(load.items_per_job.clone()),
+                // Every third job holds advisories, which run at most once.
+                no_repeat: number % 3 == 2,
+            };
+            let end = begun + load.duration + load.grace;
+            let (load, caller, completed) = (load.clone(), caller.clone(), completed.clone());
+            jobs.push(tokio::spawn(run_job(load, caller, plan, end, completed)));
+        }
+        heap += 1;
+    }
+    let mut records = Vec::new();
+    for job in jobs {
+        if let Ok(record) = job.await {
+            records.push(record);
+        }
+    }
+    records
+}
+
+async fn run_job(
+    load: BatchLoad,
+    mut caller: Caller,
+    plan: JobPlan,
+    end: Instant,
+    completed: CompletedCounter,
+) -> JobRecord {
+    let mut record = JobRecord {
+        ledger_id: format!("{}/{TENANT}/{}", load.partner, plan.key),
+        no_repeat: plan.no_repeat,
+        accepted: submit(&load, &mut caller, &plan).await,
+        results: Vec::new(),
+        tokens: load.tokens,
+    };
+    if record.accepted == 0 {
+        return record;
+    }
+    let job = v1::JobRef { tenant: TENANT.to_owned(), job_key: plan.key };
+    let following = follow(&mut caller, &job, &mut record, &completed);
+    if tokio::time::timeout_at(end, following).await.is_err() {
+        // The run is over: what has not ended is cancelled, and told as such.
+        let _ = caller.cancel_job(job.clone()).await;
+        follow(&mut caller, &job, &mut record, &completed).await;
+    }
+    record
+}
+
+async fn submit(load: &BatchLoad, caller: &mut Caller, plan: &JobPlan) -> u32 {
+    let repeat = if plan.no_repeat { v1::Repeat::Forbidden } else { v1::Repeat::Allowed };
+    for _ in 0..SUBMIT_TRIES {
+        let header = v1::JobHeader {
+            tenant: TENANT.to_owned(),
+            job_key: plan.key.clone(),
+            service: load.service.clone(),
+            deadline_ms: JOB_DEADLINE.as_millis() as u64,
+            priority: 0,
+            repeat: repeat as i32,
+            max_tokens: load.tokens,
+        };
+        use v1::submit_job_request::Part;
+        let first = std::iter::once(Part::Header(header));
+        let key = plan.key.clone();
+        let items = (0..plan.items).map(move |index| {
+            Part::Item(v1::JobItem { body: format!("ledger {key} line {index}").into_bytes() })
+        });
+        let parts = first.chain(items).map(|part| v1::SubmitJobRequest { part: Some(part) });
+        match caller.submit_job(tokio_stream::iter(parts.collect::<Vec<_>>())).await {
+            Ok(response) => return response.into_inner().accepted,
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+    0
+}
+
+/// Takes results until every item has one.
+async fn follow(
+    caller: &mut Caller,
+    job: &v1::JobRef,
+    record: &mut JobRecord,
+    completed: &AtomicU64,
+) {
+    while (record.results.len() as u32) < record.accepted {
+        let request = v1::ListResultsRequest {
+            job: Some(job.clone()),
+            from_index: record.results.last().map_or(0, |result| result.index + 1),
+            follow: true,
+        };
+        if let Ok(response) = caller.list_results(request).await {
+            let mut results = response.into_inner();
+            while let Ok(Some(result)) = results.message().await {
+                if result.outcome() == v1::ItemOutcome::Completed {
+                    completed.fetch_add(1, Ordering::Relaxed);
+                }
+                record.results.push(result);
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Judges what submitters saw by what the back ends ran.
+pub fn judge(records: &[JobRecord], ledger: &Ledger) -> OutcomeCounts {
+    let counts = ledger.counts();
+    let mut total = OutcomeCounts::default();
+    for record in records {
+        total.accepted += u64::from(record.accepted);
+        let mut seen = HashSet::new();
+        for result in &record.results {
+            if !seen.insert(result.index) {
+                total.doubled += 1;
+                continue;
+            }
+            let item_id = format!("{}/{}", record.ledger_id, result.index);
+            let ran = counts.get(&item_id).copied().unwrap_or_default();
+            if record.no_repeat && ran.begun > 1 {
+                total.doubled += 1;
+            }
+            match result.outcome() {
+                v1::ItemOutcome::Completed => {
+                    let wanted = model_answer(&item_id, record.tokens);
+                    if result.body == wanted.as_bytes() && ran.finished > 0 {
+                        total.completed += 1;
+                    } else {
+                        total.lost += 1;
+                    }
+                }
+                v1::ItemOutcome::Unknown => total.unknown += 1,
+                _ => total.refused += 1,
+            }
+        }
+        total.lost += u64::from(record.accepted).saturating_sub(seen.len() as u64);
+    }
+    total
+}
--- /dev/null
+++ b/crates/bench/src/load/run.rs
@@ -0,0 +1,143 @@
+//! A whole run: both partners' load on a local fleet.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{batch, online};
+use crate::deployment::PartnerPlan;
+use crate::fleet::LocalFleet;
+use crate::report::{OnlineReport, RunReport};
+
+/// What is offered, and for how long.
+#[derive(Clone, Debug)]
+pub struct RunOptions {
+    /// Time for which load is offered.
+    pub duration: Duration,
+    /// Seed of all arrivals and sizes.
+    pub seed: u64,
+    /// Model requests a second of each partner.
+    pub model_rate: f64,
+    /// Plain requests a second of each partner.
+    pub plain_rate: f64,
+    /// Jobs in each heap of each partner.
+    pub jobs_per_heap: usize,
+    /// Time after the load until what is left of the jobs is cancelled.
+    pub grace: Duration,
+}
+
+impl Default for RunOptions {
+    fn default() -> Self {
+        Self {
+            duration: Duration::from_secs(30),
+            seed: 1,
+            model_rate: 30.0,
+            plain_rate: 40.0,
+            jobs_per_heap: 6,
+            grace: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Deadline of online requests.
+const ONLINE_DEADLINE: Duration = Duration::from_secs(30);
+/// Items of a job.
+const ITEMS_PER_JOB: std::ops::RangeInclusive<u32> = 20..=120;
+/// Tokens of an item's answer.
+const ITEM_TOKENS: u32 = 48;
+
+/// Offers the load, waits for every end, stops the fleet and judges by the ledgers. `progress` is
+/// called every second with the time and the batch items completed.
+pub async fn run(
+    fleet: LocalFleet,
+    options: &RunOptions,
+    mut progress: impl FnMut(Duration, u64, usize),
+) -> Result<RunReport, String> {
+    let begun = Instant::now();
+    let completed = Arc::new(AtomicU64::new(0));
+    let mut online_tasks = Vec::new();
+    let mut batch_tasks = Vec::new();
+    for (number, plan) in fleet.plans.iter().enumerate() {
+        let seed = options.seed.wrapping_mul(1_000).wrapping_add(number as u64 * 10);
+        let caller = fleet.caller(plan.partner).await?;
+        let load = online_load(plan, options, seed);
+        online_tasks.push(tokio::spawn(online::send(load, caller.clone())));
+        let load = batch_load(plan, options, seed);
+        batch_tasks.push(tokio::spawn(batch::send(load, caller, completed.clone())));
+    }
+    let ledger = fleet.ledger.clone();
+    let mut rate = 0.0;
+    let mut online = online::OnlineRecord::default();
+    let mut jobs = Vec::new();
+    let collecting = async {
+        for task in online_tasks {
+            let record = task.await.map_err(|error| error.to_string())?;
+            online.observations.extend(record.observations);
+            online.first_token.add(&record.first_token);
+            online.whole.add(&record.whole);
+        }
+        for task in batch_tasks {
+            jobs.extend(task.await.map_err(|error| error.to_string())?);
+        }
+        Ok::<(), String>(())
+    };
+    let reporting = async {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let elapsed = begun.elapsed();
+            let items = completed.load(Ordering::Relaxed);
+            if elapsed <= options.duration + Duration::from_millis(500) {
+                rate = items as f64 / elapsed.as_secs_f64();
+            }
+            progress(elapsed, items, ledger.counts().len());
+        }
+    };
+    tokio::select! {
+        collected = collecting => collected?,
+        () = reporting => {}
+    }
+    if rate == 0.0 {
+        rate = completed.load(Ordering::Relaxed) as f64 / begun.elapsed().as_secs_f64();
+    }
+    let clean_stop = fleet.stop().await;
+    Ok(RunReport {
+        requests: online::judge(&online.observations, &ledger),
+        items: batch::judge(&jobs, &ledger),
+        online_ms: OnlineReport {
+            first_token: online.first_token.percentiles(),
+            whole: online.whole.percentiles(),
+        },
+        batch_items_per_second: rate,
+        seconds: options.duration.as_secs_f64(),
+        seed: options.seed,
+        clean_stop,
+    })
+}
+
+fn online_load(plan: &PartnerPlan, options: &RunOptions, seed: u64) -> online::OnlineLoad {
+    online::OnlineLoad {
+        partner: plan.partner.to_owned(),
+        model_service: plan.model_service().name.to_owned(),
+        plain_service: plan.plain_service().name.to_owned(),
+        model_rate: options.model_rate,
+        plain_rate: options.plain_rate,
+        deadline: ONLINE_DEADLINE,
+        duration: options.duration,
+        seed,
+    }
+}
+
+fn batch_load(plan: &PartnerPlan, options: &RunOptions, seed: u64) -> batch::BatchLoad {
+    batch::BatchLoad {
+        partner: plan.partner.to_owned(),
+        service: plan.model_service().name.to_owned(),
+        jobs_per_heap: options.jobs_per_heap,
+        items_per_job: ITEMS_PER_JOB,
+        tokens: ITEM_TOKENS,
+        duration: options.duration,
+        grace: options.grace,
+        seed: seed + 1,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/standin/engine/parameters.rs
@@ -0,0 +1,68 @@
+//! Parameters of the cost model.
+//!
+//! The shape is that of iteration-level scheduling (Yu et al., "Orca", OSDI 2022) over paged KV
+//! memory with shared prefixes (Kwon et al., "PagedAttention", SOSP 2023) and chunked prefill
+//! (Agrawal et al., "Sarathi-Serve", OSDI 2024): the time of an iteration is a constant for reading
+//! the weights, plus a part for each prefill token, plus a part for each decoding sequence. The
+//! default figures are chosen, not measured on any accelerator: they give some 12 to 20 ms between
+//! tokens.
+
+use serde::{Deserialize, Serialize};
+
+/// Parameters of one engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineParameters {
+    /// Sequences in one iteration at the most.
+    pub max_sequences: usize,
+    /// KV memory, in blocks.
+    pub kv_blocks: usize,
+    /// Tokens in a block.
+    pub block_tokens: usize,
+    /// Bytes of prompt in a token.
+    pub bytes_per_token: usize,
+    /// Prefill tokens in one iteration at the most.
+    pub prefill_chunk_tokens: usize,
+    /// Constant time of an iteration, in microseconds.
+    pub iteration_us: u64,
+    /// Time of a prefill token, in microseconds.
+    pub prefill_token_us: u64,
+    /// Time of a decoding sequence in an iteration, in microseconds.
+    pub decode_sequence_us: u64,
+    /// Time to import one KV block from another engine, in microseconds.
+    pub import_block_us: u64,
+    /// Sequences that may wait; beyond it the engine refuses with 429.
+    pub queue_limit: usize,
+    /// Lag of load reports, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Lag of cache events, in milliseconds.
+    pub event_lag_ms: u64,
+    /// Part of the cache events that is never published.
+    pub event_loss: f64,
+    /// Models loaded at the start.
+    pub models: Vec<String>,
+    /// Size of a model's weights, in bytes.
+    pub model_bytes: u64,
+}
+
+impl Default for EngineParameters {
+    fn default() -> Self {
+        Self {
+            max_sequences: 8,
+            kv_blocks: 4_096,
+            block_tokens: 16,
+            bytes_per_token: 4,
+            prefill_chunk_tokens: 512,
+            iteration_us: 12_000,
+            prefill_token_us: 80,
+            decode_sequence_us: 400,
+            import_block_us: 50,
+            queue_limit: 256,
+            load_lag_ms: 500,
+            event_lag_ms: 300,
+            event_loss: 0.05,
+            models: vec!["default".to_owned()],
+            model_bytes: 2_000_000_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/standin/http.rs
@@ -0,0 +1,147 @@
+//! The HTTP server under every stand-in, which can be made to die.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tokio_stream::StreamExt;
+
+/// Body of a response.
+pub type Body = http_body_util::combinators::BoxBody<Bytes, Infallible>;
+/// A response on its way.
+pub type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
+/// Answers requests.
+pub type Handler = Arc<dyn Fn(Request<Incoming>) -> ResponseFuture + Send + Sync>;
+
+/// Greatest request body, in bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Tries to bind the port again after a death, and the pause between them.
+const BIND_TRIES: u32 = 50;
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// A server whose connections all end when it is killed.
+pub struct HttpServer {
+    address: SocketAddr,
+    handler: Handler,
+    accepting: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl HttpServer {
+    /// Opens a port and serves it.
+    pub async fn start(address: SocketAddr, handler: Handler) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let accepting = tokio::spawn(accept(listener, handler.clone()));
+        Ok(Arc::new(Self { address, handler, accepting: Mutex::new(Some(accepting)) }))
+    }
+
+    /// The address served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the port and cuts every connection, as the death of the process would.
+    pub fn kill(&self) {
+        let mut accepting = self.accepting.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(task) = accepting.take() {
+            task.abort();
+        }
+    }
+
+    /// Opens the same port again.
+    pub async fn revive(&self) -> std::io::Result<()> {
+        let mut tries = 0;
+        let listener = loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => break listener,
+                Err(error) if tries >= BIND_TRIES => return Err(error),
+                Err(_) => {
+                    tries += 1;
+                    tokio::time::sleep(BIND_PAUSE).await;
+                }
+            }
+        };
+        let task = tokio::spawn(accept(listener, self.handler.clone()));
+        *self.accepting.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
+        Ok(())
+    }
+}
+
+/// Accepts connections; when this task is aborted, its connections are aborted with it.
+async fn accept(listener: TcpListener, handler: Handler) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        connections.spawn(async move {
+            let service = service_fn(move |request| {
+                let response = handler(request);
+                async move { Ok::<_, Infallible>(response.await) }
+            });
+            let builder = auto::Builder::new(TokioExecutor::new());
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+/// A whole response.
+pub fn whole(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Full::new(body.into()).boxed());
+    *response.status_mut() = status;
+    response
+}
+
+/// A whole response of JSON.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let mut response = whole(status, serde_json::to_vec(value).unwrap_or_default());
+    let json_type = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json_type);
+    response
+}
+
+/// A response that streams pieces until their sender is dropped.
+pub fn streaming(pieces: mpsc::UnboundedReceiver<Bytes>) -> Response<Body> {
+    let frames =
+        UnboundedReceiverStream::new(pieces).map(|piece| Ok::<_, Infallible>(Frame::data(piece)));
+    Response::new(BodyExt::boxed(StreamBody::new(frames)))
+}
+
+/// Reads a request's body.
+pub async fn read_body(request: Request<Incoming>) -> Result<Bytes, Box<Response<Body>>> {
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
+    body.map(|collected| collected.to_bytes())
+        .map_err(|error| Box::new(whole(StatusCode::BAD_REQUEST, error.to_string())))
+}
+
+/// Reads a request's body as JSON.
+pub async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Box<Response<Body>>> {
+    let body = read_body(request).await?;
+    serde_json::from_slice(&body)
+        .map_err(|error| Box::new(whole(StatusCode::BAD_REQUEST, error.to_string())))
+}
+
+/// One value of a query string.
+pub fn query_value(request: &Request<Incoming>, key: &str) -> Option<String> {
+    let query = request.uri().query()?;
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(name, _)| *name == key).map(|(_, value)| value.to_owned()).next()
+}
--- /dev/null
+++ b/crates/bench/src/text.rs
@@ -0,0 +1,28 @@
+//! Answers that the stand-ins give, so that every answer can be checked to the byte.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Sets a request's own id apart from the attempt in an engine's request id.
+const ATTEMPT_MARK: char = '#';
+
+/// The request's own id within an engine's request id: the answer depends on it alone, so that
+/// every attempt gives the same answer.
+pub fn base_id(engine_id: &str) -> &str {
+    engine_id.split_once(ATTEMPT_MARK).map_or(engine_id, |(base, _)| base)
+}
+
+/// Text of one token of an answer.
+pub fn token_text(engine_id: &str, index: u32) -> String {
+    let hash = xxh3_64_with_seed(base_id(engine_id).as_bytes(), u64::from(index));
+    format!("w{:04x} ", hash & 0xffff)
+}
+
+/// The whole answer of a model.
+pub fn model_answer(engine_id: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| token_text(engine_id, index)).collect()
+}
+
+/// The whole answer of a plain service.
+pub fn plain_answer(engine_id: &str, body: &[u8]) -> String {
+    format!("{}:{:016x}", base_id(engine_id), xxh3_64(body))
+}
--- /dev/null
+++ b/crates/core/src/coordinator.rs
@@ -0,0 +1,656 @@
+//! The home daemon of online requests: one record a request, one answer a record.
+//!
+//! A record is copied to a second daemon before a no-repeat call leaves for its owner; a second
+//! call with the same id joins the first.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use yokefall_peer::{OwnerLoad, RecordCopy, RecordState};
+use yokefall_types::{
+    CallHeader, NodeName, Outcome, Refusal, RefusalReason, RepeatPolicy, RequestId, ServiceId,
+};
+
+use crate::fleet::{record_holders, FleetView};
+use crate::router::Router;
+use crate::time::Timestamp;
+
+/// Most owners that are asked to run one call.
+const MAX_ATTEMPTS: u32 = 4;
+/// Bounds of the first pause before a repeated execution, in milliseconds.
+const BACKOFF_RANGE_MS: (u64, u64) = (10, 50);
+/// Retries earned by each accepted call.
+const RETRY_BUDGET_RATIO: f64 = 0.2;
+/// Retries that a service may make before it has earned any, and the most it can save up.
+const RETRY_BUDGET_RESERVE: f64 = 10.0;
+const RETRY_BUDGET_MOST: f64 = 200.0;
+
+/// What became of a submitted call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Submission {
+    /// A new record was made.
+    Accepted,
+    /// A record with the same content exists; its answer is this call's answer.
+    Joined,
+    /// The call was refused, and no record of it was made.
+    Refused(Refusal),
+}
+
+/// What the coordinator orders.
+#[derive(Clone, Debug)]
+pub enum CoordinatorEffect {
+    /// Copy the record to another daemon; report with `copy_held` or `copy_failed`.
+    Copy {
+        /// The holder of the copy.
+        to: NodeName,
+        /// The copy.
+        copy: RecordCopy,
+    },
+    /// Send the call to an owner; report with `started`, then `execution_ended` or
+    /// `execution_lost`.
+    Execute {
+        /// The request.
+        request: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// The owner that is to run it.
+        owner: NodeName,
+    },
+    /// Follow an execution ordered by another home daemon; report like `Execute`.
+    Adopt {
+        /// The request.
+        request: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// Where it stood when the copy was made.
+        state: RecordState,
+    },
+    /// Stop an execution.
+    CancelExecution {
+        /// The request.
+        request: RequestId,
+        /// The owner that runs it.
+        owner: NodeName,
+    },
+    /// The record ended: tell those who wait, and the holder of the copy.
+    End {
+        /// The request.
+        request: RequestId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Holder of the copy, if there is one.
+        second: Option<NodeName>,
+    },
+    /// The record's retention is over.
+    Forget {
+        /// The request.
+        request: RequestId,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    Copying { owner: NodeName },
+    Executing { owner: NodeName },
+    Adopting,
+    Backoff { until: Timestamp },
+    Ended,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    header: CallHeader,
+    digest: u64,
+    deadline: Timestamp,
+    stage: Stage,
+    attempt: u32,
+    tried: Vec<NodeName>,
+    second: Option<NodeName>,
+    failed_holders: Vec<NodeName>,
+    /// Whether an owner may have sent the call to a back end.
+    sent: bool,
+    /// Whether an owner reported that a back end runs it.
+    started: bool,
+}
+
+impl Record {
+    fn executed(&self) -> Option<bool> {
+        match (self.started, self.sent) {
+            (true, _) => Some(true),
+            (false, true) => None,
+            (false, false) => Some(false),
+        }
+    }
+
+    fn refusal(&self, reason: RefusalReason, detail: &str) -> Refusal {
+        Refusal {
+            reason,
+            executed: self.executed(),
+            retry_after_ms: None,
+            detail: detail.to_owned(),
+        }
+    }
+}
+
+/// Records of which this daemon is home, and copies that it holds for others.
+#[derive(Debug)]
+pub struct Coordinator {
+    records: HashMap<RequestId, Record>,
+    /// Requests that have not ended.
+    open: BTreeSet<RequestId>,
+    copies: HashMap<RequestId, RecordCopy>,
+    expiry: BTreeMap<(Timestamp, u64), (RequestId, bool)>,
+    next_expiry: u64,
+    budgets: HashMap<ServiceId, f64>,
+    router: Router,
+    generator: SmallRng,
+    retention_ms: u64,
+}
+
+impl Coordinator {
+    /// A coordinator that keeps ended records for `retention_ms`.
+    pub fn new(seed: u64, retention_ms: u64) -> Self {
+        Self {
+            records: HashMap::new(),
+            open: BTreeSet::new(),
+            copies: HashMap::new(),
+            expiry: BTreeMap::new(),
+            next_expiry: 0,
+            budgets: HashMap::new(),
+            router: Router::new(seed),
+            generator: SmallRng::seed_from_u64(seed.wrapping_add(1)),
+            retention_ms,
+        }
+    }
+
+    /// A call arrives from an agent.
+    pub fn submit(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        header: CallHeader,
+        digest: u64,
+        body_bytes: usize,
+    ) -> (Submission, Vec<CoordinatorEffect>) {
+        if let Some(record) = self.records.get(&header.request) {
+            return (join(record.digest, digest), Vec::new());
+        }
+        if let Some(copy) = self.copies.get(&header.request).cloned() {
+            return self.adopt_own_copy(now, header, digest, copy);
+        }
+        if let Some(refusal) = check_limits(view, &header, body_bytes) {
+            return (Submission::Refused(refusal), Vec::new());
+        }
+        let service = header.service_id();
+        let Some(owner) = self.router.choose(now, view, &service, &[]) else {
+            let detail = format!("service {service} has no live back end");
+            let refusal = Refusal::not_run(RefusalReason::NoBackend, detail).retry_after(1_000);
+            return (Submission::Refused(refusal), Vec::new());
+        };
+        let budget = self.budgets.entry(service).or_insert(RETRY_BUDGET_RESERVE);
+        *budget = (*budget + RETRY_BUDGET_RATIO).min(RETRY_BUDGET_MOST);
+        let request = header.request.clone();
+        let record = new_record(now, header, digest, Stage::Copying { owner });
+        self.insert(record);
+        let effects = self.copy_record(now, view, &request);
+        (Submission::Accepted, effects)
+    }
+
+    fn insert(&mut self, record: Record) {
+        self.open.insert(record.header.request.clone());
+        self.records.insert(record.header.request.clone(), record);
+    }
+
+    /// This daemon held the copy, and becomes home: it follows the execution that the former home
+    /// ordered, so that nothing is run twice.
+    fn adopt_own_copy(
+        &mut self,
+        now: Timestamp,
+        header: CallHeader,
+        digest: u64,
+        copy: RecordCopy,
+    ) -> (Submission, Vec<CoordinatorEffect>) {
+        if copy.digest != digest {
+            return (join(copy.digest, digest), Vec::new());
+        }
+        let request = header.request.clone();
+        let mut record = new_record(now, header, digest, Stage::Adopting);
+        record.sent = true;
+        record.attempt = 1;
+        self.insert(record);
+        let effect = CoordinatorEffect::Adopt { request, attempt: 1, state: copy.state };
+        (Submission::Joined, vec![effect])
+    }
+
+    /// Sends the copy of a record, and the call itself where it need not wait for the copy.
+    fn copy_record(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        let Stage::Copying { owner } = record.stage.clone() else { return Vec::new() };
+        let holders = record_holders(request, &view.members);
+        let usable = |n: &&NodeName| **n != view.node && !record.failed_holders.contains(n);
+        record.second = holders.iter().find(usable).cloned();
+        let Some(to) = record.second.clone() else {
+            return self.execute_without_copy(now, view, request);
+        };
+        let copy = RecordCopy {
+            request: request.clone(),
+            digest: record.digest,
+            repeat: record.header.repeat,
+            state: RecordState::Running { owner },
+        };
+        let repeatable = record.header.repeat == RepeatPolicy::Allowed;
+        let mut effects = vec![CoordinatorEffect::Copy { to, copy }];
+        if repeatable {
+            effects.extend(self.execute(request));
+        }
+        effects
+    }
+
+    /// No other daemon can hold a copy. A fleet of one runs the call all the same; a no-repeat
+    /// call whose other holders are all out of reach is refused, since it could run again elsewhere.
+    fn execute_without_copy(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get(request) else { return Vec::new() };
+        let alone = view.members.len() <= 1;
+        if alone || record.header.repeat == RepeatPolicy::Allowed {
+            return self.execute(request);
+        }
+        let detail = "no second daemon could hold the record of a no-repeat call";
+        let refusal = record.refusal(RefusalReason::Unreachable, detail).retry_after(1_000);
+        self.end(now, request, Outcome::Refused(refusal))
+    }
+
+    /// Sends a call to the owner chosen for it.
+    ///
+    /// Invariant: a no-repeat call passes here at most once after `sent` is set; otherwise it
+    /// could run twice.
+    fn execute(&mut self, request: &RequestId) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        let Stage::Copying { owner } = record.stage.clone() else { return Vec::new() };
+        record.stage = Stage::Executing { owner: owner.clone() };
+        record.attempt += 1;
+        record.sent = true;
+        record.tried.push(owner.clone());
+        self.router.sent(&owner, &record.header.service_id());
+        let attempt = record.attempt;
+        vec![CoordinatorEffect::Execute { request: request.clone(), attempt, owner }]
+    }
+
+    /// A daemon holds the copy now; it tells what it held before.
+    pub fn copy_held(
+        &mut self,
+        request: &RequestId,
+        held_before: Option<RecordCopy>,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        if !matches!(record.stage, Stage::Copying { .. }) {
+            return Vec::new();
+        }
+        let Some(copy) = held_before else { return self.execute(request) };
+        record.stage = Stage::Adopting;
+        record.sent = true;
+        record.attempt += 1;
+        let attempt = record.attempt;
+        vec![CoordinatorEffect::Adopt { request: request.clone(), attempt, state: copy.state }]
+    }
+
+    /// A daemon could not hold the copy: another is asked.
+    pub fn copy_failed(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+        holder: &NodeName,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        if !matches!(record.stage, Stage::Copying { .. }) {
+            return Vec::new();
+        }
+        record.failed_holders.push(holder.clone());
+        self.copy_record(now, view, request)
+    }
+
+    /// The owner reports that a back end runs the call.
+    pub fn started(&mut self, request: &RequestId, attempt: u32) {
+        if let Some(record) = self.records.get_mut(request).filter(|r| r.attempt == attempt) {
+            record.started = true;
+        }
+    }
+
+    /// An execution ended, as its owner tells.
+    pub fn execution_ended(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        load: Option<OwnerLoad>,
+    ) -> Vec<CoordinatorEffect> {
+        if !self.settle(now, request, attempt, load) {
+            return Vec::new();
+        }
+        match outcome {
+            Outcome::Completed => self.end(now, request, Outcome::Completed),
+            Outcome::Refused(refusal) => self.refused(now, view, request, refusal),
+        }
+    }
+
+    /// The owner was lost. `reached` tells whether the order can have reached it.
+    pub fn execution_lost(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+        attempt: u32,
+        reached: bool,
+        detail: String,
+    ) -> Vec<CoordinatorEffect> {
+        if !self.settle(now, request, attempt, None) {
+            return Vec::new();
+        }
+        let refusal = if reached {
+            Refusal::unknown(RefusalReason::Unreachable, detail)
+        } else {
+            Refusal::not_run(RefusalReason::Unreachable, detail)
+        };
+        self.refused(now, view, request, refusal)
+    }
+
+    /// Notes the end of an attempt. Returns `false` for an attempt that no longer counts.
+    fn settle(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        attempt: u32,
+        load: Option<OwnerLoad>,
+    ) -> bool {
+        let Some(record) = self.records.get(request) else { return false };
+        if record.attempt != attempt {
+            return false;
+        }
+        match &record.stage {
+            Stage::Executing { owner } => {
+                self.router.returned(now, owner, &record.header.service_id(), load);
+                true
+            }
+            Stage::Adopting => true,
+            _ => false,
+        }
+    }
+
+    /// An attempt was refused: run again where that is safe and within the budget, else end.
+    fn refused(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+        refusal: Refusal,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        let not_run = refusal.executed == Some(false);
+        if not_run && !record.started {
+            record.sent = false;
+        }
+        let safe = not_run || record.header.repeat == RepeatPolicy::Allowed;
+        let sensible = !matches!(
+            refusal.reason,
+            RefusalReason::DeadlineExceeded
+                | RefusalReason::Cancelled
+                | RefusalReason::Conflict
+                | RefusalReason::InvalidArgument
+        );
+        let in_time = record.deadline > now;
+        let in_count = record.attempt < MAX_ATTEMPTS;
+        let service = record.header.service_id();
+        if safe && sensible && in_time && in_count && self.spend_retry(&service) {
+            return self.retry(now, view, request, refusal);
+        }
+        self.end(now, request, Outcome::Refused(refusal))
+    }
+
+    fn spend_retry(&mut self, service: &ServiceId) -> bool {
+        let budget = self.budgets.entry(service.clone()).or_insert(RETRY_BUDGET_RESERVE);
+        if *budget < 1.0 {
+            return false;
+        }
+        *budget -= 1.0;
+        true
+    }
+
+    fn retry(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+        refusal: Refusal,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        if refusal.executed == Some(false) {
+            return self.execute_elsewhere(now, view, request, refusal);
+        }
+        let (low, high) = BACKOFF_RANGE_MS;
+        let pause = self.generator.random_range(low..=high) << record.attempt.min(4);
+        record.stage = Stage::Backoff { until: now.plus_millis(pause) };
+        Vec::new()
+    }
+
+    /// Sends the call to an owner not yet tried; without one the refusal is final.
+    fn execute_elsewhere(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+        refusal: Refusal,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        let service = record.header.service_id();
+        let Some(owner) = self.router.choose(now, view, &service, &record.tried) else {
+            return self.end(now, request, Outcome::Refused(refusal));
+        };
+        record.stage = Stage::Copying { owner };
+        record.failed_holders.clear();
+        self.copy_record(now, view, request)
+    }
+
+    /// Cancels a request. Returns whether it had not ended.
+    pub fn cancel(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+    ) -> (bool, Vec<CoordinatorEffect>) {
+        let Some(record) = self.records.get(request) else { return (false, Vec::new()) };
+        if record.stage == Stage::Ended {
+            return (false, Vec::new());
+        }
+        let refusal = record.refusal(RefusalReason::Cancelled, "cancelled by its caller");
+        (true, self.stop(now, request, refusal))
+    }
+
+    /// Ends a request without an answer, and stops its execution.
+    fn stop(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        refusal: Refusal,
+    ) -> Vec<CoordinatorEffect> {
+        let mut effects = Vec::new();
+        let Some(record) = self.records.get(request) else { return effects };
+        if let Stage::Executing { owner } = &record.stage {
+            let owner = owner.clone();
+            self.router.returned(now, &owner, &record.header.service_id(), None);
+            effects.push(CoordinatorEffect::CancelExecution { request: request.clone(), owner });
+        }
+        effects.extend(self.end(now, request, Outcome::Refused(refusal)));
+        effects
+    }
+
+    fn end(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        outcome: Outcome,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        record.stage = Stage::Ended;
+        self.open.remove(request);
+        let second = record.second.clone();
+        self.expire_at(now.plus_millis(self.retention_ms), request.clone(), true);
+        vec![CoordinatorEffect::End { request: request.clone(), outcome, second }]
+    }
+
+    fn expire_at(&mut self, at: Timestamp, request: RequestId, record: bool) {
+        self.next_expiry += 1;
+        self.expiry.insert((at, self.next_expiry), (request, record));
+    }
+
+    /// Holds a copy for another home daemon. Returns what was held before by this daemon, as
+    /// holder or as home.
+    pub fn hold(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        copy: RecordCopy,
+    ) -> Option<RecordCopy> {
+        let request = copy.request.clone();
+        if let Some(record) = self.records.get(&request) {
+            let state = RecordState::Running { owner: view.node.clone() };
+            let (digest, repeat) = (record.digest, record.header.repeat);
+            return Some(RecordCopy { request, digest, repeat, state });
+        }
+        let before = self.copies.get(&request).cloned();
+        let ended = |c: &RecordCopy| !matches!(c.state, RecordState::Running { .. });
+        if before.as_ref().is_some_and(|held| ended(held) && !ended(&copy)) {
+            return before;
+        }
+        self.copies.insert(request.clone(), copy);
+        let longest = yokefall_types::limits::MAX_CALL_DEADLINE_MS + self.retention_ms;
+        self.expire_at(now.plus_millis(longest), request, false);
+        before
+    }
+
+    /// The copy held of a request.
+    pub fn copy_of(&self, request: &RequestId) -> Option<&RecordCopy> {
+        self.copies.get(request)
+    }
+
+    /// Whether this daemon is home of a request.
+    pub fn is_home_of(&self, request: &RequestId) -> bool {
+        self.records.contains_key(request)
+    }
+
+    /// Requests that have not ended.
+    pub fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Records and copies held.
+    pub fn held(&self) -> (usize, usize) {
+        (self.records.len(), self.copies.len())
+    }
+
+    /// Repeats what has paused, ends what is late, forgets what is old.
+    pub fn tick(&mut self, now: Timestamp, view: &FleetView) -> Vec<CoordinatorEffect> {
+        let mut effects = Vec::new();
+        let requests: Vec<RequestId> = self.open.iter().cloned().collect();
+        for request in requests {
+            let Some(record) = self.records.get(&request) else { continue };
+            if record.deadline <= now {
+                let refusal = record.refusal(RefusalReason::DeadlineExceeded, "deadline passed");
+                effects.extend(self.stop(now, &request, refusal));
+            } else if matches!(record.stage, Stage::Backoff { until } if until <= now) {
+                effects.extend(self.repeat(now, view, &request));
+            }
+        }
+        effects.extend(self.forget(now));
+        effects
+    }
+
+    /// Runs a repeatable call again, on another owner where there is one.
+    fn repeat(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+    ) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        let service = record.header.service_id();
+        let elsewhere = self.router.choose(now, view, &service, &record.tried);
+        let owner = elsewhere.or_else(|| self.router.choose(now, view, &service, &[]));
+        let Some(owner) = owner else {
+            let refusal = record.refusal(RefusalReason::NoBackend, "no live back end is left");
+            return self.end(now, request, Outcome::Refused(refusal));
+        };
+        record.stage = Stage::Copying { owner };
+        self.copy_record(now, view, request)
+    }
+
+    fn forget(&mut self, now: Timestamp) -> Vec<CoordinatorEffect> {
+        let mut effects = Vec::new();
+        while let Some(entry) = self.expiry.first_entry() {
+            if entry.key().0 > now {
+                break;
+            }
+            let (request, is_record) = entry.remove();
+            if is_record {
+                self.records.remove(&request);
+                effects.push(CoordinatorEffect::Forget { request });
+            } else {
+                self.copies.remove(&request);
+            }
+        }
+        effects
+    }
+}
+
+fn new_record(now: Timestamp, header: CallHeader, digest: u64, stage: Stage) -> Record {
+    let deadline = now.plus_millis(header.deadline_ms);
+    Record {
+        header,
+        digest,
+        deadline,
+        stage,
+        attempt: 0,
+        tried: Vec::new(),
+        second: None,
+        failed_holders: Vec::new(),
+        sent: false,
+        started: false,
+    }
+}
+
+fn join(held: u64, given: u64) -> Submission {
+    if held == given {
+        return Submission::Joined;
+    }
+    let detail = "request_id: used before with other content";
+    Submission::Refused(Refusal::not_run(RefusalReason::Conflict, detail))
+}
+
+fn check_limits(view: &FleetView, header: &CallHeader, body_bytes: usize) -> Option<Refusal> {
+    let service = header.service_id();
+    let invalid = |detail: String| Some(Refusal::not_run(RefusalReason::InvalidArgument, detail));
+    let Some(declared) = view.services.get(&service) else {
+        let detail = format!("service: {service} is not declared");
+        return Some(Refusal::not_run(RefusalReason::UnknownService, detail));
+    };
+    let most_bytes = declared.spec.max_prompt_bytes as usize;
+    if body_bytes > most_bytes {
+        return invalid(format!("prompt: {body_bytes} bytes, {service} takes {most_bytes}"));
+    }
+    if header.max_tokens > declared.spec.max_tokens {
+        let most = declared.spec.max_tokens;
+        return invalid(format!("max_tokens: {}, {service} gives {most}", header.max_tokens));
+    }
+    None
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,196 @@
+//! The fleet as one daemon sees it: members, services and who owns which back end.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use yokefall_peer::MemberInfo;
+use yokefall_types::{
+    rendezvous_order, BackendId, BackendSpec, Declaration, Kind, NodeName, RequestId, ServiceId,
+    ServiceSpec,
+};
+
+use crate::configuration::ConfigurationStore;
+
+/// A back end owned by this daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnedBackend {
+    /// The back end.
+    pub id: BackendId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its HTTP address, `IP:PORT`.
+    pub address: String,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Whether it takes nothing new.
+    pub leaving: bool,
+}
+
+/// An owner of back ends of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerView {
+    /// The owner.
+    pub node: NodeName,
+    /// The owner's zone.
+    pub zone: String,
+    /// Slots of the back ends that it owns and that take new work.
+    pub slots: u32,
+}
+
+/// A service and its owners.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceView {
+    /// Its declaration.
+    pub spec: ServiceSpec,
+    /// Owners with at least one slot.
+    pub owners: Vec<OwnerView>,
+}
+
+/// An immutable view, rebuilt when membership or configuration changes.
+#[derive(Clone, Debug)]
+pub struct FleetView {
+    /// This daemon.
+    pub node: NodeName,
+    /// This daemon's zone.
+    pub zone: String,
+    /// Members believed alive, this daemon included, in order of name.
+    pub members: Vec<MemberInfo>,
+    /// Services by id.
+    pub services: HashMap<ServiceId, ServiceView>,
+    /// Back ends owned by this daemon.
+    pub owned: Vec<OwnedBackend>,
+    /// The owner of every back end.
+    pub owners: BTreeMap<BackendId, NodeName>,
+    /// Machines to which nothing new may be sent.
+    pub leaving_machines: HashSet<String>,
+}
+
+impl FleetView {
+    /// A view with one member and nothing configured.
+    pub fn empty(node: NodeName, zone: String) -> Self {
+        Self {
+            node,
+            zone,
+            members: Vec::new(),
+            services: HashMap::new(),
+            owned: Vec::new(),
+            owners: BTreeMap::new(),
+            leaving_machines: HashSet::new(),
+        }
+    }
+
+    /// Builds the view of `node`.
+    pub fn build(
+        node: &NodeName,
+        zone: &str,
+        members: Vec<MemberInfo>,
+        configuration: &ConfigurationStore,
+    ) -> Self {
+        let mut view = Self::empty(node.clone(), zone.to_owned());
+        view.members = members;
+        for (key, declaration) in configuration.live(Kind::Service) {
+            if let Declaration::Service(spec) = declaration {
+                let id = ServiceId { partner: key.partner.clone(), name: key.name.as_str().into() };
+                view.services.insert(id, ServiceView { spec: spec.clone(), owners: Vec::new() });
+            }
+        }
+        view.leaving_machines = leaving_machines(configuration);
+        for (key, declaration) in configuration.live(Kind::Backend) {
+            if let Declaration::Backend(spec) = declaration {
+                let id = BackendId { partner: key.partner.clone(), name: key.name.as_str().into() };
+                let leaving = view.leaving_machines.contains(&spec.machine);
+                view.place_backend(id, spec, leaving);
+            }
+        }
+        view
+    }
+
+    fn place_backend(&mut self, id: BackendId, spec: &BackendSpec, leaving: bool) {
+        let Some(owner) = self.owner_of(&id, &spec.zone).cloned() else { return };
+        let service = ServiceId { partner: id.partner.clone(), name: spec.service.clone() };
+        if let Some(view) = self.services.get_mut(&service).filter(|_| !leaving) {
+            add_slots(&mut view.owners, &owner, spec.slots);
+        }
+        if owner.node == self.node {
+            self.owned.push(OwnedBackend {
+                id: id.clone(),
+                service,
+                address: spec.address.clone(),
+                slots: spec.slots,
+                leaving,
+            });
+        }
+        self.owners.insert(id, owner.node);
+    }
+
+    /// The owner of a back end: first in rendezvous order among the accepting members of its zone,
+    /// or of the whole fleet where its zone has none.
+    fn owner_of(&self, id: &BackendId, zone: &str) -> Option<&MemberInfo> {
+        let accepting = || self.members.iter().filter(|member| member.accepting);
+        let in_zone: Vec<&NodeName> =
+            accepting().filter(|member| member.zone == zone).map(|member| &member.node).collect();
+        let candidates =
+            if in_zone.is_empty() { accepting().map(|m| &m.node).collect() } else { in_zone };
+        let first = *rendezvous_order(id.to_string().as_bytes(), candidates).first()?;
+        self.member(first)
+    }
+
+    /// The member with this name, if it is believed alive.
+    pub fn member(&self, node: &NodeName) -> Option<&MemberInfo> {
+        self.members.iter().find(|member| member.node == *node)
+    }
+
+    /// The daemon other than this one that holds the copy of a request's record.
+    pub fn second_holder(&self, request: &RequestId) -> Option<NodeName> {
+        let holders = record_holders(request, &self.members);
+        holders.into_iter().find(|node| *node != self.node)
+    }
+}
+
+fn add_slots(owners: &mut Vec<OwnerView>, owner: &MemberInfo, slots: u32) {
+    match owners.iter_mut().find(|view| view.node == owner.node) {
+        Some(view) => view.slots += slots,
+        None => {
+            owners.push(OwnerView { node: owner.node.clone(), zone: owner.zone.clone(), slots })
+        }
+    }
+}
+
+fn leaving_machines(configuration: &ConfigurationStore) -> HashSet<String> {
+    let leaving = |declaration: &Declaration| match declaration {
+        Declaration::Machine(spec) => spec.leaving,
+        _ => false,
+    };
+    configuration
+        .live(Kind::Machine)
+        .filter(|(_, declaration)| leaving(declaration))
+        .map(|(key, _)| key.name.clone())
+        .collect()
+}
+
+/// The daemons that hold a request's record, in order: the home daemon, then the holder of the
+/// copy, which stands in another zone where there is one, then the rest.
+pub fn record_holders(request: &RequestId, members: &[MemberInfo]) -> Vec<NodeName> {
+    let accepting: Vec<&MemberInfo> = members.iter().filter(|m| m.accepting).collect();
+    let key = request.to_string();
+    let mut order: Vec<NodeName> =
+        rendezvous_order(key.as_bytes(), accepting.iter().map(|m| &m.node))
+            .into_iter()
+            .cloned()
+            .collect();
+    let zone_of = |node: &NodeName| accepting.iter().find(|m| m.node == *node).map(|m| &m.zone);
+    let Some(home_zone) = order.first().map(zone_of) else { return order };
+    if let Some(position) = order.iter().position(|node| zone_of(node) != home_zone) {
+        let second = order.remove(position);
+        order.insert(1, second);
+    }
+    order
+}
+
+/// The data daemon that stores a job: first in rendezvous order over the configured data daemons,
+/// alive or not, so that a death never moves a job to where it is not known.
+pub fn job_home<'a>(
+    job: &yokefall_types::JobId,
+    data_nodes: &'a [NodeName],
+) -> Option<&'a NodeName> {
+    rendezvous_order(job.to_string().as_bytes(), data_nodes).first().copied()
+}
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,485 @@
+//! Membership: which daemons live, by probes at a cost that does not grow with the fleet.
+//!
+//! A daemon probes one member an interval, asks others to probe it when it does not answer, then
+//! suspects it, and declares it dead unless it refutes with a higher incarnation. News travels on
+//! the probes themselves (the SWIM scheme, Das, Gupta and Motivala, 2002).
+
+use std::collections::BTreeMap;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use rand::rngs::SmallRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::SeedableRng;
+use yokefall_peer::MemberInfo;
+use yokefall_types::NodeName;
+
+use crate::time::Timestamp;
+
+/// Interval between two probes of one daemon, in milliseconds.
+pub const PROBE_INTERVAL_MS: u64 = 500;
+/// Time after which a direct probe counts as unanswered, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 200;
+/// Members asked to probe one that did not answer.
+const INDIRECT_PROBES: usize = 3;
+/// Time for which a suspect may refute, in milliseconds.
+const SUSPICION_MS: u64 = 2_500;
+/// Time for which the dead are remembered, in milliseconds.
+const TOMBSTONE_MS: u64 = 600_000;
+/// Updates in one datagram, so that it fits one packet.
+const UPDATES_PER_DATAGRAM: usize = 8;
+/// Interval between calls to the seeds while no member is known, in milliseconds.
+const JOIN_INTERVAL_MS: u64 = 500;
+/// Interval between calls to a seed that is not a live member, in milliseconds.
+const SEED_INTERVAL_MS: u64 = 5_000;
+
+/// State of a member.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
+)]
+pub enum MemberState {
+    /// Answers probes.
+    Alive,
+    /// Alive, but takes nothing new: it is stopping.
+    Leaving,
+    /// Did not answer; may refute.
+    Suspect,
+    /// Did not refute in time, or has left.
+    Dead,
+}
+
+/// A member as told between daemons.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct MemberRecord {
+    /// Name.
+    pub node: NodeName,
+    /// Grows with every start and every refutation.
+    pub incarnation: u64,
+    /// Peer address, `IP:PORT`; TCP and UDP.
+    pub address: String,
+    /// Zone.
+    pub zone: String,
+    /// Region of the zone.
+    pub region: String,
+    /// Whether it holds a data folder.
+    pub data: bool,
+    /// State.
+    pub state: MemberState,
+}
+
+/// A membership datagram.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Datagram {
+    /// The sender.
+    pub from: NodeName,
+    /// Highest configuration version in force at the sender.
+    pub configuration_version: u64,
+    /// What it says.
+    pub kind: DatagramKind,
+    /// News.
+    pub updates: Vec<MemberRecord>,
+}
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum DatagramKind {
+    /// Asks for the whole member list.
+    Join,
+    /// A part of the member list.
+    Members,
+    /// Asks for an acknowledgement.
+    Ping {
+        /// Number of the probe.
+        sequence: u64,
+    },
+    /// Acknowledges a probe.
+    Ack {
+        /// Number of the probe.
+        sequence: u64,
+    },
+    /// Asks to probe a third member.
+    PingRequest {
+        /// Number of the probe at the sender.
+        sequence: u64,
+        /// The member to probe.
+        target: NodeName,
+    },
+}
+
+/// A datagram to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Destination, `IP:PORT`.
+    pub to: String,
+    /// Content.
+    pub datagram: Datagram,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    record: MemberRecord,
+    since: Timestamp,
+    configuration_version: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    target: NodeName,
+    sequence: u64,
+    sent_at: Timestamp,
+    indirect: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Relay {
+    sequence: u64,
+    origin: String,
+    origin_sequence: u64,
+    at: Timestamp,
+}
+
+/// The member list of one daemon.
+///
+/// Invariant: a record replaces another only with a higher incarnation, or with a graver state at
+/// the same one; only the member itself raises its incarnation. Otherwise old news could bring the
+/// dead back.
+#[derive(Debug)]
+pub struct Membership {
+    me: MemberRecord,
+    seeds: Vec<String>,
+    members: BTreeMap<NodeName, Entry>,
+    news: Vec<(MemberRecord, u32)>,
+    order: Vec<NodeName>,
+    probe: Option<Probe>,
+    relays: Vec<Relay>,
+    next_sequence: u64,
+    next_probe_at: Timestamp,
+    next_join_at: Timestamp,
+    configuration_version: u64,
+    generator: SmallRng,
+    changed: bool,
+}
+
+impl Membership {
+    /// A member list that knows only this daemon and its seeds.
+    pub fn new(me: MemberRecord, seeds: Vec<String>, seed: u64) -> Self {
+        let mut membership = Self {
+            seeds: seeds.into_iter().filter(|address| *address != me.address).collect(),
+            me,
+            members: BTreeMap::new(),
+            news: Vec::new(),
+            order: Vec::new(),
+            probe: None,
+            relays: Vec::new(),
+            next_sequence: 0,
+            next_probe_at: Timestamp(0),
+            next_join_at: Timestamp(0),
+            configuration_version: 0,
+            generator: SmallRng::seed_from_u64(seed),
+            changed: true,
+        };
+        let me = membership.me.clone();
+        membership.spread(me);
+        membership
+    }
+
+    /// Notes the configuration version in force here.
+    pub fn set_configuration_version(&mut self, version: u64) {
+        self.configuration_version = version;
+    }
+
+    /// Whether the list of usable members changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Announces that this daemon is stopping, or that it is gone.
+    pub fn announce(&mut self, state: MemberState) {
+        self.me.incarnation += 1;
+        self.me.state = state;
+        self.changed = true;
+        let me = self.me.clone();
+        self.spread(me);
+    }
+
+    /// Datagrams that tell every member of this daemon's own state at once.
+    pub fn farewell(&mut self) -> Vec<Outgoing> {
+        let addresses: Vec<String> =
+            self.live().map(|entry| entry.record.address.clone()).collect();
+        addresses.into_iter().map(|to| self.outgoing(to, DatagramKind::Members)).collect()
+    }
+
+    fn live(&self) -> impl Iterator<Item = &Entry> {
+        self.members.values().filter(|entry| entry.record.state != MemberState::Dead)
+    }
+
+    /// The members that are not dead, this daemon included, in order of name.
+    pub fn members(&self) -> Vec<MemberInfo> {
+        let mut members: Vec<MemberInfo> = self.live().map(|e| info(&e.record)).collect();
+        members.push(info(&self.me));
+        members.sort_by(|left, right| left.node.cmp(&right.node));
+        members
+    }
+
+    /// Every member with its state and configuration version, this daemon included.
+    pub fn records(&self) -> Vec<(MemberRecord, u64)> {
+        let mut all: Vec<(MemberRecord, u64)> = self
+            .members
+            .values()
+            .map(|entry| (entry.record.clone(), entry.configuration_version))
+            .collect();
+        all.push((self.me.clone(), self.configuration_version));
+        all.sort_by(|left, right| left.0.node.cmp(&right.0.node));
+        all
+    }
+
+    /// Time passes: probes, suspicions and tombstones.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let mut outgoing = self.join(now);
+        outgoing.extend(self.continue_probe(now));
+        if self.next_probe_at <= now {
+            self.next_probe_at = now.plus_millis(PROBE_INTERVAL_MS);
+            self.conclude_probe(now);
+            outgoing.extend(self.begin_probe(now));
+        }
+        self.expire(now);
+        outgoing
+    }
+
+    /// Calls seeds that are not live members, so that two halves of a fleet find each other again.
+    fn join(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        if self.next_join_at > now {
+            return Vec::new();
+        }
+        let alone = self.live().next().is_none();
+        let interval = if alone { JOIN_INTERVAL_MS } else { SEED_INTERVAL_MS };
+        self.next_join_at = now.plus_millis(interval);
+        let known: Vec<String> = self.live().map(|e| e.record.address.clone()).collect();
+        let missing: Vec<String> =
+            self.seeds.iter().filter(|seed| !known.contains(seed)).cloned().collect();
+        missing.into_iter().map(|to| self.outgoing(to, DatagramKind::Join)).collect()
+    }
+
+    fn begin_probe(&mut self, now: Timestamp) -> Option<Outgoing> {
+        let target = self.next_target()?;
+        let address = self.members.get(&target)?.record.address.clone();
+        self.next_sequence += 1;
+        let sequence = self.next_sequence;
+        self.probe = Some(Probe { target, sequence, sent_at: now, indirect: false });
+        Some(self.outgoing(address, DatagramKind::Ping { sequence }))
+    }
+
+    /// Members in a shuffled round, so that each is probed within a bounded time.
+    fn next_target(&mut self) -> Option<NodeName> {
+        loop {
+            if self.order.is_empty() {
+                self.order = self.live().map(|entry| entry.record.node.clone()).collect();
+                self.order.shuffle(&mut self.generator);
+            }
+            let target = self.order.pop()?;
+            if self.members.get(&target).is_some_and(|e| e.record.state != MemberState::Dead) {
+                return Some(target);
+            }
+        }
+    }
+
+    fn continue_probe(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let Some(probe) = self.probe.clone() else { return Vec::new() };
+        if probe.indirect || now.millis_since(probe.sent_at) < PROBE_TIMEOUT_MS {
+            return Vec::new();
+        }
+        if let Some(open) = &mut self.probe {
+            open.indirect = true;
+        }
+        let helpers: Vec<String> = self
+            .live()
+            .filter(|e| e.record.state == MemberState::Alive && e.record.node != probe.target)
+            .map(|entry| entry.record.address.clone())
+            .collect();
+        let chosen: Vec<String> =
+            helpers.choose_multiple(&mut self.generator, INDIRECT_PROBES).cloned().collect();
+        let kind =
+            DatagramKind::PingRequest { sequence: probe.sequence, target: probe.target.clone() };
+        let mut outgoing: Vec<Outgoing> =
+            chosen.into_iter().map(|to| self.outgoing(to, kind.clone())).collect();
+        // One lost datagram must not look like a death where there is nobody to ask.
+        if let Some(entry) = self.members.get(&probe.target) {
+            let to = entry.record.address.clone();
+            outgoing.push(self.outgoing(to, DatagramKind::Ping { sequence: probe.sequence }));
+        }
+        outgoing
+    }
+
+    fn conclude_probe(&mut self, now: Timestamp) {
+        let Some(probe) = self.probe.take() else { return };
+        let Some(entry) = self.members.get(&probe.target) else { return };
+        if !matches!(entry.record.state, MemberState::Alive | MemberState::Leaving) {
+            return;
+        }
+        let mut record = entry.record.clone();
+        // A leaving member that is silent is gone; as a suspect it would count as accepting.
+        let leaving = record.state == MemberState::Leaving;
+        record.state = if leaving { MemberState::Dead } else { MemberState::Suspect };
+        self.take(now, record);
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let lapsed = |entry: &&Entry| {
+            entry.record.state == MemberState::Suspect
+                && now.millis_since(entry.since) >= SUSPICION_MS
+        };
+        let dead: Vec<MemberRecord> =
+            self.members.values().filter(lapsed).map(|e| e.record.clone()).collect();
+        for mut record in dead {
+            record.state = MemberState::Dead;
+            self.take(now, record);
+        }
+        self.members.retain(|_, entry| {
+            entry.record.state != MemberState::Dead || now.millis_since(entry.since) < TOMBSTONE_MS
+        });
+        self.relays.retain(|relay| now.millis_since(relay.at) < PROBE_INTERVAL_MS);
+    }
+
+    /// A datagram arrived.
+    pub fn receive(&mut self, now: Timestamp, datagram: Datagram, source: &str) -> Vec<Outgoing> {
+        for record in datagram.updates {
+            self.take(now, record);
+        }
+        if let Some(entry) = self.members.get_mut(&datagram.from) {
+            entry.configuration_version =
+                entry.configuration_version.max(datagram.configuration_version);
+        }
+        match datagram.kind {
+            DatagramKind::Join => self.whole_list(source),
+            DatagramKind::Members => Vec::new(),
+            DatagramKind::Ping { sequence } => {
+                vec![self.outgoing(source.to_owned(), DatagramKind::Ack { sequence })]
+            }
+            DatagramKind::Ack { sequence } => self.acknowledged(sequence),
+            DatagramKind::PingRequest { sequence, target } => {
+                self.relay(now, source, sequence, &target).into_iter().collect()
+            }
+        }
+    }
+
+    fn whole_list(&mut self, to: &str) -> Vec<Outgoing> {
+        let mut records: Vec<MemberRecord> =
+            self.members.values().map(|entry| entry.record.clone()).collect();
+        records.push(self.me.clone());
+        let part = |updates: &[MemberRecord]| Outgoing {
+            to: to.to_owned(),
+            datagram: Datagram {
+                from: self.me.node.clone(),
+                configuration_version: self.configuration_version,
+                kind: DatagramKind::Members,
+                updates: updates.to_vec(),
+            },
+        };
+        records.chunks(UPDATES_PER_DATAGRAM).map(part).collect()
+    }
+
+    fn acknowledged(&mut self, sequence: u64) -> Vec<Outgoing> {
+        if self.probe.as_ref().is_some_and(|probe| probe.sequence == sequence) {
+            self.probe = None;
+            return Vec::new();
+        }
+        let Some(position) = self.relays.iter().position(|r| r.sequence == sequence) else {
+            return Vec::new();
+        };
+        let relay = self.relays.swap_remove(position);
+        vec![self.outgoing(relay.origin, DatagramKind::Ack { sequence: relay.origin_sequence })]
+    }
+
+    fn relay(
+        &mut self,
+        now: Timestamp,
+        origin: &str,
+        origin_sequence: u64,
+        target: &NodeName,
+    ) -> Option<Outgoing> {
+        let address = self.members.get(target)?.record.address.clone();
+        self.next_sequence += 1;
+        let sequence = self.next_sequence;
+        let origin = origin.to_owned();
+        self.relays.push(Relay { sequence, origin, origin_sequence, at: now });
+        Some(self.outgoing(address, DatagramKind::Ping { sequence }))
+    }
+
+    /// Takes news of a member.
+    fn take(&mut self, now: Timestamp, record: MemberRecord) {
+        if record.node == self.me.node {
+            self.refute(&record);
+            return;
+        }
+        let newer = match self.members.get(&record.node) {
+            None => true,
+            Some(held) => {
+                (record.incarnation, record.state) > (held.record.incarnation, held.record.state)
+            }
+        };
+        if !newer {
+            return;
+        }
+        let held = self.members.get(&record.node);
+        self.changed |= held.map(|e| info_of_live(&e.record)) != Some(info_of_live(&record));
+        let configuration_version = held.map_or(0, |entry| entry.configuration_version);
+        let entry = Entry { record: record.clone(), since: now, configuration_version };
+        self.members.insert(record.node.clone(), entry);
+        self.spread(record);
+    }
+
+    /// News of this daemon itself that is wrong is answered with a higher incarnation.
+    fn refute(&mut self, record: &MemberRecord) {
+        let wrong = record.incarnation >= self.me.incarnation && *record != self.me;
+        if wrong {
+            self.me.incarnation = record.incarnation + 1;
+            let me = self.me.clone();
+            self.spread(me);
+        }
+    }
+
+    /// Queues news for as many transmissions as reach the whole fleet with high probability.
+    fn spread(&mut self, record: MemberRecord) {
+        let members = self.members.len() as u32 + 2;
+        let transmissions = 3 * (32 - members.leading_zeros()) + 2;
+        self.news.retain(|(queued, _)| queued.node != record.node);
+        self.news.push((record, transmissions));
+    }
+
+    fn outgoing(&mut self, to: String, kind: DatagramKind) -> Outgoing {
+        // The least transmitted news goes first.
+        self.news.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
+        let mut updates = Vec::new();
+        for (record, left) in self.news.iter_mut().take(UPDATES_PER_DATAGRAM) {
+            updates.push(record.clone());
+            *left -= 1;
+        }
+        self.news.retain(|(_, left)| *left > 0);
+        if matches!(kind, DatagramKind::Join | DatagramKind::Members)
+            && !updates.iter().any(|record| record.node == self.me.node)
+        {
+            updates.push(self.me.clone());
+        }
+        let datagram = Datagram {
+            from: self.me.node.clone(),
+            configuration_version: self.configuration_version,
+            kind,
+            updates,
+        };
+        Outgoing { to, datagram }
+    }
+}
+
+fn info(record: &MemberRecord) -> MemberInfo {
+    MemberInfo {
+        node: record.node.clone(),
+        address: record.address.clone(),
+        zone: record.zone.clone(),
+        region: record.region.clone(),
+        data: record.data,
+        accepting: matches!(record.state, MemberState::Alive | MemberState::Suspect),
+    }
+}
+
+fn info_of_live(record: &MemberRecord) -> Option<MemberInfo> {
+    (record.state != MemberState::Dead).then(|| info(record))
+}
--- /dev/null
+++ b/crates/daemon/src/control/dispatch.rs
@@ -0,0 +1,435 @@
+//! Calls and items: one actor, which holds the coordinator, admission and the batch runner.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use kameo::message::{Context, Message};
+use kameo::Actor;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use yokefall_core::admission::{Admission, AdmissionEffect, Ticket};
+use yokefall_core::batch::{BatchEffect, BatchRunner, ItemEnd};
+use yokefall_core::coordinator::{Coordinator, CoordinatorEffect, Submission};
+use yokefall_peer::{LeasedItem, LeasedItemRef, OwnerLoad, RecordCopy};
+use yokefall_types::{CallHeader, NodeName, Outcome, Refusal, RefusalReason, RequestId, ServiceId};
+
+use crate::shared::Shared;
+use crate::traffic::buffer::Call;
+use crate::traffic::{batch, execution, home};
+
+/// What still runs, for a planned stop.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BusyCounts {
+    /// Requests of which this daemon is home and that have not ended.
+    pub requests: usize,
+    /// Calls and items that run or wait at this owner.
+    pub admitted: usize,
+    /// Batch items whose end is not yet acknowledged.
+    pub items: usize,
+}
+
+impl BusyCounts {
+    /// Whether nothing runs.
+    pub fn is_idle(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Commands to the actor.
+pub enum DispatchCommand {
+    /// Time passes.
+    Tick,
+    /// The view of the fleet was replaced.
+    ViewChanged,
+    /// A call arrives at its home daemon.
+    Submit {
+        /// The call; its table entry is made by the actor.
+        call: Arc<Call>,
+        /// What became of it.
+        reply: oneshot::Sender<Submission>,
+    },
+    /// Cancel a request.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// Whether it had not ended.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A daemon holds the copy of a record.
+    CopyHeld {
+        /// The request.
+        request: RequestId,
+        /// What it held before.
+        held_before: Option<RecordCopy>,
+    },
+    /// A daemon could not hold the copy of a record.
+    CopyFailed {
+        /// The request.
+        request: RequestId,
+        /// The daemon.
+        holder: NodeName,
+    },
+    /// A back end runs the call.
+    Started {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u32,
+    },
+    /// An execution ended.
+    ExecutionEnded {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// The owner's load.
+        load: Option<OwnerLoad>,
+    },
+    /// An owner was lost.
+    ExecutionLost {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// Whether the order can have reached it.
+        reached: bool,
+        /// The cause.
+        detail: String,
+    },
+    /// Hold a copy of another daemon's record.
+    Hold {
+        /// The copy.
+        copy: RecordCopy,
+        /// What was held before.
+        reply: oneshot::Sender<Option<RecordCopy>>,
+    },
+    /// Tell the copy held of a request.
+    CopyOf {
+        /// The request.
+        request: RequestId,
+        /// The copy.
+        reply: oneshot::Sender<Option<RecordCopy>>,
+    },
+    /// A call arrives at an owner.
+    Arrive {
+        /// The execution; its table entry exists.
+        execution: Arc<Call>,
+    },
+    /// An online execution ended at the back end.
+    OnlineEnded {
+        /// Its ticket.
+        ticket: Ticket,
+        /// Whether the back end failed.
+        failed: bool,
+        /// The load after it.
+        reply: oneshot::Sender<OwnerLoad>,
+    },
+    /// Cancel an execution ordered by a home daemon.
+    CancelExecution {
+        /// The request.
+        request: RequestId,
+        /// Whether it was waiting or running.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A store answered a lease request; none means that it could not be asked.
+    Leased {
+        /// The store's daemon.
+        store: NodeName,
+        /// The service.
+        service: ServiceId,
+        /// The items.
+        items: Option<Vec<LeasedItem>>,
+    },
+    /// A store answered a request for start marks.
+    StartAnswered {
+        /// The items asked for.
+        asked: Vec<LeasedItemRef>,
+        /// Those granted.
+        granted: Vec<LeasedItemRef>,
+    },
+    /// A store answered an extension.
+    Extended {
+        /// The items asked for.
+        asked: Vec<LeasedItemRef>,
+        /// Those granted.
+        granted: Vec<LeasedItemRef>,
+    },
+    /// An item's execution ended.
+    ItemEnded {
+        /// Its ticket.
+        ticket: Ticket,
+        /// How it ended.
+        end: ItemEnd,
+    },
+    /// A store acknowledged a report.
+    Reported {
+        /// The item's ticket.
+        ticket: Ticket,
+    },
+    /// Take no more batch items.
+    PauseBatch,
+    /// Tell what runs.
+    Busy(oneshot::Sender<BusyCounts>),
+}
+
+/// Holds all state of calls and items.
+#[derive(Actor)]
+pub struct DispatchActor {
+    shared: Arc<Shared>,
+    traffic: Handle,
+    coordinator: Coordinator,
+    admission: Admission,
+    runner: BatchRunner,
+    online: HashMap<Ticket, Arc<Call>>,
+    tickets: HashMap<RequestId, Ticket>,
+}
+
+impl DispatchActor {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        traffic: Handle,
+        seed: u64,
+        retention_ms: u64,
+        stores: Vec<NodeName>,
+    ) -> Self {
+        Self {
+            shared,
+            traffic,
+            coordinator: Coordinator::new(seed, retention_ms),
+            admission: Admission::default(),
+            runner: BatchRunner::new(stores),
+            online: HashMap::new(),
+            tickets: HashMap::new(),
+        }
+    }
+
+    fn submit(&mut self, call: Arc<Call>) -> Submission {
+        let now = self.shared.clock.now();
+        let view = self.shared.view.load_full();
+        let header = call.header().clone();
+        let body_bytes = call.body_bytes();
+        let (submission, effects) =
+            self.coordinator.submit(now, &view, header, call.digest(), body_bytes);
+        if self.coordinator.is_home_of(&call.header().request) {
+            self.shared.calls.insert_if_absent(call);
+        }
+        self.coordinate(effects);
+        submission
+    }
+
+    fn coordinate(&mut self, effects: Vec<CoordinatorEffect>) {
+        for effect in effects {
+            home::carry_out(&self.shared, &self.traffic, effect);
+        }
+    }
+
+    fn arrive(&mut self, execution: Arc<Call>) {
+        let now = self.shared.clock.now();
+        let ticket = self.admission.next_ticket();
+        let header: &CallHeader = execution.header();
+        let deadline = now.plus_millis(header.deadline_ms);
+        let service = header.service_id();
+        let priority = header.priority;
+        self.tickets.insert(header.request.clone(), ticket);
+        self.online.insert(ticket, execution);
+        let effects = self.admission.arrive(now, ticket, &service, priority, deadline);
+        self.admit(effects);
+    }
+
+    fn admit(&mut self, effects: Vec<AdmissionEffect>) {
+        for effect in effects {
+            match effect {
+                AdmissionEffect::Start { ticket, backend, address } => {
+                    let Some(execution) = self.online.get(&ticket).cloned() else { continue };
+                    let shared = self.shared.clone();
+                    self.traffic.spawn(execution::run(shared, execution, ticket, backend, address));
+                }
+                AdmissionEffect::Yield { ticket } => self.shared.items.stop(ticket),
+                AdmissionEffect::Refuse { ticket, refusal } => self.refuse(ticket, refusal),
+            }
+        }
+    }
+
+    fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
+        let Some(execution) = self.forget_online(ticket) else { return };
+        let load = self.load_for(&execution);
+        execution.buffer().end(Outcome::Refused(refusal), Some(load));
+    }
+
+    fn forget_online(&mut self, ticket: Ticket) -> Option<Arc<Call>> {
+        let execution = self.online.remove(&ticket)?;
+        let request = &execution.header().request;
+        if self.tickets.get(request) == Some(&ticket) {
+            self.tickets.remove(request);
+        }
+        Some(execution)
+    }
+
+    fn load_for(&self, execution: &Call) -> OwnerLoad {
+        self.admission.load(self.shared.clock.now(), &execution.header().service_id())
+    }
+
+    fn online_ended(&mut self, ticket: Ticket, failed: bool) -> OwnerLoad {
+        let now = self.shared.clock.now();
+        let effects = self.admission.finish(now, ticket, failed);
+        let execution = self.forget_online(ticket);
+        self.admit(effects);
+        self.lease();
+        execution.map(|execution| self.load_for(&execution)).unwrap_or_default()
+    }
+
+    fn cancel_execution(&mut self, request: &RequestId) -> bool {
+        let Some(ticket) = self.tickets.get(request).copied() else { return false };
+        if self.admission.withdraw(ticket) {
+            let refusal = Refusal::not_run(RefusalReason::Cancelled, "cancelled while waiting");
+            self.refuse(ticket, refusal);
+            return true;
+        }
+        if let Some(execution) = self.online.get(&ticket) {
+            execution.stop();
+        }
+        true
+    }
+
+    fn lease(&mut self) {
+        let effects = self.runner.lease(self.shared.clock.now(), &self.admission);
+        self.run_batch(effects);
+    }
+
+    fn run_batch(&mut self, effects: Vec<BatchEffect>) {
+        for effect in effects {
+            batch::carry_out(&self.shared, &self.traffic, effect);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.clock.now();
+        let view = self.shared.view.load_full();
+        let effects = self.coordinator.tick(now, &view);
+        self.coordinate(effects);
+        let effects = self.admission.tick(now);
+        self.admit(effects);
+        let effects = self.runner.tick(now);
+        self.run_batch(effects);
+        self.lease();
+        let (records, copies) = self.coordinator.held();
+        metrics::gauge!("yokefall_request_records").set(records as f64);
+        metrics::gauge!("yokefall_request_copies").set(copies as f64);
+        metrics::gauge!("yokefall_batch_items_held").set(self.runner.held() as f64);
+    }
+
+    fn leased(&mut self, store: &NodeName, service: &ServiceId, items: Option<Vec<LeasedItem>>) {
+        let now = self.shared.clock.now();
+        let Some(items) = items else {
+            self.runner.lease_failed(now, store, service);
+            return;
+        };
+        let effects = self.runner.leased(now, &mut self.admission, store, service, items);
+        self.run_batch(effects);
+        self.lease();
+    }
+
+    fn item_ended(&mut self, ticket: Ticket, end: ItemEnd) {
+        let now = self.shared.clock.now();
+        let (effects, admitted) = self.runner.ended(now, &mut self.admission, ticket, end);
+        self.run_batch(effects);
+        self.admit(admitted);
+        self.lease();
+    }
+
+    fn start_answered(&mut self, asked: &[LeasedItemRef], granted: &[LeasedItemRef]) {
+        let now = self.shared.clock.now();
+        let (effects, admitted) =
+            self.runner.start_answered(now, &mut self.admission, asked, granted);
+        self.run_batch(effects);
+        self.admit(admitted);
+    }
+
+    fn busy(&self) -> BusyCounts {
+        BusyCounts {
+            requests: self.coordinator.open_requests(),
+            admitted: self.admission.busy(),
+            items: self.runner.held(),
+        }
+    }
+}
+
+impl Message<DispatchCommand> for DispatchActor {
+    type Reply = ();
+
+    async fn handle(&mut self, command: DispatchCommand, _: &mut Context<Self, ()>) {
+        let now = self.shared.clock.now();
+        match command {
+            DispatchCommand::Tick => self.tick(),
+            DispatchCommand::ViewChanged => {
+                let view = self.shared.view.load_full();
+                let effects = self.admission.configure(now, &view);
+                self.admit(effects);
+            }
+            DispatchCommand::Submit { call, reply } => {
+                let _ = reply.send(self.submit(call));
+            }
+            DispatchCommand::Cancel { request, reply } => {
+                let (cancelled, effects) = self.coordinator.cancel(now, &request);
+                self.coordinate(effects);
+                let _ = reply.send(cancelled);
+            }
+            DispatchCommand::CopyHeld { request, held_before } => {
+                let effects = self.coordinator.copy_held(&request, held_before);
+                self.coordinate(effects);
+            }
+            DispatchCommand::CopyFailed { request, holder } => {
+                let view = self.shared.view.load_full();
+                let effects = self.coordinator.copy_failed(now, &view, &request, &holder);
+                self.coordinate(effects);
+            }
+            DispatchCommand::Started { request, attempt } => {
+                self.coordinator.started(&request, attempt);
+            }
+            DispatchCommand::ExecutionEnded { request, attempt, outcome, load } => {
+                let view = self.shared.view.load_full();
+                let effects =
+                    self.coordinator.execution_ended(now, &view, &request, attempt, outcome, load);
+                self.coordinate(effects);
+            }
+            DispatchCommand::ExecutionLost { request, attempt, reached, detail } => {
+                let view = self.shared.view.load_full();
+                let effects =
+                    self.coordinator.execution_lost(now, &view, &request, attempt, reached, detail);
+                self.coordinate(effects);
+            }
+            DispatchCommand::Hold { copy, reply } => {
+                let view = self.shared.view.load_full();
+                let _ = reply.send(self.coordinator.hold(now, &view, copy));
+            }
+            DispatchCommand::CopyOf { request, reply } => {
+                let _ = reply.send(self.coordinator.copy_of(&request).cloned());
+            }
+            DispatchCommand::Arrive { execution } => self.arrive(execution),
+            DispatchCommand::OnlineEnded { ticket, failed, reply } => {
+                let _ = reply.send(self.online_ended(ticket, failed));
+            }
+            DispatchCommand::CancelExecution { request, reply } => {
+                let _ = reply.send(self.cancel_execution(&request));
+            }
+            DispatchCommand::Leased { store, service, items } => {
+                self.leased(&store, &service, items);
+            }
+            DispatchCommand::StartAnswered { asked, granted } => {
+                self.start_answered(&asked, &granted);
+            }
+            DispatchCommand::Extended { asked, granted } => {
+                let effects = self.runner.extended(&asked, &granted);
+                self.run_batch(effects);
+            }
+            DispatchCommand::ItemEnded { ticket, end } => self.item_ended(ticket, end),
+            DispatchCommand::Reported { ticket } => self.runner.reported(ticket),
+            DispatchCommand::PauseBatch => self.runner.pause(),
+            DispatchCommand::Busy(reply) => {
+                let _ = reply.send(self.busy());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/fleet.rs
@@ -0,0 +1,224 @@
+//! Membership and configuration: one actor, which publishes the view of the fleet.
+
+use std::sync::Arc;
+
+use kameo::message::{Context, Message};
+use kameo::Actor;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::SeedableRng;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+use yokefall_core::configuration::{ConfigurationStore, Repair};
+use yokefall_core::membership::{Datagram, MemberRecord, MemberState, Membership, Outgoing};
+use yokefall_core::FleetView;
+use yokefall_peer::{ObjectVersion, PeerRequest, VersionedObject};
+use yokefall_telemetry::{Event, Level};
+use yokefall_types::{Kind, NodeName};
+
+use crate::control::DispatchCommand;
+use crate::shared::Shared;
+use crate::traffic::call_peer;
+
+/// Members to which a change is pushed by each daemon that learns of it.
+const PUSH_FANOUT: usize = 3;
+
+/// What operators are told of the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetStatus {
+    /// Highest configuration version in force here.
+    pub configuration_version: u64,
+    /// Members with the version that each is known to have in force.
+    pub members: Vec<(MemberRecord, u64)>,
+}
+
+/// Commands to the actor.
+pub enum FleetCommand {
+    /// Time passes.
+    Tick,
+    /// A datagram arrived.
+    Received {
+        /// The datagram.
+        datagram: Datagram,
+        /// Its source, `IP:PORT`.
+        source: String,
+    },
+    /// Objects were read from the object API, or told by a peer.
+    Apply(Vec<VersionedObject>),
+    /// All objects of one kind were listed.
+    ApplyListing {
+        /// The kind.
+        kind: Kind,
+        /// Version of the listing.
+        version: u64,
+        /// The objects.
+        objects: Vec<VersionedObject>,
+    },
+    /// Compare with a peer's store.
+    Compare {
+        /// The peer's digest.
+        digest: u64,
+        /// The peer's versions; empty to compare digests only.
+        versions: Vec<ObjectVersion>,
+        /// Whether the digests are equal, and the difference.
+        reply: oneshot::Sender<(bool, Repair)>,
+    },
+    /// Tell digest and versions.
+    Versions(oneshot::Sender<(u64, Vec<ObjectVersion>)>),
+    /// Tell all objects, deleted ones included.
+    Objects(oneshot::Sender<Vec<VersionedObject>>),
+    /// Tell the state of the fleet.
+    Status(oneshot::Sender<FleetStatus>),
+    /// Announce that this daemon is stopping or gone.
+    Announce(MemberState),
+}
+
+/// Holds the member list and the configuration.
+#[derive(Actor)]
+pub struct FleetActor {
+    shared: Arc<Shared>,
+    traffic: Handle,
+    membership: Membership,
+    configuration: ConfigurationStore,
+    datagrams: mpsc::UnboundedSender<Outgoing>,
+    generator: SmallRng,
+    rebuild: bool,
+}
+
+impl FleetActor {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        traffic: Handle,
+        membership: Membership,
+        datagrams: mpsc::UnboundedSender<Outgoing>,
+    ) -> Self {
+        Self {
+            shared,
+            traffic,
+            membership,
+            configuration: ConfigurationStore::default(),
+            datagrams,
+            generator: SmallRng::seed_from_u64(0),
+            rebuild: true,
+        }
+    }
+
+    fn tick(&mut self) {
+        let outgoing = self.membership.tick(self.shared.clock.now());
+        self.send(outgoing);
+    }
+
+    fn send(&self, outgoing: Vec<Outgoing>) {
+        for datagram in outgoing {
+            let _ = self.datagrams.send(datagram);
+        }
+    }
+
+    fn apply(&mut self, objects: Vec<VersionedObject>) {
+        let mut changed = Vec::new();
+        for object in objects {
+            if self.configuration.apply(object.clone()) {
+                changed.push(object);
+            }
+        }
+        self.changed(changed);
+    }
+
+    /// Publishes changes, and pushes them on: each daemon passes news on once.
+    fn changed(&mut self, changed: Vec<VersionedObject>) {
+        if changed.is_empty() {
+            return;
+        }
+        self.rebuild = true;
+        self.membership.set_configuration_version(self.configuration.highest_version());
+        for object in &changed {
+            let message = format!("{} at version {}", object.key, object.version);
+            Event::new(Level::Info, "configuration in force").write(message);
+            let _ = self.shared.changes.send(object.clone());
+        }
+        for peer in self.push_targets() {
+            let shared = self.shared.clone();
+            let request = PeerRequest::PushObjects(changed.clone());
+            self.traffic.spawn(async move {
+                let _ = call_peer(&shared, &peer, request).await;
+            });
+        }
+    }
+
+    fn push_targets(&mut self) -> Vec<NodeName> {
+        let others: Vec<NodeName> = self
+            .membership
+            .members()
+            .into_iter()
+            .map(|member| member.node)
+            .filter(|node| *node != self.shared.node)
+            .collect();
+        others.choose_multiple(&mut self.generator, PUSH_FANOUT).cloned().collect()
+    }
+
+    /// Publishes a new view after a change of members or configuration.
+    async fn publish(&mut self) {
+        if !self.membership.take_changed() && !self.rebuild {
+            return;
+        }
+        self.rebuild = false;
+        let zone = self.shared.view.load().zone.clone();
+        let members = self.membership.members();
+        let view = FleetView::build(&self.shared.node, &zone, members, &self.configuration);
+        self.shared.view.store(Arc::new(view));
+        let _ = self.shared.dispatch().tell(DispatchCommand::ViewChanged).await;
+    }
+
+    fn compare(&self, digest: u64, versions: &[ObjectVersion]) -> (bool, Repair) {
+        let same = self.configuration.digest() == digest;
+        if same || versions.is_empty() {
+            return (same, Repair::default());
+        }
+        (same, self.configuration.compare(versions))
+    }
+
+    fn status(&self) -> FleetStatus {
+        FleetStatus {
+            configuration_version: self.configuration.highest_version(),
+            members: self.membership.records(),
+        }
+    }
+}
+
+impl Message<FleetCommand> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, command: FleetCommand, _: &mut Context<Self, ()>) {
+        match command {
+            FleetCommand::Tick => self.tick(),
+            FleetCommand::Received { datagram, source } => {
+                let now = self.shared.clock.now();
+                let outgoing = self.membership.receive(now, datagram, &source);
+                self.send(outgoing);
+            }
+            FleetCommand::Apply(objects) => self.apply(objects),
+            FleetCommand::ApplyListing { kind, version, objects } => {
+                let changed = self.configuration.apply_listing(kind, version, objects);
+                self.changed(changed);
+            }
+            FleetCommand::Compare { digest, versions, reply } => {
+                let _ = reply.send(self.compare(digest, &versions));
+            }
+            FleetCommand::Versions(reply) => {
+                let _ = reply.send((self.configuration.digest(), self.configuration.versions()));
+            }
+            FleetCommand::Objects(reply) => {
+                let _ = reply.send(self.configuration.objects().collect());
+            }
+            FleetCommand::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            FleetCommand::Announce(state) => {
+                self.membership.announce(state);
+                let farewell = self.membership.farewell();
+                self.send(farewell);
+            }
+        }
+        self.publish().await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,115 @@
+//! The control thread: one thread, one actor a concern.
+
+mod dispatch;
+mod fleet;
+mod jobs;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kameo::message::Message;
+use kameo::Actor;
+use tokio::runtime::{Builder, Handle};
+use tokio::sync::{mpsc, oneshot};
+use yokefall_core::jobs::JobStore;
+use yokefall_core::membership::{Membership, Outgoing};
+
+pub use dispatch::{BusyCounts, DispatchActor, DispatchCommand};
+pub use fleet::{FleetActor, FleetCommand, FleetStatus};
+pub use jobs::{JobActor, JobCommand};
+
+use crate::error::StartError;
+use crate::shared::Shared;
+
+/// Interval of the machines' ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// Commands that may wait at one actor.
+const MAILBOX: usize = 65_536;
+
+/// What the control thread starts with.
+pub struct ControlParts {
+    /// The member list.
+    pub membership: Membership,
+    /// The job store, on machines with a data folder.
+    pub jobs: Option<JobStore>,
+    /// Datagrams to be sent.
+    pub datagrams: mpsc::UnboundedSender<Outgoing>,
+    /// Time for which ended requests can be read, in milliseconds.
+    pub retention_ms: u64,
+    /// Seed of the generators.
+    pub seed: u64,
+    /// Whether batch items run here.
+    pub batch: bool,
+    /// Names of the data daemons.
+    pub data_nodes: Vec<yokefall_types::NodeName>,
+}
+
+/// Stops the control thread when dropped.
+pub struct ControlThread {
+    _stop: oneshot::Sender<()>,
+}
+
+/// Starts the control thread and its actors, which are set in `shared` when this returns.
+pub async fn start(shared: Arc<Shared>, parts: ControlParts) -> Result<ControlThread, StartError> {
+    let (stop, stopped) = oneshot::channel::<()>();
+    let (started, wait) = oneshot::channel::<()>();
+    let traffic = Handle::current();
+    let run = move || {
+        let Ok(runtime) = Builder::new_current_thread().enable_all().build() else { return };
+        runtime.block_on(async move {
+            spawn_actors(shared, parts, traffic);
+            let _ = started.send(());
+            let _ = stopped.await;
+        });
+    };
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(run)
+        .map_err(|error| StartError::Thread(error.to_string()))?;
+    wait.await.map_err(|_| StartError::Thread("control thread ended".to_owned()))?;
+    Ok(ControlThread { _stop: stop })
+}
+
+fn spawn_actors(shared: Arc<Shared>, parts: ControlParts, traffic: Handle) {
+    let runner_stores = if parts.batch { parts.data_nodes } else { Vec::new() };
+    let dispatch = DispatchActor::new(
+        shared.clone(),
+        traffic.clone(),
+        parts.seed,
+        parts.retention_ms,
+        runner_stores,
+    );
+    let dispatch = DispatchActor::spawn_with_mailbox(dispatch, mailbox::bounded(MAILBOX));
+    tick(dispatch.clone(), || DispatchCommand::Tick);
+    let _ = shared.dispatch.set(dispatch);
+    if let Some(store) = parts.jobs {
+        let jobs = JobActor::new(shared.clone(), store);
+        let jobs = JobActor::spawn_with_mailbox(jobs, mailbox::bounded(MAILBOX));
+        tick(jobs.clone(), || JobCommand::Tick);
+        let _ = shared.jobs.set(jobs);
+    }
+    let fleet = FleetActor::new(shared.clone(), traffic, parts.membership, parts.datagrams);
+    let fleet = FleetActor::spawn_with_mailbox(fleet, mailbox::bounded(MAILBOX));
+    tick(fleet.clone(), || FleetCommand::Tick);
+    let _ = shared.fleet.set(fleet);
+}
+
+/// Sends an actor its tick for as long as it lives.
+fn tick<A, C>(actor: ActorRef<A>, command: impl Fn() -> C + Send + 'static)
+where
+    A: Actor + Message<C>,
+    C: Send + 'static,
+{
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(TICK);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if actor.tell(command()).await.is_err() {
+                return;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/ports/peers.rs
@@ -0,0 +1,84 @@
+//! Requests of other processes.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use yokefall_peer::{PeerHandler, PeerReply, PeerRequest, Responder};
+use yokefall_types::{NodeName, Refusal, RefusalReason};
+
+use crate::control::{DispatchCommand, FleetCommand};
+use crate::ports::{calls, jobs};
+use crate::shared::Shared;
+
+/// Carries out requests of peers.
+pub struct PeerPort {
+    /// The process's state.
+    pub shared: Arc<Shared>,
+}
+
+impl PeerHandler for PeerPort {
+    async fn handle(self: Arc<Self>, from: NodeName, request: PeerRequest, responder: Responder) {
+        let shared = &self.shared;
+        match request {
+            PeerRequest::Members => {
+                let members = shared.view.load().members.clone();
+                responder.send(PeerReply::Members(members));
+            }
+            PeerRequest::Submit { call, offset } => {
+                calls::submit(shared, call, offset, &responder).await;
+            }
+            PeerRequest::Attach { request, offset, wait_ms } => {
+                calls::attach(shared, request, offset, wait_ms, &responder).await;
+            }
+            PeerRequest::CancelCall { request } => {
+                let cancelled =
+                    ask(shared, |reply| DispatchCommand::Cancel { request, reply }).await;
+                responder.send(PeerReply::Cancelled(cancelled.unwrap_or(false)));
+            }
+            PeerRequest::Execute(order) => {
+                calls::execute(shared, &from, order, &responder).await;
+            }
+            PeerRequest::CancelExecution { request } => {
+                let command = |reply| DispatchCommand::CancelExecution { request, reply };
+                let cancelled = ask(shared, command).await;
+                responder.send(PeerReply::Cancelled(cancelled.unwrap_or(false)));
+            }
+            PeerRequest::HoldRecord(copy) => {
+                let held = ask(shared, |reply| DispatchCommand::Hold { copy, reply }).await;
+                responder.send(held.map_or_else(stopping, PeerReply::RecordHeld));
+            }
+            PeerRequest::ConfigurationDigest { digest, versions } => {
+                let (reply, compared) = oneshot::channel();
+                let command = FleetCommand::Compare { digest, versions, reply };
+                let _ = shared.fleet().tell(command).await;
+                let answer = compared.await.map(|(same, repair)| PeerReply::Repair {
+                    same,
+                    objects: repair.objects,
+                    wanted: repair.wanted,
+                });
+                responder.send(answer.unwrap_or_else(|_| stopping()));
+            }
+            PeerRequest::PushObjects(objects) => {
+                let _ = shared.fleet().tell(FleetCommand::Apply(objects)).await;
+                responder.send(PeerReply::Done);
+            }
+            request => {
+                responder.send(jobs::answer(shared, request).await);
+            }
+        }
+    }
+}
+
+/// Asks the control of calls. None means that it has ended.
+pub async fn ask<T>(
+    shared: &Shared,
+    command: impl FnOnce(oneshot::Sender<T>) -> DispatchCommand,
+) -> Option<T> {
+    let (reply, answer) = oneshot::channel();
+    shared.dispatch().tell(command(reply)).await.ok()?;
+    answer.await.ok()
+}
+
+fn stopping() -> PeerReply {
+    PeerReply::Refused(Refusal::not_run(RefusalReason::Stopping, "this daemon is stopping"))
+}
--- /dev/null
+++ b/crates/daemon/src/ports/platform.rs
@@ -0,0 +1,141 @@
+//! Reading of the platform: a few daemons a region watch the object API and the machine list; the
+//! others learn from them.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use yokefall_core::FleetView;
+use yokefall_objects::{
+    MachineListClient, MachineListing, MachineState, ObjectEvent, PlatformError,
+};
+use yokefall_peer::VersionedObject;
+use yokefall_telemetry::{Event, Level};
+use yokefall_types::{
+    rendezvous_order, Declaration, Kind, MachineSpec, NodeName, ObjectKey, PartnerName,
+};
+
+use crate::control::FleetCommand;
+use crate::shared::Shared;
+
+/// Daemons of a region that read the platform.
+const WATCHERS_PER_REGION: usize = 2;
+/// Key under which the watchers of a region are chosen.
+const WATCHER_KEY: &[u8] = b"platform-watcher";
+/// Interval at which a daemon looks whether it is a watcher.
+const ROLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Bounds of the pause after a failed call.
+const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
+/// Namespace under which machines are held; no partner has this name.
+const MACHINE_NAMESPACE: &str = "";
+
+/// Whether this daemon reads the platform for its region.
+fn is_watcher(view: &FleetView) -> bool {
+    let Some(me) = view.member(&view.node) else { return true };
+    let in_region: Vec<&NodeName> = view
+        .members
+        .iter()
+        .filter(|member| member.region == me.region && member.accepting)
+        .map(|member| &member.node)
+        .collect();
+    let order = rendezvous_order(WATCHER_KEY, in_region);
+    order.iter().take(WATCHERS_PER_REGION).any(|node| **node == view.node)
+}
+
+async fn until_watcher(shared: &Shared) {
+    while !is_watcher(&shared.view.load()) {
+        tokio::time::sleep(ROLE_INTERVAL).await;
+    }
+}
+
+async fn until_not_watcher(shared: &Shared) {
+    while is_watcher(&shared.view.load()) {
+        tokio::time::sleep(ROLE_INTERVAL).await;
+    }
+}
+
+/// Reads objects of one kind for as long as this daemon is a watcher, for ever.
+pub async fn watch_objects(shared: Arc<Shared>, kind: Kind) {
+    let mut pause = RETRY_RANGE.0;
+    loop {
+        until_watcher(&shared).await;
+        let reading = tokio::select! {
+            result = list_and_watch(&shared, kind) => result,
+            () = until_not_watcher(&shared) => Ok(()),
+        };
+        match reading {
+            Ok(()) => pause = RETRY_RANGE.0,
+            Err(error) => {
+                let peer = error.peer.clone();
+                Event::new(Level::Warn, "watch objects").peer(peer).write(error);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_RANGE.1);
+            }
+        }
+    }
+}
+
+async fn list_and_watch(shared: &Shared, kind: Kind) -> Result<(), PlatformError> {
+    let (version, objects) = shared.objects.list(kind).await?;
+    let command = FleetCommand::ApplyListing { kind, version, objects };
+    let _ = shared.fleet().tell(command).await;
+    let mut seen = version;
+    // A watch ends by itself from time to time and goes on from the last version seen.
+    loop {
+        let mut events = Box::pin(shared.objects.watch(kind, seen).await?);
+        while let Some(event) = events.next().await {
+            match event {
+                ObjectEvent::Changed(object) => {
+                    seen = seen.max(object.version);
+                    let _ = shared.fleet().tell(FleetCommand::Apply(vec![object])).await;
+                }
+                ObjectEvent::Restart(cause) => {
+                    Event::new(Level::Info, "watch objects").write(cause);
+                    return Ok(());
+                }
+            }
+        }
+        tokio::time::sleep(RETRY_RANGE.0).await;
+    }
+}
+
+/// Reads the machine list for as long as this daemon is a watcher, for ever.
+pub async fn watch_machines(shared: Arc<Shared>, url: String, interval: Duration) {
+    let client = MachineListClient::new(&url);
+    loop {
+        until_watcher(&shared).await;
+        match client.read().await {
+            Ok(listing) => {
+                let command = machine_objects(listing);
+                let _ = shared.fleet().tell(command).await;
+            }
+            Err(error) => {
+                let peer = error.peer.clone();
+                Event::new(Level::Warn, "read machines").peer(peer).write(error);
+            }
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
+
+fn machine_objects(listing: MachineListing) -> FleetCommand {
+    let mut names = HashSet::new();
+    let unique = listing.machines.into_iter().filter(|m| names.insert(m.name.clone()));
+    let object = |machine: yokefall_objects::Machine| VersionedObject {
+        key: ObjectKey {
+            partner: PartnerName::new(MACHINE_NAMESPACE),
+            kind: Kind::Machine,
+            name: machine.name,
+        },
+        version: machine.revision,
+        value: Some(Declaration::Machine(MachineSpec {
+            leaving: machine.state == MachineState::Leaving,
+        })),
+    };
+    FleetCommand::ApplyListing {
+        kind: Kind::Machine,
+        version: listing.revision,
+        objects: unique.map(object).collect(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/ports/repair.rs
@@ -0,0 +1,64 @@
+//! Repair of configuration between peers: digests, then what differs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::SeedableRng;
+use tokio::sync::oneshot;
+use yokefall_peer::{ObjectVersion, PeerReply, PeerRequest};
+use yokefall_types::{NodeName, ObjectKey};
+
+use crate::control::FleetCommand;
+use crate::shared::Shared;
+use crate::traffic::call_peer;
+
+/// Interval between two comparisons with a member drawn at random.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Compares with one member after another, for ever.
+pub async fn run(shared: Arc<Shared>, seed: u64) {
+    let mut generator = SmallRng::seed_from_u64(seed);
+    loop {
+        tokio::time::sleep(REPAIR_INTERVAL).await;
+        let view = shared.view.load_full();
+        let others: Vec<&NodeName> =
+            view.members.iter().map(|m| &m.node).filter(|node| **node != shared.node).collect();
+        if let Some(peer) = others.choose(&mut generator) {
+            repair_with(&shared, peer).await;
+        }
+    }
+}
+
+async fn repair_with(shared: &Shared, peer: &NodeName) {
+    let (reply, answer) = oneshot::channel();
+    let _ = shared.fleet().tell(FleetCommand::Versions(reply)).await;
+    let Ok((digest, versions)) = answer.await else { return };
+    let brief = PeerRequest::ConfigurationDigest { digest, versions: Vec::new() };
+    match call_peer(shared, peer, brief).await {
+        Ok(PeerReply::Repair { same: false, .. }) => exchange(shared, peer, digest, versions).await,
+        _ => {}
+    }
+}
+
+async fn exchange(shared: &Shared, peer: &NodeName, digest: u64, versions: Vec<ObjectVersion>) {
+    let whole = PeerRequest::ConfigurationDigest { digest, versions };
+    let Ok(PeerReply::Repair { objects, wanted, .. }) = call_peer(shared, peer, whole).await else {
+        return;
+    };
+    if !objects.is_empty() {
+        let _ = shared.fleet().tell(FleetCommand::Apply(objects)).await;
+    }
+    if !wanted.is_empty() {
+        give(shared, peer, &wanted).await;
+    }
+}
+
+async fn give(shared: &Shared, peer: &NodeName, wanted: &[ObjectKey]) {
+    let (reply, answer) = oneshot::channel();
+    let _ = shared.fleet().tell(FleetCommand::Objects(reply)).await;
+    let Ok(mut objects) = answer.await else { return };
+    objects.retain(|object| wanted.contains(&object.key));
+    let _ = call_peer(shared, peer, PeerRequest::PushObjects(objects)).await;
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,81 @@
+//! What control and traffic share: identities, clients, snapshots and tables.
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+
+use arc_swap::ArcSwap;
+use kameo::actor::ActorRef;
+use tokio::sync::{broadcast, Notify};
+use yokefall_backend::BackendClient;
+use yokefall_core::FleetView;
+use yokefall_objects::ObjectApi;
+use yokefall_peer::{PeerClient, VersionedObject};
+use yokefall_storage::{Journal, JournalWriter};
+use yokefall_types::NodeName;
+
+use crate::clock::Clock;
+use crate::control::{DispatchActor, FleetActor, JobActor};
+use crate::traffic::buffer::CallTable;
+use crate::traffic::items::ItemTable;
+use crate::traffic::uploads::UploadTable;
+
+/// The job store of a daemon with a data folder.
+pub struct Store {
+    /// Reads.
+    pub journal: Journal,
+    /// Writes.
+    pub writer: JournalWriter,
+    /// Uploads in progress.
+    pub uploads: UploadTable,
+}
+
+/// State shared by the whole process.
+pub struct Shared {
+    /// Name of this daemon.
+    pub node: NodeName,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Connections to other processes.
+    pub peers: PeerClient,
+    /// Connections to back ends.
+    pub backends: BackendClient,
+    /// The object API.
+    pub objects: ObjectApi,
+    /// The fleet, replaced when it changes.
+    pub view: ArcSwap<FleetView>,
+    /// Calls of which this daemon is home.
+    pub calls: CallTable,
+    /// Calls that this daemon runs as owner.
+    pub executions: CallTable,
+    /// Batch items that run now.
+    pub items: ItemTable,
+    /// Configuration changes as they come into force.
+    pub changes: broadcast::Sender<VersionedObject>,
+    /// The job store, on machines with a data folder.
+    pub store: Option<Store>,
+    /// Told when the data folder failed: the process must stop.
+    pub storage_failed: Notify,
+    /// Control of membership and configuration.
+    pub fleet: OnceLock<ActorRef<FleetActor>>,
+    /// Control of calls and items.
+    pub dispatch: OnceLock<ActorRef<DispatchActor>>,
+    /// Control of jobs.
+    pub jobs: OnceLock<ActorRef<JobActor>>,
+}
+
+impl Shared {
+    /// Peer address of a member, if it is known and well formed.
+    pub fn address_of(&self, node: &NodeName) -> Option<SocketAddr> {
+        self.view.load().member(node)?.address.parse().ok()
+    }
+
+    /// Control of calls and items. Set before any port is open.
+    pub fn dispatch(&self) -> &ActorRef<DispatchActor> {
+        self.dispatch.get().expect("control starts before ports open")
+    }
+
+    /// Control of membership and configuration. Set before any port is open.
+    pub fn fleet(&self) -> &ActorRef<FleetActor> {
+        self.fleet.get().expect("control starts before ports open")
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/buffer.rs
@@ -0,0 +1,273 @@
+//! Calls and their answers, as they grow.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::Xxh3;
+use yokefall_peer::{CallEvent, OnlineCall, OwnerLoad};
+use yokefall_types::{Answer, BackendId, CallHeader, Outcome, RequestId};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Debug, Default)]
+struct State {
+    bytes: Vec<u8>,
+    tokens: u32,
+    backend: Option<BackendId>,
+    ended: Option<(Outcome, Option<OwnerLoad>)>,
+}
+
+/// An answer that grows by one writer and is followed by many readers.
+///
+/// Invariant: bytes once held never change, so that every reader sees the same answer.
+#[derive(Debug)]
+pub struct AnswerBuffer {
+    state: Mutex<State>,
+    changed: watch::Sender<()>,
+}
+
+/// Readiness of more to read, as `AnswerBuffer::read` finds it.
+struct Reading {
+    backend: Option<BackendId>,
+    chunk: Vec<u8>,
+    tokens_total: u32,
+    ended: Option<Outcome>,
+}
+
+impl AnswerBuffer {
+    fn new() -> Self {
+        Self { state: Mutex::default(), changed: watch::Sender::new(()) }
+    }
+
+    /// Notes the back end that runs the call.
+    pub fn start(&self, backend: BackendId) {
+        lock(&self.state).backend = Some(backend);
+        self.changed.send_replace(());
+    }
+
+    /// Adds bytes at an offset. Bytes already held are skipped; a gap is refused with `false`.
+    pub fn push(&self, offset: u64, text: &[u8], tokens_total: u32) -> bool {
+        let mut state = lock(&self.state);
+        let held = state.bytes.len() as u64;
+        if offset > held || state.ended.is_some() {
+            return false;
+        }
+        let known = (held - offset) as usize;
+        if let Some(fresh) = text.get(known..) {
+            state.bytes.extend_from_slice(fresh);
+            state.tokens = state.tokens.max(tokens_total);
+        }
+        drop(state);
+        self.changed.send_replace(());
+        true
+    }
+
+    /// Ends the answer. The first end wins.
+    pub fn end(&self, outcome: Outcome, load: Option<OwnerLoad>) {
+        let mut state = lock(&self.state);
+        if state.ended.is_none() {
+            state.ended = Some((outcome, load));
+        }
+        drop(state);
+        self.changed.send_replace(());
+    }
+
+    /// Bytes and tokens held.
+    pub fn length(&self) -> (u64, u32) {
+        let state = lock(&self.state);
+        (state.bytes.len() as u64, state.tokens)
+    }
+
+    /// The whole answer held.
+    pub fn answer(&self) -> Answer {
+        let state = lock(&self.state);
+        Answer { body: state.bytes.clone(), tokens: state.tokens }
+    }
+
+    /// How the answer ended, and the owner's load after it.
+    pub fn ended(&self) -> Option<(Outcome, Option<OwnerLoad>)> {
+        lock(&self.state).ended.clone()
+    }
+
+    fn read(&self, offset: u64) -> Reading {
+        let state = lock(&self.state);
+        Reading {
+            backend: state.backend.clone(),
+            chunk: state.bytes.get(offset as usize..).unwrap_or_default().to_vec(),
+            tokens_total: state.tokens,
+            ended: state.ended.as_ref().map(|(outcome, _)| outcome.clone()),
+        }
+    }
+
+    /// Emits every step from an offset on until the end, which is emitted last, or until `emit`
+    /// returns `false`.
+    pub async fn follow(&self, mut offset: u64, mut emit: impl FnMut(CallEvent) -> bool) {
+        let mut changes = self.changed.subscribe();
+        let mut started = false;
+        loop {
+            changes.mark_unchanged();
+            let reading = self.read(offset);
+            if let Some(backend) = reading.backend.filter(|_| !started) {
+                started = true;
+                if !emit(CallEvent::Started { backend }) {
+                    return;
+                }
+            }
+            if !reading.chunk.is_empty() {
+                let length = reading.chunk.len() as u64;
+                let tokens_total = reading.tokens_total;
+                let event = CallEvent::Chunk { offset, text: reading.chunk, tokens_total };
+                offset += length;
+                if !emit(event) {
+                    return;
+                }
+            }
+            if let Some(outcome) = reading.ended {
+                emit(CallEvent::Ended(outcome));
+                return;
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A call with its answer: at its home daemon, or as one execution at its owner.
+#[derive(Debug)]
+pub struct Call {
+    header: CallHeader,
+    body: Mutex<Arc<Vec<u8>>>,
+    body_bytes: usize,
+    digest: u64,
+    attempt: u32,
+    resume_from_token: u32,
+    buffer: AnswerBuffer,
+    stop: CancellationToken,
+}
+
+impl Call {
+    /// A call at its home daemon.
+    pub fn at_home(call: OnlineCall) -> Arc<Self> {
+        Self::new(call, 0, 0)
+    }
+
+    /// One execution at an owner.
+    pub fn execution(call: OnlineCall, attempt: u32, resume_from_token: u32) -> Arc<Self> {
+        Self::new(call, attempt, resume_from_token)
+    }
+
+    fn new(call: OnlineCall, attempt: u32, resume_from_token: u32) -> Arc<Self> {
+        let digest = digest_of(&call);
+        Arc::new(Self {
+            header: call.header,
+            body_bytes: call.body.len(),
+            body: Mutex::new(Arc::new(call.body)),
+            digest,
+            attempt,
+            resume_from_token,
+            buffer: AnswerBuffer::new(),
+            stop: CancellationToken::new(),
+        })
+    }
+
+    /// What the call carries besides its body.
+    pub fn header(&self) -> &CallHeader {
+        &self.header
+    }
+
+    /// Prompt, or body for a plain service; empty once the call has ended at home.
+    pub fn body(&self) -> Arc<Vec<u8>> {
+        lock(&self.body).clone()
+    }
+
+    /// Length of the body, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
+    /// Lets go of the body, which is not needed after the end.
+    pub fn release_body(&self) {
+        *lock(&self.body) = Arc::default();
+    }
+
+    /// Digest of everything that makes the call what it is.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Number of the attempt, for executions.
+    pub fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
+    /// Tokens of the answer that an earlier attempt produced.
+    pub fn resume_from_token(&self) -> u32 {
+        self.resume_from_token
+    }
+
+    /// The answer.
+    pub fn buffer(&self) -> &AnswerBuffer {
+        &self.buffer
+    }
+
+    /// Orders the execution to stop.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// Resolves once the execution was ordered to stop.
+    pub async fn stopped(&self) {
+        self.stop.cancelled().await;
+    }
+}
+
+/// Digest over service, limits and body. The deadline is left out: a resend may have less time.
+fn digest_of(call: &OnlineCall) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(call.header.service.as_str().as_bytes());
+    hasher.update(&[0, call.header.repeat as u8]);
+    hasher.update(&call.header.max_tokens.to_le_bytes());
+    hasher.update(&call.body);
+    hasher.digest()
+}
+
+/// Calls by request.
+#[derive(Debug, Default)]
+pub struct CallTable {
+    calls: Mutex<HashMap<RequestId, Arc<Call>>>,
+}
+
+impl CallTable {
+    /// The call of a request.
+    pub fn get(&self, request: &RequestId) -> Option<Arc<Call>> {
+        lock(&self.calls).get(request).cloned()
+    }
+
+    /// Adds a call unless its request has one.
+    pub fn insert_if_absent(&self, call: Arc<Call>) {
+        lock(&self.calls).entry(call.header.request.clone()).or_insert(call);
+    }
+
+    /// Sets the call of a request, and returns the one before.
+    pub fn replace(&self, call: Arc<Call>) -> Option<Arc<Call>> {
+        lock(&self.calls).insert(call.header.request.clone(), call)
+    }
+
+    /// Removes the call of a request.
+    pub fn remove(&self, request: &RequestId) {
+        lock(&self.calls).remove(request);
+    }
+
+    /// Removes this very call, not one that took its place.
+    pub fn remove_same(&self, call: &Arc<Call>) {
+        let mut calls = lock(&self.calls);
+        if calls.get(&call.header.request).is_some_and(|held| Arc::ptr_eq(held, call)) {
+            calls.remove(&call.header.request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/home.rs
@@ -0,0 +1,243 @@
+//! Carries out what the coordinator orders.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+use yokefall_core::coordinator::CoordinatorEffect;
+use yokefall_peer::{
+    CallEvent, ExecuteCall, OnlineCall, OwnerLoad, PeerError, PeerReply, PeerRequest, RecordCopy,
+    RecordState, ReplyStream,
+};
+use yokefall_telemetry::{Event, Level};
+use yokefall_types::{NodeName, Outcome, Refusal, RequestId};
+
+use crate::control::DispatchCommand;
+use crate::shared::Shared;
+use crate::traffic::buffer::Call;
+use crate::traffic::{call_peer, not_a_member};
+
+/// Tries to tell the holder of the copy, or an owner, of an end, and the pause between them.
+const TELL_TRIES: u32 = 4;
+const TELL_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which an execution of another home daemon is followed, in milliseconds.
+const ADOPT_WAIT_MS: u64 = yokefall_types::limits::MAX_CALL_DEADLINE_MS;
+
+/// Starts the work of one effect on the traffic threads.
+pub fn carry_out(shared: &Arc<Shared>, traffic: &Handle, effect: CoordinatorEffect) {
+    let shared = shared.clone();
+    match effect {
+        CoordinatorEffect::Copy { to, copy } => {
+            traffic.spawn(copy_record(shared, to, copy));
+        }
+        CoordinatorEffect::Execute { request, attempt, owner } => {
+            if let Some(call) = shared.calls.get(&request) {
+                traffic.spawn(execute(shared, call, attempt, owner));
+            }
+        }
+        CoordinatorEffect::Adopt { request, attempt, state } => {
+            // The table entry of a call that is adopted on arrival is made just after this effect.
+            traffic.spawn(async move {
+                if let Some(call) = wait_for_call(&shared, &request).await {
+                    adopt(shared, call, attempt, state).await;
+                }
+            });
+        }
+        CoordinatorEffect::CancelExecution { request, owner } => {
+            traffic.spawn(async move {
+                let order = PeerRequest::CancelExecution { request };
+                tell(&shared, &owner, order).await;
+            });
+        }
+        CoordinatorEffect::End { request, outcome, second } => {
+            end(&shared, traffic, &request, outcome, second);
+        }
+        CoordinatorEffect::Forget { request } => shared.calls.remove(&request),
+    }
+}
+
+async fn wait_for_call(shared: &Shared, request: &RequestId) -> Option<Arc<Call>> {
+    for _ in 0..TELL_TRIES {
+        if let Some(call) = shared.calls.get(request) {
+            return Some(call);
+        }
+        tokio::task::yield_now().await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    None
+}
+
+async fn tell(shared: &Shared, node: &NodeName, request: PeerRequest) {
+    for _ in 0..TELL_TRIES {
+        if call_peer(shared, node, request.clone()).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(TELL_PAUSE).await;
+    }
+}
+
+async fn copy_record(shared: Arc<Shared>, to: NodeName, copy: RecordCopy) {
+    let request = copy.request.clone();
+    let command = match call_peer(&shared, &to, PeerRequest::HoldRecord(copy)).await {
+        Ok(PeerReply::RecordHeld(held_before)) => {
+            DispatchCommand::CopyHeld { request, held_before }
+        }
+        answer => {
+            let detail = answer.err().map_or_else(|| "unexpected reply".into(), |e| e.to_string());
+            Event::new(Level::Warn, "copy record").peer(&to).id(&request).write(detail);
+            DispatchCommand::CopyFailed { request, holder: to }
+        }
+    };
+    let _ = shared.dispatch().tell(command).await;
+}
+
+/// Runs one attempt at an owner and reports its end.
+async fn execute(shared: Arc<Shared>, call: Arc<Call>, attempt: u32, owner: NodeName) {
+    let (base_offset, base_tokens) = call.buffer().length();
+    let order = PeerRequest::Execute(ExecuteCall {
+        call: OnlineCall { header: call.header().clone(), body: call.body().to_vec() },
+        attempt,
+        resume_from_token: base_tokens,
+    });
+    let target = Target { node: owner, base_offset, base_tokens };
+    let opened = open(&shared, &target.node, order).await;
+    relay(&shared, &call, attempt, target, opened).await;
+}
+
+/// Follows an execution that another home daemon ordered, or takes its end.
+async fn adopt(shared: Arc<Shared>, call: Arc<Call>, attempt: u32, state: RecordState) {
+    let request = call.header().request.clone();
+    match state {
+        RecordState::Answered(answer) => {
+            call.buffer().push(0, &answer.body, answer.tokens);
+            report_end(&shared, request, attempt, Outcome::Completed, None).await;
+        }
+        RecordState::Refused(refusal) => {
+            report_end(&shared, request, attempt, Outcome::Refused(refusal), None).await;
+        }
+        RecordState::Running { owner } => {
+            let (offset, _) = call.buffer().length();
+            let attach = PeerRequest::Attach { request, offset, wait_ms: ADOPT_WAIT_MS };
+            let opened = open(&shared, &owner, attach).await;
+            let target = Target { node: owner, base_offset: 0, base_tokens: 0 };
+            relay(&shared, &call, attempt, target, opened).await;
+        }
+    }
+}
+
+/// Where an answer comes from, and where it begins within the whole answer.
+struct Target {
+    node: NodeName,
+    base_offset: u64,
+    base_tokens: u32,
+}
+
+async fn open(
+    shared: &Shared,
+    node: &NodeName,
+    request: PeerRequest,
+) -> Result<ReplyStream, PeerError> {
+    let Some(address) = shared.address_of(node) else { return Err(not_a_member(node)) };
+    shared.peers.open(address, request).await
+}
+
+/// Moves an answer from an owner into the call's buffer until its end, and reports the end.
+async fn relay(
+    shared: &Shared,
+    call: &Call,
+    attempt: u32,
+    target: Target,
+    opened: Result<ReplyStream, PeerError>,
+) {
+    let request = call.header().request.clone();
+    let mut replies = match opened {
+        Ok(replies) => replies,
+        Err(error) => return report_lost(shared, request, attempt, &target.node, error).await,
+    };
+    loop {
+        match replies.next().await {
+            Ok(PeerReply::Call(CallEvent::Started { backend })) => {
+                call.buffer().start(backend);
+                let started = DispatchCommand::Started { request: request.clone(), attempt };
+                let _ = shared.dispatch().tell(started).await;
+            }
+            Ok(PeerReply::Call(CallEvent::Chunk { offset, text, tokens_total })) => {
+                let tokens = target.base_tokens + tokens_total;
+                call.buffer().push(target.base_offset + offset, &text, tokens);
+            }
+            Ok(PeerReply::Executed { outcome, load }) => {
+                return report_end(shared, request, attempt, outcome, Some(load)).await;
+            }
+            Ok(PeerReply::Call(CallEvent::Ended(outcome))) => {
+                return report_end(shared, request, attempt, outcome, None).await;
+            }
+            Ok(PeerReply::Refused(refusal)) => {
+                return report_end(shared, request, attempt, Outcome::Refused(refusal), None).await;
+            }
+            Ok(_) => {}
+            Err(error) => return report_lost(shared, request, attempt, &target.node, error).await,
+        }
+    }
+}
+
+async fn report_end(
+    shared: &Shared,
+    request: RequestId,
+    attempt: u32,
+    outcome: Outcome,
+    load: Option<OwnerLoad>,
+) {
+    let command = DispatchCommand::ExecutionEnded { request, attempt, outcome, load };
+    let _ = shared.dispatch().tell(command).await;
+}
+
+async fn report_lost(
+    shared: &Shared,
+    request: RequestId,
+    attempt: u32,
+    owner: &NodeName,
+    error: PeerError,
+) {
+    Event::new(Level::Warn, "execute").peer(owner).id(&request).write(&error);
+    let reached = !error.proves_not_sent();
+    let detail = format!("owner {owner}: {error}");
+    let command = DispatchCommand::ExecutionLost { request, attempt, reached, detail };
+    let _ = shared.dispatch().tell(command).await;
+}
+
+/// Gives those who wait the end, and the holder of the copy the answer.
+fn end(
+    shared: &Arc<Shared>,
+    traffic: &Handle,
+    request: &RequestId,
+    outcome: Outcome,
+    second: Option<NodeName>,
+) {
+    let Some(call) = shared.calls.get(request) else { return };
+    call.buffer().end(outcome.clone(), None);
+    call.release_body();
+    count_end(&outcome);
+    let Some(second) = second else { return };
+    let state = match outcome {
+        Outcome::Completed => RecordState::Answered(call.buffer().answer()),
+        Outcome::Refused(refusal) => RecordState::Refused(refusal),
+    };
+    let copy = RecordCopy {
+        request: request.clone(),
+        digest: call.digest(),
+        repeat: call.header().repeat,
+        state,
+    };
+    let shared = shared.clone();
+    traffic.spawn(async move { tell(&shared, &second, PeerRequest::HoldRecord(copy)).await });
+}
+
+fn count_end(outcome: &Outcome) {
+    match outcome {
+        Outcome::Completed => metrics::counter!("yokefall_requests_completed_total").increment(1),
+        Outcome::Refused(Refusal { reason, .. }) => {
+            let reason = format!("{reason:?}");
+            metrics::counter!("yokefall_requests_refused_total", "reason" => reason).increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/traffic/items.rs
@@ -0,0 +1,38 @@
+//! Batch items that run now, so that they can be stopped.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tokio_util::sync::CancellationToken;
+use yokefall_core::admission::Ticket;
+
+/// Stop signals by ticket.
+#[derive(Debug, Default)]
+pub struct ItemTable {
+    stops: Mutex<HashMap<Ticket, CancellationToken>>,
+}
+
+impl ItemTable {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Ticket, CancellationToken>> {
+        self.stops.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds an item that is about to run.
+    pub fn insert(&self, ticket: Ticket) -> CancellationToken {
+        let stop = CancellationToken::new();
+        self.lock().insert(ticket, stop.clone());
+        stop
+    }
+
+    /// Orders an item to stop.
+    pub fn stop(&self, ticket: Ticket) {
+        if let Some(stop) = self.lock().get(&ticket) {
+            stop.cancel();
+        }
+    }
+
+    /// Removes an item that ended.
+    pub fn remove(&self, ticket: Ticket) {
+        self.lock().remove(&ticket);
+    }
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,112 @@
+//! The accepting side of peer connections.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use yokefall_types::NodeName;
+
+use crate::frame::{decode, encode, framed, Frame, FramedStream, PROTOCOL_VERSION};
+use crate::message::{PeerReply, PeerRequest};
+
+/// Time within which a new connection must have sent its first frame.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a failed `accept`, such as when no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends the replies to one request.
+#[derive(Clone, Debug)]
+pub struct Responder {
+    call: u64,
+    replies: mpsc::UnboundedSender<Frame>,
+}
+
+impl Responder {
+    /// Sends a reply. Returns `false` when the connection is gone.
+    pub fn send(&self, reply: PeerReply) -> bool {
+        self.replies.send(Frame::Reply { call: self.call, reply }).is_ok()
+    }
+
+    /// Whether the connection is gone.
+    pub fn is_closed(&self) -> bool {
+        self.replies.is_closed()
+    }
+}
+
+/// Carries out requests of peers.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Carries out one request and sends its replies.
+    fn handle(
+        self: Arc<Self>,
+        from: NodeName,
+        request: PeerRequest,
+        responder: Responder,
+    ) -> impl Future<Output = ()> + Send;
+}
+
+/// Accepts connections for ever.
+pub async fn serve<H: PeerHandler>(listener: TcpListener, secret: String, handler: Arc<H>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                tokio::spawn(run(stream, address, secret.clone(), handler.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn run<H: PeerHandler>(
+    stream: TcpStream,
+    _address: SocketAddr,
+    secret: String,
+    handler: Arc<H>,
+) {
+    let mut stream = framed(stream);
+    let greeted = tokio::time::timeout(HELLO_TIMEOUT, welcome(&mut stream, &secret)).await;
+    let Ok(Some(node)) = greeted else { return };
+    let (mut sink, mut source) = stream.split();
+    let (replies, mut outgoing) = mpsc::unbounded_channel::<Frame>();
+    let writer = async move {
+        while let Some(frame) = outgoing.recv().await {
+            let Ok(bytes) = encode(&frame) else { break };
+            if sink.feed(bytes).await.is_err() {
+                break;
+            }
+            if outgoing.is_empty() && sink.flush().await.is_err() {
+                break;
+            }
+        }
+    };
+    let reader = async move {
+        while let Some(Ok(bytes)) = source.next().await {
+            let Ok(Frame::Request { call, request }) = decode(&bytes) else { break };
+            let responder = Responder { call, replies: replies.clone() };
+            tokio::spawn(handler.clone().handle(node.clone(), request, responder));
+        }
+    };
+    tokio::select! {
+        () = writer => {}
+        () = reader => {}
+    }
+}
+
+async fn welcome(stream: &mut FramedStream, secret: &str) -> Option<NodeName> {
+    let bytes = stream.next().await?.ok()?;
+    let Ok(Frame::Hello { version, node, secret: given }) = decode(&bytes) else { return None };
+    let refusal = if version != PROTOCOL_VERSION {
+        format!("protocol version {version}, this process speaks {PROTOCOL_VERSION}")
+    } else if given != secret {
+        "wrong fleet secret".to_owned()
+    } else {
+        String::new()
+    };
+    let accepted = refusal.is_empty();
+    let bytes = encode(&Frame::Welcome { refusal }).ok()?;
+    stream.send(bytes).await.ok()?;
+    accepted.then_some(node)
+}
--- /dev/null
+++ b/crates/telemetry/src/http.rs
@@ -0,0 +1,92 @@
+//! The HTTP port for metrics, health and readiness.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpListener;
+
+/// What the health paths tell.
+#[derive(Debug, Default)]
+pub struct HealthState {
+    ready: AtomicBool,
+}
+
+impl HealthState {
+    /// Sets whether the process takes work.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Whether the process takes work.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+}
+
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+fn recorder() -> &'static PrometheusHandle {
+    RECORDER.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    })
+}
+
+/// Serves `/metrics`, `/healthz` and `/readyz`.
+#[derive(Debug)]
+pub struct MetricsServer {
+    address: SocketAddr,
+}
+
+impl MetricsServer {
+    /// Starts to serve on an open listener.
+    pub fn start(listener: TcpListener, health: Arc<HealthState>) -> std::io::Result<Self> {
+        let address = listener.local_addr()?;
+        recorder();
+        tokio::spawn(accept(listener, health));
+        Ok(Self { address })
+    }
+
+    /// The address served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn accept(listener: TcpListener, health: Arc<HealthState>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let health = health.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| answer(request, health.clone()));
+            let builder = auto::Builder::new(TokioExecutor::new());
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    health: Arc<HealthState>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, body) = match (request.method(), request.uri().path()) {
+        (&Method::GET, "/metrics") => (StatusCode::OK, recorder().render()),
+        (&Method::GET, "/healthz") => (StatusCode::OK, "ok\n".to_owned()),
+        (&Method::GET, "/readyz") if health.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
+        (&Method::GET, "/readyz") => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    Ok(response)
+}
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,98 @@
+//! Log lines: each carries role, step, peer and request or job id. No payloads.
+
+use std::fmt::Display;
+use std::sync::{Arc, OnceLock};
+
+use spdlog::formatter::{FullFormatter, JsonFormatter};
+use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::{LevelFilter, Logger};
+
+/// Format of a line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Level of a line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// A failure that somebody must see to.
+    Error,
+    /// A refusal, or a failure that was dealt with.
+    Warn,
+    /// A change of state.
+    Info,
+    /// A step.
+    Debug,
+}
+
+impl Level {
+    fn native(self) -> spdlog::Level {
+        match self {
+            Level::Error => spdlog::Level::Error,
+            Level::Warn => spdlog::Level::Warn,
+            Level::Info => spdlog::Level::Info,
+            Level::Debug => spdlog::Level::Debug,
+        }
+    }
+}
+
+static ROLE: OnceLock<String> = OnceLock::new();
+
+/// Sets up logs on standard error for this process.
+pub fn init_logs(role: &str, format: Format, level: Level) {
+    let _ = ROLE.set(role.to_owned());
+    let builder = StdStreamSink::builder().std_stream(StdStream::Stderr);
+    let sink = match format {
+        Format::Text => {
+            let formatter = FullFormatter::builder().source_location(false).build();
+            builder.formatter(formatter).build()
+        }
+        Format::Json => builder.formatter(JsonFormatter::new()).build(),
+    };
+    let Ok(sink) = sink else { return };
+    let sink: Arc<dyn Sink> = Arc::new(sink);
+    let mut logger = Logger::builder();
+    logger.sink(sink).level_filter(LevelFilter::MoreSevereEqual(level.native()));
+    if let Ok(logger) = logger.build() {
+        spdlog::set_default_logger(Arc::new(logger));
+    }
+}
+
+/// A log line being put together.
+#[derive(Clone, Debug)]
+pub struct Event {
+    level: Level,
+    step: &'static str,
+    peer: String,
+    id: String,
+}
+
+impl Event {
+    /// A line of this level about this step.
+    pub fn new(level: Level, step: &'static str) -> Self {
+        Self { level, step, peer: String::new(), id: String::new() }
+    }
+
+    /// Names the other process.
+    pub fn peer(mut self, peer: impl Display) -> Self {
+        self.peer = peer.to_string();
+        self
+    }
+
+    /// Names the request or job.
+    pub fn id(mut self, id: impl Display) -> Self {
+        self.id = id.to_string();
+        self
+    }
+
+    /// Writes the line.
+    pub fn write(self, message: impl Display) {
+        let role = ROLE.get().map_or("", String::as_str);
+        let (step, peer, id) = (self.step, self.peer.as_str(), self.id.as_str());
+        spdlog::log!(self.level.native(), "{}", message, kv: { role, step, peer, id });
+    }
+}
