Membership: repair lists by digest; bench: overhead and slopes

Cause: a fleet of member lists under virtual time that started together did not come together. News is transmitted a bounded number of times, eight records a datagram, and every record of a whole list that a joining daemon received was passed on again as news: at 550 daemons the queue would have taken minutes to drain, and what was dropped by then was never mended.

Ruled out: more transmissions (more bytes at rest, the same loss), repair only once the own queue is empty (it never was; tried, same figures).

Change: a list that was asked for is not passed on; every datagram carries a digest of the sender's list; lists that differ are compared in 32 parts, and only the parts that differ are sent.

The overhead of agent and daemon is measured by `yokefall-bench overhead`, the slopes by `yokefall-bench slopes`.

--- /dev/null
+++ b/crates/bench/src/commands/measure.rs
@@ -0,0 +1,45 @@
+//! `yokefall-bench overhead` and `yokefall-bench slopes`.
+
+use clap::Args;
+use serde::Serialize;
+use yokefall_bench::measure::{overhead as overhead_run, slopes as slopes_run};
+
+/// Arguments of `overhead`.
+#[derive(Debug, Args)]
+pub struct OverheadArguments {
+    /// Rounds; in each, direct calls and calls through agent and daemon take turns.
+    #[arg(long, default_value_t = 5)]
+    rounds: usize,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Arguments of `slopes`.
+#[derive(Debug, Args)]
+pub struct SlopesArguments {
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+fn print(json: bool, value: &impl Serialize, table: &str) -> Result<(), String> {
+    if json {
+        println!("{}", serde_json::to_string(value).map_err(|error| error.to_string())?);
+    } else {
+        println!("{table}");
+    }
+    Ok(())
+}
+
+/// Measures the overhead of agent and daemon.
+pub async fn overhead(arguments: OverheadArguments) -> Result<(), String> {
+    let rows = overhead_run::run(arguments.rounds).await?;
+    print(arguments.json, &rows, &overhead_run::table(&rows))
+}
+
+/// Measures costs as sizes grow.
+pub fn slopes(arguments: &SlopesArguments) -> Result<(), String> {
+    let rows = slopes_run::run()?;
+    print(arguments.json, &rows, &slopes_run::table(&rows))
+}
--- /dev/null
+++ b/crates/bench/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands.
+
+pub mod measure;
+pub mod standin;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod ledger;
 pub mod load;
+pub mod measure;
 pub mod report;
 pub mod standin;
 pub mod text;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,54 @@
+//! The bench: stand-ins as processes, load, and measurements.
+
+mod commands;
+
+use clap::{Parser, Subcommand};
+
+use commands::{measure, standin};
+use yokefall_telemetry::{init_logs, Format, Level};
+
+/// Stand-ins of the systems that yokefall is met by, and measurements.
+#[derive(Debug, Parser)]
+#[command(name = "yokefall-bench", version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run one stand-in as a process.
+    #[command(subcommand)]
+    Standin(standin::StandInCommand),
+    /// Compare calls through agent and daemon with direct calls to the same back ends.
+    Overhead(measure::OverheadArguments),
+    /// Measure what state, messages and decisions cost, as sizes grow.
+    Slopes(measure::SlopesArguments),
+}
+
+fn main() -> std::process::ExitCode {
+    let arguments = Arguments::parse();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("yokefall-bench: start runtime: {error}");
+            return std::process::ExitCode::FAILURE;
+        }
+    };
+    init_logs("bench", Format::Text, Level::Error);
+    let done = runtime.block_on(async {
+        match arguments.command {
+            Command::Standin(command) => standin::run(command).await,
+            Command::Overhead(arguments) => measure::overhead(arguments).await,
+            Command::Slopes(arguments) => measure::slopes(&arguments),
+        }
+    });
+    runtime.shutdown_background();
+    match done {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("yokefall-bench: {error}");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/measure/mod.rs
@@ -0,0 +1,4 @@
+//! Measurements.
+
+pub mod overhead;
+pub mod slopes;
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -277,6 +277,9 @@
     /// Orders batch items on a back end to stop until no more than its slots are held. Items that
     /// must not be repeated stay: the engine runs them at a lower priority.
     fn yield_batch(&mut self, id: &BackendId, over: u32, effects: &mut Vec<AdmissionEffect>) {
+        if over == 0 {
+            return;
+        }
         let mut over = over.saturating_sub(self.yielding_on(id));
         let mut tickets: Vec<Ticket> = self.holdings.keys().copied().collect();
         // The newest item has the least work to lose.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::SeedableRng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yokefall_peer::MemberInfo;
 use yokefall_types::NodeName;
 
@@ -31,6 +32,14 @@
 const JOIN_INTERVAL_MS: u64 = 500;
 /// Interval between calls to a seed that is not a live member, in milliseconds.
 const SEED_INTERVAL_MS: u64 = 5_000;
+/// Least interval between two repairs, in milliseconds.
+const REPAIR_INTERVAL_MS: u64 = 2_000;
+/// Parts of the member list that are compared one by one in a repair, so that one change costs
+/// one part of the list and not the whole.
+const REPAIR_BUCKETS: usize = 32;
+
+/// Place of the state within the seed of a record's hash, above any incarnation.
+const STATE_SHIFT: u32 = 60;
 
 /// State of a member.
 #[derive(
@@ -73,6 +82,8 @@
     pub from: NodeName,
     /// Highest configuration version in force at the sender.
     pub configuration_version: u64,
+    /// Digest of the sender's member list.
+    pub digest: u64,
     /// What it says.
     pub kind: DatagramKind,
     /// News.
@@ -86,6 +97,11 @@
     Join,
     /// A part of the member list.
     Members,
+    /// Asks for the parts of the member list that differ.
+    Repair {
+        /// Digest of each part of the sender's list.
+        buckets: Vec<u64>,
+    },
     /// Asks for an acknowledgement.
     Ping {
         /// Number of the probe.
@@ -154,6 +170,7 @@
     next_sequence: u64,
     next_probe_at: Timestamp,
     next_join_at: Timestamp,
+    next_repair_at: Timestamp,
     configuration_version: u64,
     generator: SmallRng,
     changed: bool,
@@ -173,6 +190,7 @@
             next_sequence: 0,
             next_probe_at: Timestamp(0),
             next_join_at: Timestamp(0),
+            next_repair_at: Timestamp(0),
             configuration_version: 0,
             generator: SmallRng::seed_from_u64(seed),
             changed: true,
@@ -319,7 +337,7 @@
         // A leaving member that is silent is gone; as a suspect it would count as accepting.
         let leaving = record.state == MemberState::Leaving;
         record.state = if leaving { MemberState::Dead } else { MemberState::Suspect };
-        self.take(now, record);
+        self.take(now, record, true);
     }
 
     fn expire(&mut self, now: Timestamp) {
@@ -331,7 +349,7 @@
             self.members.values().filter(lapsed).map(|e| e.record.clone()).collect();
         for mut record in dead {
             record.state = MemberState::Dead;
-            self.take(now, record);
+            self.take(now, record, true);
         }
         self.members.retain(|_, entry| {
             entry.record.state != MemberState::Dead || now.millis_since(entry.since) < TOMBSTONE_MS
@@ -341,15 +359,64 @@
 
     /// A datagram arrived.
     pub fn receive(&mut self, now: Timestamp, datagram: Datagram, source: &str) -> Vec<Outgoing> {
+        // A whole list was asked for by this daemon alone: the others have its content.
+        let is_news = datagram.kind != DatagramKind::Members;
         for record in datagram.updates {
-            self.take(now, record);
+            self.take(now, record, is_news);
         }
         if let Some(entry) = self.members.get_mut(&datagram.from) {
             entry.configuration_version =
                 entry.configuration_version.max(datagram.configuration_version);
         }
-        match datagram.kind {
-            DatagramKind::Join => self.whole_list(source),
+        let mut outgoing = self.answer(now, datagram.kind, source);
+        outgoing.extend(self.repair(now, datagram.digest, source));
+        outgoing
+    }
+
+    /// Asks a member whose list differs for the parts that differ. News travels a bounded number
+    /// of times and may miss somebody; what it misses is mended here.
+    fn repair(&mut self, now: Timestamp, digest: u64, source: &str) -> Option<Outgoing> {
+        if now < self.next_repair_at || digest == self.digest() {
+            return None;
+        }
+        self.next_repair_at = now.plus_millis(REPAIR_INTERVAL_MS);
+        let buckets = self.bucket_digests();
+        Some(self.outgoing(source.to_owned(), DatagramKind::Repair { buckets }))
+    }
+
+    /// Every record, this daemon's own included.
+    fn all_records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values().map(|entry| &entry.record).chain(std::iter::once(&self.me))
+    }
+
+    /// Digest of the member list. Equal lists have equal digests.
+    fn digest(&self) -> u64 {
+        self.all_records().map(record_hash).fold(0, u64::wrapping_add)
+    }
+
+    fn bucket_digests(&self) -> Vec<u64> {
+        let mut digests = vec![0u64; REPAIR_BUCKETS];
+        for record in self.all_records() {
+            let digest = &mut digests[bucket_of(&record.node)];
+            *digest = digest.wrapping_add(record_hash(record));
+        }
+        digests
+    }
+
+    /// The records of the parts that differ from those of another list.
+    fn differing(&self, buckets: &[u64]) -> Vec<MemberRecord> {
+        let own = self.bucket_digests();
+        let differs = |node: &NodeName| {
+            let bucket = bucket_of(node);
+            buckets.get(bucket) != Some(&own[bucket])
+        };
+        self.all_records().filter(|record| differs(&record.node)).cloned().collect()
+    }
+
+    fn answer(&mut self, now: Timestamp, kind: DatagramKind, source: &str) -> Vec<Outgoing> {
+        match kind {
+            DatagramKind::Join => self.list(source, self.all_records().cloned().collect()),
+            DatagramKind::Repair { buckets } => self.list(source, self.differing(&buckets)),
             DatagramKind::Members => Vec::new(),
             DatagramKind::Ping { sequence } => {
                 vec![self.outgoing(source.to_owned(), DatagramKind::Ack { sequence })]
@@ -361,15 +428,14 @@
         }
     }
 
-    fn whole_list(&mut self, to: &str) -> Vec<Outgoing> {
-        let mut records: Vec<MemberRecord> =
-            self.members.values().map(|entry| entry.record.clone()).collect();
-        records.push(self.me.clone());
+    /// A list in as many datagrams as it takes.
+    fn list(&self, to: &str, records: Vec<MemberRecord>) -> Vec<Outgoing> {
         let part = |updates: &[MemberRecord]| Outgoing {
             to: to.to_owned(),
             datagram: Datagram {
                 from: self.me.node.clone(),
                 configuration_version: self.configuration_version,
+                digest: self.digest(),
                 kind: DatagramKind::Members,
                 updates: updates.to_vec(),
             },
@@ -404,8 +470,8 @@
         Some(self.outgoing(address, DatagramKind::Ping { sequence }))
     }
 
-    /// Takes news of a member.
-    fn take(&mut self, now: Timestamp, record: MemberRecord) {
+    /// Takes what is told of a member, and passes it on where it is news.
+    fn take(&mut self, now: Timestamp, record: MemberRecord, is_news: bool) {
         if record.node == self.me.node {
             self.refute(&record);
             return;
@@ -424,7 +490,9 @@
         let configuration_version = held.map_or(0, |entry| entry.configuration_version);
         let entry = Entry { record: record.clone(), since: now, configuration_version };
         self.members.insert(record.node.clone(), entry);
-        self.spread(record);
+        if is_news {
+            self.spread(record);
+        }
     }
 
     /// News of this daemon itself that is wrong is answered with a higher incarnation.
@@ -462,6 +530,7 @@
         let datagram = Datagram {
             from: self.me.node.clone(),
             configuration_version: self.configuration_version,
+            digest: self.digest(),
             kind,
             updates,
         };
@@ -469,6 +538,15 @@
     }
 }
 
+fn bucket_of(node: &NodeName) -> usize {
+    xxh3_64_with_seed(node.as_str().as_bytes(), 0) as usize % REPAIR_BUCKETS
+}
+
+fn record_hash(record: &MemberRecord) -> u64 {
+    let seed = record.incarnation ^ ((record.state as u64) << STATE_SHIFT);
+    xxh3_64_with_seed(record.node.as_str().as_bytes(), seed)
+}
+
 fn info(record: &MemberRecord) -> MemberInfo {
     MemberInfo {
         node: record.node.clone(),
--- a/crates/daemon/src/ports/repair.rs
+++ b/crates/daemon/src/ports/repair.rs
@@ -36,9 +36,8 @@
     let _ = shared.fleet().tell(FleetCommand::Versions(reply)).await;
     let Ok((digest, versions)) = answer.await else { return };
     let brief = PeerRequest::ConfigurationDigest { digest, versions: Vec::new() };
-    match call_peer(shared, peer, brief).await {
-        Ok(PeerReply::Repair { same: false, .. }) => exchange(shared, peer, digest, versions).await,
-        _ => {}
+    if let Ok(PeerReply::Repair { same: false, .. }) = call_peer(shared, peer, brief).await {
+        exchange(shared, peer, digest, versions).await;
     }
 }
 
