--- a/crates/bench/src/measure/slopes.rs
+++ b/crates/bench/src/measure/slopes.rs
@@ -10,7 +10,7 @@
 use yokefall_core::jobs::JobStore;
 use yokefall_core::membership::{MemberRecord, MemberState, Membership, Outgoing};
 use yokefall_core::{FleetView, Timestamp};
-use yokefall_peer::{JobHeader, MemberInfo, VersionedObject};
+use yokefall_peer::{HomeId, JobHeader, MemberInfo, VersionedObject};
 use yokefall_types::{
     BackendSpec, CallHeader, Declaration, JobId, Kind, NodeName, ObjectKey, Outcome, PartnerName,
     Priority, RepeatPolicy, RequestId, ServiceId, ServiceKind, ServiceName, ServiceSpec,
@@ -259,7 +259,7 @@
 /// Time of the decisions about one call: at its home daemon, and at its owner.
 fn decisions(size: usize) -> Vec<SlopeRow> {
     let view = build_view(size);
-    let mut coordinator = Coordinator::new(1, 600_000);
+    let mut coordinator = Coordinator::new(HomeId { node: node(0), incarnation: 1 }, 1, 600_000);
     let begun = Instant::now();
     for number in 0..DECISIONS {
         let now = Timestamp(number / 40);
--- a/crates/bench/src/standin/engine/server.rs
+++ b/crates/bench/src/standin/engine/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -108,6 +109,7 @@
     wake: Notify,
     ledger: Arc<Ledger>,
     weight_store: Option<SocketAddr>,
+    begun: AtomicU64,
 }
 
 #[derive(Clone, Copy)]
@@ -190,6 +192,7 @@
             wake: Notify::new(),
             ledger: ledger.clone(),
             weight_store,
+            begun: AtomicU64::new(0),
         });
         let (fault_sender, mut fault_queue) = mpsc::unbounded_channel();
         let held = state.clone();
@@ -215,7 +218,17 @@
         inject(&self.server, &self.state, fault).await;
     }
 
-    /// Part of the prompt tokens that were found in the cache.
+    /// Whether it runs or holds anything.
+    pub fn is_busy(&self) -> bool {
+        !lock(&self.state.streams).is_empty()
+    }
+
+    /// Executions that it began.
+    pub fn executions_begun(&self) -> u64 {
+        self.state.begun.load(Ordering::Relaxed)
+    }
+
+    /// Prompt tokens that were found in the cache, and all prompt tokens.
     pub fn prefix_tokens(&self) -> (u64, u64) {
         lock(&self.state.model).prefix_tokens
     }
@@ -414,6 +427,7 @@
         return whole(StatusCode::TOO_MANY_REQUESTS, "queue is full; nothing was begun");
     };
     let execution = state.ledger.begin(&order.request_id);
+    state.begun.fetch_add(1, Ordering::Relaxed);
     if whole_already {
         state.ledger.end(execution, ExecutionEnd::Finished, order.max_tokens);
         let last = CompletionChunk {
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -7,7 +7,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use yokefall_peer::{OwnerLoad, RecordCopy, RecordState};
+use yokefall_peer::{HomeId, OwnerLoad, RecordCopy, RecordState};
 use yokefall_types::{
     CallHeader, NodeName, Outcome, Refusal, RefusalReason, RepeatPolicy, RequestId, ServiceId,
 };
@@ -136,6 +136,7 @@
 /// Records of which this daemon is home, and copies that it holds for others.
 #[derive(Debug)]
 pub struct Coordinator {
+    home: HomeId,
     records: HashMap<RequestId, Record>,
     /// Requests that have not ended.
     open: BTreeSet<RequestId>,
@@ -149,9 +150,10 @@
 }
 
 impl Coordinator {
-    /// A coordinator that keeps ended records for `retention_ms`.
-    pub fn new(seed: u64, retention_ms: u64) -> Self {
+    /// The coordinator of one start of a daemon, which keeps ended records for `retention_ms`.
+    pub fn new(home: HomeId, seed: u64, retention_ms: u64) -> Self {
         Self {
+            home,
             records: HashMap::new(),
             open: BTreeSet::new(),
             copies: HashMap::new(),
@@ -236,10 +238,11 @@
         let usable = |n: &&NodeName| **n != view.node && !record.failed_holders.contains(n);
         record.second = holders.iter().find(usable).cloned();
         let Some(to) = record.second.clone() else {
-            return self.execute_without_copy(now, view, request);
+            return self.execute_without_copy(now, request);
         };
         let copy = RecordCopy {
             request: request.clone(),
+            home: self.home.clone(),
             digest: record.digest,
             repeat: record.header.repeat,
             state: RecordState::Running { owner },
@@ -257,11 +260,11 @@
     fn execute_without_copy(
         &mut self,
         now: Timestamp,
-        view: &FleetView,
         request: &RequestId,
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get(request) else { return Vec::new() };
-        let alone = view.members.len() <= 1;
+        // Members that are leaving hold nothing new, so that the last to stay is alone.
+        let alone = record.failed_holders.is_empty();
         if alone || record.header.repeat == RepeatPolicy::Allowed {
             return self.execute(request);
         }
@@ -399,8 +402,9 @@
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
         let not_run = refusal.executed == Some(false);
-        if not_run && !record.started {
+        if not_run {
             record.sent = false;
+            record.started = false;
         }
         let safe = not_run || record.header.repeat == RepeatPolicy::Allowed;
         let sensible = !matches!(
@@ -514,8 +518,13 @@
         self.expiry.insert((at, self.next_expiry), (request, record));
     }
 
-    /// Holds a copy for another home daemon. Returns what was held before by this daemon, as
-    /// holder or as home.
+    /// This start of this daemon.
+    pub fn home(&self) -> &HomeId {
+        &self.home
+    }
+
+    /// Holds a copy for another home daemon. Returns what this daemon, as holder or as home, held
+    /// before from any other home: that home may have run the call.
     pub fn hold(
         &mut self,
         now: Timestamp,
@@ -526,17 +535,23 @@
         if let Some(record) = self.records.get(&request) {
             let state = RecordState::Running { owner: view.node.clone() };
             let (digest, repeat) = (record.digest, record.header.repeat);
-            return Some(RecordCopy { request, digest, repeat, state });
+            return Some(RecordCopy { request, home: self.home.clone(), digest, repeat, state });
         }
         let before = self.copies.get(&request).cloned();
         let ended = |c: &RecordCopy| !matches!(c.state, RecordState::Running { .. });
         if before.as_ref().is_some_and(|held| ended(held) && !ended(&copy)) {
             return before;
         }
+        // What another home may have run stays known until an end takes its place: were it
+        // replaced and this reply lost, the next reply would hide that the call may have run.
+        let foreign = before.filter(|held| held.home != copy.home);
+        if foreign.is_some() && !ended(&copy) {
+            return foreign;
+        }
         self.copies.insert(request.clone(), copy);
         let longest = yokefall_types::limits::MAX_CALL_DEADLINE_MS + self.retention_ms;
         self.expire_at(now.plus_millis(longest), request, false);
-        before
+        foreign
     }
 
     /// The copy held of a request.
--- /dev/null
+++ b/crates/core/tests/coordinator.rs
@@ -0,0 +1,196 @@
+//! The home daemon: one record a request, and no-repeat calls run at most once.
+
+mod support;
+
+use std::collections::HashMap;
+
+use quickcheck::{Gen, QuickCheck};
+use support::{header, node, view};
+use yokefall_core::coordinator::{Coordinator, CoordinatorEffect, Submission};
+use yokefall_core::Timestamp;
+use yokefall_peer::{HomeId, RecordCopy, RecordState};
+use yokefall_types::{Answer, Outcome, Refusal, RefusalReason, RepeatPolicy, RequestId};
+
+const SEED: u64 = 31;
+const RETENTION_MS: u64 = 60_000;
+const DIGEST: u64 = 9;
+
+fn home(number: usize) -> HomeId {
+    HomeId { node: node(number), incarnation: 1 }
+}
+
+fn executions(effects: &[CoordinatorEffect]) -> Vec<(RequestId, u32)> {
+    let execute = |effect: &CoordinatorEffect| match effect {
+        CoordinatorEffect::Execute { request, attempt, .. } => Some((request.clone(), *attempt)),
+        _ => None,
+    };
+    effects.iter().filter_map(execute).collect()
+}
+
+/// Random ends of random attempts, lost copies and time: a no-repeat call is sent again only
+/// after every earlier attempt was proven not to have run, and each record ends once.
+fn no_repeat_runs_at_most_once(steps: Vec<(u8, u8, u8)>) -> bool {
+    let view = view(3, 2, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    // By request: attempts sent and not proven unrun, and ends seen.
+    let mut unproven: HashMap<RequestId, Vec<u32>> = HashMap::new();
+    let mut ends: HashMap<RequestId, u32> = HashMap::new();
+    let mut now = Timestamp(1);
+    for (kind, id, choice) in steps {
+        now = now.plus_millis(u64::from(choice));
+        let header = header(&format!("r{}", id % 3), RepeatPolicy::Forbidden);
+        let request = header.request.clone();
+        let attempt = unproven.get(&request).and_then(|sent| sent.last().copied()).unwrap_or(1);
+        let mut proven = None;
+        let effects = match kind % 8 {
+            0 => coordinator.submit(now, &view, header, DIGEST, 10).1,
+            1 => coordinator.copy_held(&request, None),
+            2 => coordinator.copy_failed(now, &view, &request, &node(1)),
+            3 => {
+                coordinator.execution_ended(now, &view, &request, attempt, Outcome::Completed, None)
+            }
+            4 => {
+                proven = Some(attempt);
+                let refusal = Refusal::not_run(RefusalReason::Overloaded, "full");
+                let outcome = Outcome::Refused(refusal);
+                coordinator.execution_ended(now, &view, &request, attempt, outcome, None)
+            }
+            5 => {
+                let reached = choice % 2 == 0;
+                if !reached {
+                    proven = Some(attempt);
+                }
+                let detail = "lost".to_owned();
+                coordinator.execution_lost(now, &view, &request, attempt, reached, detail)
+            }
+            6 => coordinator.tick(now, &view),
+            _ => coordinator.cancel(now, &request).1,
+        };
+        if let Some(attempt) = proven {
+            unproven.entry(request).or_default().retain(|sent| *sent != attempt);
+        }
+        for (request, attempt) in executions(&effects) {
+            let sent = unproven.entry(request).or_default();
+            if !sent.is_empty() {
+                return false;
+            }
+            sent.push(attempt);
+        }
+        for effect in effects {
+            match effect {
+                CoordinatorEffect::End { request, .. } => {
+                    *ends.entry(request.clone()).or_default() += 1;
+                    if ends[&request] > 1 {
+                        return false;
+                    }
+                }
+                CoordinatorEffect::Forget { request } => {
+                    ends.remove(&request);
+                    unproven.remove(&request);
+                }
+                _ => {}
+            }
+        }
+    }
+    true
+}
+
+#[test]
+fn a_no_repeat_call_is_sent_again_only_when_proven_unrun() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, SEED))
+        .tests(2_000)
+        .quickcheck(no_repeat_runs_at_most_once as fn(Vec<(u8, u8, u8)>) -> bool);
+}
+
+#[test]
+fn the_same_id_joins_and_other_content_conflicts() {
+    let view = view(2, 1, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    let call = header("r", RepeatPolicy::Allowed);
+    let now = Timestamp(1);
+    let (first, effects) = coordinator.submit(now, &view, call.clone(), DIGEST, 10);
+    assert_eq!(first, Submission::Accepted);
+    assert_eq!(executions(&effects).len(), 1);
+    let (second, effects) = coordinator.submit(now, &view, call.clone(), DIGEST, 10);
+    assert_eq!(second, Submission::Joined);
+    assert!(effects.is_empty());
+    let (third, effects) = coordinator.submit(now, &view, call, DIGEST + 1, 10);
+    assert!(matches!(third, Submission::Refused(r) if r.reason == RefusalReason::Conflict));
+    assert!(effects.is_empty());
+}
+
+#[test]
+fn the_holder_of_the_copy_takes_over_without_running_the_call_again() {
+    let view = view(2, 1, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    let call = header("r", RepeatPolicy::Forbidden);
+    let state = RecordState::Running { owner: node(1) };
+    let copy = RecordCopy {
+        request: call.request.clone(),
+        home: home(1),
+        digest: DIGEST,
+        repeat: call.repeat,
+        state,
+    };
+    assert!(coordinator.hold(Timestamp(1), &view, copy).is_none());
+    let (submission, effects) = coordinator.submit(Timestamp(2), &view, call, DIGEST, 10);
+    assert_eq!(submission, Submission::Joined);
+    assert!(matches!(&effects[..], [CoordinatorEffect::Adopt { .. }]));
+}
+
+#[test]
+fn news_that_a_call_runs_never_replaces_its_answer() {
+    let view = view(2, 1, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    let request = header("r", RepeatPolicy::Forbidden).request;
+    let copy = |state| RecordCopy {
+        request: request.clone(),
+        home: home(1),
+        digest: DIGEST,
+        repeat: RepeatPolicy::Forbidden,
+        state,
+    };
+    let answer = Answer { body: b"answer".to_vec(), tokens: 1 };
+    coordinator.hold(Timestamp(1), &view, copy(RecordState::Answered(answer)));
+    coordinator.hold(Timestamp(2), &view, copy(RecordState::Running { owner: node(1) }));
+    let held = coordinator.copy_of(&request).map(|copy| &copy.state);
+    assert!(matches!(held, Some(RecordState::Answered(_))));
+}
+
+#[test]
+fn limits_are_refused_with_the_field_named() {
+    let view = view(2, 1, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    let call = header("r", RepeatPolicy::Allowed);
+    let (large, _) = coordinator.submit(Timestamp(1), &view, call.clone(), DIGEST, 5_000);
+    let Submission::Refused(refusal) = large else { panic!("an oversized prompt was taken") };
+    assert!(refusal.detail.starts_with("prompt:"));
+    let mut unknown = call;
+    unknown.service = "nothing".into();
+    let (unknown, _) = coordinator.submit(Timestamp(1), &view, unknown, DIGEST, 10);
+    let Submission::Refused(refusal) = unknown else { panic!("an unknown service was taken") };
+    assert_eq!(refusal.reason, RefusalReason::UnknownService);
+    assert_eq!(refusal.executed, Some(false));
+}
+
+#[test]
+fn a_copy_counts_as_anothers_unless_this_very_start_made_it() {
+    let view = view(2, 1, 4, 0);
+    let mut holder = Coordinator::new(home(1), 1, RETENTION_MS);
+    let copy = |home: HomeId| RecordCopy {
+        request: header("r", RepeatPolicy::Forbidden).request,
+        home,
+        digest: DIGEST,
+        repeat: RepeatPolicy::Forbidden,
+        state: RecordState::Running { owner: node(0) },
+    };
+    assert!(holder.hold(Timestamp(1), &view, copy(home(0))).is_none());
+    // The same home sends the call to another owner after a refusal: nobody else ran it.
+    assert!(holder.hold(Timestamp(2), &view, copy(home(0))).is_none());
+    // The home restarted and has forgotten the call: its former self may have run it.
+    let restarted = HomeId { incarnation: 2, ..home(0) };
+    assert!(holder.hold(Timestamp(3), &view, copy(restarted.clone())).is_some());
+    // And so it is told again, should the first reply be lost.
+    assert!(holder.hold(Timestamp(4), &view, copy(restarted)).is_some());
+}
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,172 @@
+//! Membership under virtual time: deaths are found, the living stay, halves come together again.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use yokefall_core::membership::{MemberRecord, MemberState, Membership, Outgoing};
+use yokefall_core::Timestamp;
+use yokefall_types::NodeName;
+
+const STEP_MS: u64 = 20;
+const DELAY_MS: u64 = 2;
+const MINUTE_MS: u64 = 60_000;
+
+fn address(number: usize) -> String {
+    format!("10.0.0.{number}:7100")
+}
+
+fn record(number: usize, incarnation: u64) -> MemberRecord {
+    MemberRecord {
+        node: NodeName::new(format!("daemon-{number}")),
+        incarnation,
+        address: address(number),
+        zone: format!("zone-{}", number % 3),
+        region: "region".to_owned(),
+        data: false,
+        state: MemberState::Alive,
+    }
+}
+
+struct Fleet {
+    nodes: Vec<Option<Membership>>,
+    now: u64,
+    queue: VecDeque<(u64, usize, Outgoing)>,
+    loss: f64,
+    cut: HashSet<usize>,
+    generator: SmallRng,
+    by_address: HashMap<String, usize>,
+}
+
+impl Fleet {
+    fn new(size: usize, loss: f64) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            now: 1,
+            queue: VecDeque::new(),
+            loss,
+            cut: HashSet::new(),
+            generator: SmallRng::seed_from_u64(5),
+            by_address: (0..size).map(|n| (address(n), n)).collect(),
+        };
+        fleet.nodes = (0..size).map(|n| Some(fleet.member(n, 1))).collect();
+        fleet
+    }
+
+    fn member(&self, number: usize, incarnation: u64) -> Membership {
+        let seeds = vec![address(0), address(1)];
+        Membership::new(record(number, incarnation), seeds, number as u64)
+    }
+
+    fn send(&mut self, at: u64, from: usize, outgoing: Vec<Outgoing>) {
+        for datagram in outgoing {
+            if !self.generator.random_bool(self.loss) {
+                self.queue.push_back((at + DELAY_MS, from, datagram));
+            }
+        }
+    }
+
+    /// Runs for a time; `each` looks at the fleet after every step.
+    fn run(&mut self, milliseconds: u64, mut each: impl FnMut(&Fleet)) {
+        let end = self.now + milliseconds;
+        while self.now < end {
+            for number in 0..self.nodes.len() {
+                let now = Timestamp(self.now);
+                let Some(node) = &mut self.nodes[number] else { continue };
+                let outgoing = node.tick(now);
+                self.send(self.now, number, outgoing);
+            }
+            while self.queue.front().is_some_and(|(at, ..)| *at < self.now + STEP_MS) {
+                let Some((at, from, outgoing)) = self.queue.pop_front() else { break };
+                let target = self.by_address[&outgoing.to];
+                let parted = self.cut.contains(&from) != self.cut.contains(&target);
+                let Some(node) = self.nodes[target].as_mut().filter(|_| !parted) else { continue };
+                let replies = node.receive(Timestamp(at), outgoing.datagram, &address(from));
+                self.send(at, target, replies);
+            }
+            self.now += STEP_MS;
+            each(self);
+        }
+    }
+
+    fn live_at(&self, number: usize) -> HashSet<String> {
+        let node = self.nodes[number].as_ref().expect("the node runs");
+        node.members().into_iter().map(|member| member.node.to_string()).collect()
+    }
+
+    fn running(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|n| self.nodes[*n].is_some()).collect()
+    }
+
+    fn all_see(&self, wanted: usize) -> bool {
+        self.running().into_iter().all(|number| self.live_at(number).len() == wanted)
+    }
+}
+
+#[test]
+fn a_death_is_acted_on_everywhere_within_five_seconds() {
+    let mut fleet = Fleet::new(40, 0.01);
+    fleet.run(20_000, |_| {});
+    assert!(fleet.all_see(40));
+    fleet.nodes[7] = None;
+    fleet.run(5_000, |_| {});
+    assert!(fleet.all_see(39));
+}
+
+#[test]
+fn nobody_who_lives_is_evicted_at_one_percent_loss() {
+    let mut fleet = Fleet::new(20, 0.01);
+    fleet.run(20_000, |_| {});
+    fleet.run(10 * MINUTE_MS, |fleet| assert!(fleet.all_see(20)));
+}
+
+#[test]
+fn a_restart_is_seen_and_old_news_of_the_death_stays_old() {
+    let mut fleet = Fleet::new(12, 0.0);
+    fleet.run(10_000, |_| {});
+    fleet.nodes[5] = None;
+    fleet.run(6_000, |_| {});
+    assert!(fleet.all_see(11));
+    let restarted = fleet.member(5, 2);
+    fleet.nodes[5] = Some(restarted);
+    fleet.run(10_000, |_| {});
+    assert!(fleet.all_see(12));
+}
+
+#[test]
+fn two_halves_come_together_after_a_cut() {
+    let mut fleet = Fleet::new(12, 0.0);
+    fleet.run(10_000, |_| {});
+    fleet.cut = (6..12).collect();
+    fleet.run(30_000, |_| {});
+    assert!(fleet.all_see(6));
+    fleet.cut.clear();
+    fleet.run(20_000, |_| {});
+    assert!(fleet.all_see(12));
+}
+
+#[test]
+fn a_fleet_that_starts_at_once_comes_together() {
+    let mut fleet = Fleet::new(150, 0.01);
+    fleet.run(20_000, |_| {});
+    assert!(fleet.all_see(150));
+}
+
+#[test]
+fn a_leaving_member_is_known_as_such_before_it_is_gone() {
+    let mut fleet = Fleet::new(10, 0.0);
+    fleet.run(10_000, |_| {});
+    let farewell = {
+        let node = fleet.nodes[3].as_mut().expect("the node runs");
+        node.announce(MemberState::Leaving);
+        node.farewell()
+    };
+    let now = fleet.now;
+    fleet.send(now, 3, farewell);
+    fleet.run(100, |_| {});
+    for number in fleet.running() {
+        let node = fleet.nodes[number].as_ref().expect("the node runs");
+        let leaver = node.members().into_iter().find(|m| m.node.as_str() == "daemon-3");
+        assert!(leaver.is_some_and(|member| !member.accepting));
+    }
+}
--- a/crates/daemon/src/control/dispatch.rs
+++ b/crates/daemon/src/control/dispatch.rs
@@ -195,9 +195,9 @@
         stores: Vec<NodeName>,
     ) -> Self {
         Self {
+            coordinator: Coordinator::new(shared.home.clone(), seed, retention_ms),
             shared,
             traffic,
-            coordinator: Coordinator::new(seed, retention_ms),
             admission: Admission::default(),
             runner: BatchRunner::new(stores),
             online: HashMap::new(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,7 +14,7 @@
 use yokefall_core::membership::{MemberRecord, MemberState, Membership};
 use yokefall_core::FleetView;
 use yokefall_objects::ObjectApi;
-use yokefall_peer::PeerClient;
+use yokefall_peer::{HomeId, PeerClient};
 use yokefall_rpc::{serve_incoming, Authenticator};
 use yokefall_settings::Settings;
 use yokefall_storage::{Journal, JournalWriter, StorageError};
@@ -262,6 +262,7 @@
     Ok(Shared {
         peers: PeerClient::new(node.clone(), secret.to_owned()),
         backends: BackendClient::new(Duration::from_millis(settings.request.backend_stall_ms)),
+        home: HomeId { node: node.clone(), incarnation: unix_ms() },
         node,
         clock,
         objects,
--- a/crates/daemon/src/ports/operator.rs
+++ b/crates/daemon/src/ports/operator.rs
@@ -16,7 +16,7 @@
 use yokefall_telemetry::{Event, Level};
 use yokefall_types::key::Role;
 use yokefall_types::limits::{check_name, MAX_DECLARATION_BYTES};
-use yokefall_types::{Declaration, Kind, ObjectKey, PartnerName, ServiceId};
+use yokefall_types::{Declaration, Kind, ObjectKey, PartnerName};
 
 use crate::control::{FleetCommand, FleetStatus};
 use crate::shared::Shared;
@@ -50,20 +50,22 @@
         Ok(objects)
     }
 
-    /// Checks references between objects against the configuration in force.
+    /// Checks references between objects against the configuration in force, the operator's own
+    /// last change included.
     async fn check_references(&self, change: &Change) -> Result<(), Status> {
-        let partner = &change.key.partner;
+        let objects = self.live_objects(&change.key.partner).await?;
         match &change.value {
             Some(Declaration::Backend(spec)) => {
-                let service = ServiceId { partner: partner.clone(), name: spec.service.clone() };
-                if self.shared.view.load().services.contains_key(&service) {
+                let declares = |object: &VersionedObject| {
+                    object.key.kind == Kind::Service && object.key.name == spec.service.as_str()
+                };
+                if objects.iter().any(declares) {
                     return Ok(());
                 }
-                let message = format!("spec.service: service {service} is not declared");
+                let message = format!("spec.service: service {} is not declared", spec.service);
                 Err(Status::failed_precondition(message))
             }
             None if change.key.kind == Kind::Service => {
-                let objects = self.live_objects(partner).await?;
                 let user = objects.iter().find(|object| uses(object, &change.key.name));
                 match user {
                     Some(object) => Err(Status::failed_precondition(format!(
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -9,7 +9,7 @@
 use yokefall_backend::BackendClient;
 use yokefall_core::FleetView;
 use yokefall_objects::ObjectApi;
-use yokefall_peer::{PeerClient, VersionedObject};
+use yokefall_peer::{HomeId, PeerClient, VersionedObject};
 use yokefall_storage::{Journal, JournalWriter};
 use yokefall_types::NodeName;
 
@@ -33,6 +33,8 @@
 pub struct Shared {
     /// Name of this daemon.
     pub node: NodeName,
+    /// This start of this daemon, as home of requests.
+    pub home: HomeId,
     /// The process's clock.
     pub clock: Clock,
     /// Connections to other processes.
--- a/crates/daemon/src/traffic/buffer.rs
+++ b/crates/daemon/src/traffic/buffer.rs
@@ -43,7 +43,12 @@
         Self { state: Mutex::default(), changed: watch::Sender::new(()) }
     }
 
-    /// Notes the back end that runs the call.
+    /// Whether a back end is known to have taken the call.
+    pub fn is_started(&self) -> bool {
+        lock(&self.state).backend.is_some()
+    }
+
+    /// Notes the back end that has taken the call.
     pub fn start(&self, backend: BackendId) {
         lock(&self.state).backend = Some(backend);
         self.changed.send_replace(());
--- a/crates/daemon/src/traffic/execution.rs
+++ b/crates/daemon/src/traffic/execution.rs
@@ -29,10 +29,9 @@
     backend: BackendId,
     address: String,
 ) {
-    call.buffer().start(backend.clone());
     let deadline = Duration::from_millis(call.header().deadline_ms);
     let ended = tokio::select! {
-        ended = run_on(&shared, &call, &address) => ended,
+        ended = run_on(&shared, &call, &backend, &address) => ended,
         () = call.stopped() => Err(End::Stopped(RefusalReason::Cancelled)),
         () = tokio::time::sleep(deadline) => Err(End::Stopped(RefusalReason::DeadlineExceeded)),
     };
@@ -67,17 +66,23 @@
     }
 }
 
-async fn run_on(shared: &Shared, call: &Call, address: &str) -> Result<(), End> {
+async fn run_on(
+    shared: &Shared,
+    call: &Call,
+    backend: &BackendId,
+    address: &str,
+) -> Result<(), End> {
     let service = call.header().service_id();
     match service_spec(shared, &service) {
         Some(spec) if spec.kind == ServiceKind::Plain => {
             let body = Bytes::from(call.body().to_vec());
             let id = call.header().request.to_string();
             let answer = shared.backends.call_plain(address, &id, call.attempt(), body).await?;
+            call.buffer().start(backend.clone());
             call.buffer().push(0, &answer, 0);
             Ok(())
         }
-        Some(spec) => run_model(shared, call, address, spec.model).await,
+        Some(spec) => run_model(shared, call, backend, address, spec.model).await,
         None => {
             let cause = format!("service {service} is no longer declared");
             let peer = address.to_owned();
@@ -86,7 +91,13 @@
     }
 }
 
-async fn run_model(shared: &Shared, call: &Call, address: &str, model: String) -> Result<(), End> {
+async fn run_model(
+    shared: &Shared,
+    call: &Call,
+    backend: &BackendId,
+    address: &str,
+    model: String,
+) -> Result<(), End> {
     let order = CompletionOrder {
         request_id: engine_request_id(call),
         attempt: call.attempt(),
@@ -98,6 +109,8 @@
         stream: true,
     };
     let mut stream = shared.backends.complete(address, &order).await?;
+    // Only now is it known that the engine has taken the call.
+    call.buffer().start(backend.clone());
     loop {
         match stream.next().await? {
             CompletionEvent::Finished => return Ok(()),
@@ -134,8 +147,7 @@
 }
 
 fn refusal_of(call: &Call, error: &BackendError) -> Refusal {
-    let produced = call.buffer().length().0 > 0;
-    let executed = match (produced, error.proves_not_run()) {
+    let executed = match (call.buffer().is_started(), error.proves_not_run()) {
         (true, _) => Some(true),
         (false, true) => Some(false),
         (false, false) => None,
--- a/crates/daemon/src/traffic/home.rs
+++ b/crates/daemon/src/traffic/home.rs
@@ -224,6 +224,7 @@
     };
     let copy = RecordCopy {
         request: request.clone(),
+        home: shared.home.clone(),
         digest: call.digest(),
         repeat: call.header().repeat,
         state,
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -56,11 +56,23 @@
     pub waiting: u32,
 }
 
+/// One start of a home daemon.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct HomeId {
+    /// The daemon.
+    pub node: NodeName,
+    /// Differs between starts of the same daemon.
+    pub incarnation: u64,
+}
+
 /// State of a request record, as copied to its second holder.
 #[derive(Clone, Debug, BorshSerialize, BorshDeserialize)]
 pub struct RecordCopy {
     /// The request.
     pub request: RequestId,
+    /// The home daemon that made the copy, and its start: a home that restarted has forgotten the
+    /// record, so that its former copy counts as another's.
+    pub home: HomeId,
     /// Digest of the request's content.
     pub digest: u64,
     /// Whether the request may be executed again.
