A fleet of plain processes from committed files, walked by a test

Cause: the path ran in one process only; what an operator starts, declares, asks, submits, cancels and stops was not shown, nor that results outlive the death of the process that holds them.

A lost disk is not survived yet: jobs have one copy.

--- /dev/null
+++ b/crates/app/tests/walk.rs
@@ -0,0 +1,157 @@
+//! The walk of `docs/RUNNING.md`: its blocks, as they stand, on free ports.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+const PAGE: &str = include_str!("../../../docs/RUNNING.md");
+/// Prefix of every port that the page and the examples name.
+const ADDRESS_PREFIX: &str = "127.0.0.1:7";
+/// Ends what the page leaves running, whatever happened.
+const SCRIPT_HEAD: &str = "set -euo pipefail\ntrap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n";
+
+fn blocks() -> String {
+    let mut script = SCRIPT_HEAD.to_owned();
+    for block in PAGE.split("```sh\n").skip(1) {
+        script.push_str(block.split("```").next().unwrap_or_default());
+    }
+    script
+}
+
+/// Gives every port that a text names a free one, the same in every text.
+#[derive(Default)]
+struct Ports {
+    free: BTreeMap<String, u16>,
+    /// Held until all are drawn, so that no port is drawn twice.
+    listeners: Vec<TcpListener>,
+}
+
+impl Ports {
+    fn replace(&mut self, text: &str) -> String {
+        let mut replaced = String::new();
+        let mut parts = text.split(ADDRESS_PREFIX);
+        replaced.push_str(parts.next().unwrap_or_default());
+        for part in parts {
+            let digits: String = part.chars().take_while(char::is_ascii_digit).collect();
+            let port = self.port(&digits);
+            replaced.push_str(&format!("127.0.0.1:{port}{}", &part[digits.len()..]));
+        }
+        replaced
+    }
+
+    fn port(&mut self, digits: &str) -> u16 {
+        if let Some(port) = self.free.get(digits) {
+            return *port;
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let port = listener.local_addr().expect("an address").port();
+        self.listeners.push(listener);
+        self.free.insert(digits.to_owned(), port);
+        port
+    }
+}
+
+fn copy_examples(from: &Path, to: &Path, ports: &mut Ports) {
+    std::fs::create_dir_all(to).expect("a folder");
+    for entry in std::fs::read_dir(from).expect("the examples") {
+        let path = entry.expect("an entry").path();
+        let target = to.join(path.file_name().expect("a name"));
+        if path.is_dir() {
+            if path.file_name().is_some_and(|name| name != "data") {
+                copy_examples(&path, &target, ports);
+            }
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).expect("a text file");
+        std::fs::write(target, ports.replace(&text)).expect("a copy");
+    }
+}
+
+/// Folder of the binaries, the bench among them.
+fn binaries() -> PathBuf {
+    let yokefall = PathBuf::from(env!("CARGO_BIN_EXE_yokefall"));
+    let folder = yokefall.parent().expect("a folder").to_owned();
+    let bench = folder.join("yokefall-bench");
+    assert!(bench.exists(), "{} is missing: cargo build --workspace", bench.display());
+    folder
+}
+
+#[test]
+fn the_page_runs_as_it_stands() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let mut ports = Ports::default();
+    copy_examples(&examples, folder.path(), &mut ports);
+    let script = ports.replace(&blocks());
+    drop(ports);
+    let path = format!("{}:{}", binaries().display(), std::env::var("PATH").unwrap_or_default());
+    let output = Command::new("timeout")
+        .args(["100", "bash", "-c", &script])
+        .current_dir(folder.path())
+        .env("PATH", path)
+        .output()
+        .expect("bash runs");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    assert!(
+        output.status.success(),
+        "{}\n--- output\n{}\n--- errors\n{}",
+        output.status,
+        text(&output.stdout),
+        text(&output.stderr),
+    );
+}
+
+#[test]
+fn the_examples_with_every_key_are_those_of_the_code() {
+    for role in ["daemon", "agent"] {
+        let output = Command::new(env!("CARGO_BIN_EXE_yokefall"))
+            .args(["example", role])
+            .output()
+            .expect("the binary runs");
+        let file = format!("{}/../../examples/all-keys-{role}.toml", env!("CARGO_MANIFEST_DIR"));
+        let committed = std::fs::read_to_string(&file).expect("the example");
+        assert_eq!(String::from_utf8_lossy(&output.stdout), committed, "{file} is stale");
+    }
+}
+
+fn run(arguments: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_yokefall"))
+        .args(arguments)
+        .output()
+        .expect("the binary runs");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+#[test]
+fn what_is_missing_or_in_use_is_named() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let file = folder.path().join("daemon.toml");
+    let file = file.to_str().expect("a path");
+    let (code, message) = run(&["check", file]);
+    assert_eq!(code, Some(2));
+    assert!(message.contains("daemon.toml: cannot be read"), "{message}");
+    let holder = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let used = holder.local_addr().expect("an address").to_string();
+    std::fs::write(
+        file,
+        format!(
+            "[listen]\npeer = \"{used}\"\nrpc = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
+             [security]\nallow_plaintext = true\n"
+        ),
+    )
+    .expect("a file");
+    let (code, message) = run(&["daemon", "--settings", file]);
+    assert_eq!(code, Some(1));
+    assert!(message.contains(&format!("open listen.peer {used}")), "{message}");
+    let (code, message) = run(&["daemon", "--settings", file, "--peer", "127.0.0.1:0"]);
+    assert_eq!(code, Some(1));
+    assert!(message.contains("fleet.secret_file"), "{message}");
+    std::fs::write(folder.path().join("fleet.secret"), "secret").expect("a file");
+    let (code, message) = run(&["daemon", "--settings", file, "--peer", "127.0.0.1:0"]);
+    assert_eq!(code, Some(1));
+    assert!(message.contains("read keys") && message.contains("keys.txt"), "{message}");
+    let (code, message) = run(&["agent", "--settings", file]);
+    assert_eq!(code, Some(2));
+    assert!(message.contains("role"), "{message}");
+}
