--- a/crates/agent/src/members.rs
+++ b/crates/agent/src/members.rs
@@ -43,6 +43,7 @@
 
     async fn refresh(self, peers: PeerClient, seeds: Vec<SocketAddr>, health: Arc<HealthState>) {
         let mut turn = 0;
+        let mut held = 0;
         loop {
             let known = self.load();
             let mut candidates: Vec<SocketAddr> =
@@ -50,9 +51,15 @@
             candidates.extend(&seeds);
             let peer = candidates[turn % candidates.len()];
             turn += 1;
-            match peers.call(peer, PeerRequest::Members, ANSWER_TIMEOUT).await {
-                Ok(PeerReply::Members(members)) if !members.is_empty() => {
-                    self.current.store(Arc::new(members));
+            let request = PeerRequest::Members { known: held };
+            match peers.call(peer, request, ANSWER_TIMEOUT).await {
+                Ok(PeerReply::Members { digest, members })
+                    if digest == held || is_filled(&members) =>
+                {
+                    if let Some(members) = members {
+                        self.current.store(Arc::new(members));
+                        held = digest;
+                    }
                     health.set_ready(true);
                     tokio::time::sleep(REFRESH_INTERVAL).await;
                 }
@@ -65,3 +72,8 @@
         }
     }
 }
+
+/// A daemon that has just started may know no member yet.
+fn is_filled(members: &Option<Vec<MemberInfo>>) -> bool {
+    members.as_ref().is_some_and(|members| !members.is_empty())
+}
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -1,4 +1,5 @@
 //! The subcommands.
 
+pub mod load;
 pub mod measure;
 pub mod standin;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 
-use commands::{measure, standin};
+use commands::{load, measure, standin};
 use yokefall_telemetry::{init_logs, Format, Level};
 
 /// Stand-ins of the systems that yokefall is met by, and measurements.
@@ -22,6 +22,8 @@
     Standin(standin::StandInCommand),
     /// Compare calls through agent and daemon with direct calls to the same back ends.
     Overhead(measure::OverheadArguments),
+    /// Send online requests to a running agent, and tell what the processes spent on them.
+    Load(load::LoadArguments),
     /// Measure what state, messages and decisions cost, as sizes grow.
     Slopes(measure::SlopesArguments),
 }
@@ -40,6 +42,7 @@
         match arguments.command {
             Command::Standin(command) => standin::run(command).await,
             Command::Overhead(arguments) => measure::overhead(arguments).await,
+            Command::Load(arguments) => load::run(arguments).await,
             Command::Slopes(arguments) => measure::slopes(&arguments),
         }
     });
--- a/crates/bench/src/measure/mod.rs
+++ b/crates/bench/src/measure/mod.rs
@@ -1,4 +1,6 @@
 //! Measurements.
 
+pub mod journal;
 pub mod overhead;
+pub mod process;
 pub mod slopes;
--- a/crates/bench/src/measure/slopes.rs
+++ b/crates/bench/src/measure/slopes.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use super::journal;
+use super::process::resident_bytes;
 use serde::Serialize;
 use yokefall_core::admission::Admission;
 use yokefall_core::configuration::ConfigurationStore;
@@ -40,6 +42,8 @@
 const JOB_SIZES: [u32; 3] = [1_000, 10_000, 54_000];
 /// Jobs over which the memory of an item is measured.
 const RESIDENT_JOBS: u32 = 40;
+/// Records over which the memory of one is measured.
+const RESIDENT_RECORDS: u64 = 100_000;
 const PARTNER: &str = "board";
 const SERVICE: &str = "pathmind";
 
@@ -56,7 +60,7 @@
     pub unit: &'static str,
 }
 
-fn row(name: &'static str, size: u64, value: f64, unit: &'static str) -> SlopeRow {
+pub(super) fn row(name: &'static str, size: u64, value: f64, unit: &'static str) -> SlopeRow {
     SlopeRow { name, size, value, unit }
 }
 
@@ -64,6 +68,7 @@
 pub fn run() -> Result<Vec<SlopeRow>, String> {
     // Memory first: later measurements leave memory that would be used again unseen.
     let mut rows = item_memory();
+    rows.extend(record_memory());
     for size in FLEET_SIZES {
         rows.extend(membership(size));
         rows.extend(view(size));
@@ -72,6 +77,7 @@
     for size in JOB_SIZES {
         rows.extend(jobs(size));
     }
+    rows.extend(journal::run()?);
     Ok(rows)
 }
 
@@ -316,16 +322,16 @@
 fn item_memory() -> Vec<SlopeRow> {
     let items = JOB_SIZES[JOB_SIZES.len() - 1];
     let service = ServiceId { partner: PartnerName::new(PARTNER), name: SERVICE.into() };
-    let before = resident_bytes();
+    let before = resident_bytes(std::process::id());
     let mut store = JobStore::new(1);
     for number in 0..RESIDENT_JOBS {
         let header = job_header(&format!("job-{number}"));
         store.accept(Timestamp(1), 1, header, 1, items, 1);
     }
-    let waiting = resident_bytes().saturating_sub(before);
+    let waiting = resident_bytes(std::process::id()).saturating_sub(before);
     let total = RESIDENT_JOBS * items;
     drop(store.lease(Timestamp(2), &service, total));
-    let leased = resident_bytes().saturating_sub(before);
+    let leased = resident_bytes(std::process::id()).saturating_sub(before);
     let each = |bytes: u64| bytes as f64 / f64::from(total);
     vec![
         row("item waiting, resident memory", u64::from(total), each(waiting), "bytes/item"),
@@ -333,6 +339,24 @@
     ]
 }
 
+/// Memory of a request's record at its home daemon, without its body and answer.
+fn record_memory() -> Vec<SlopeRow> {
+    let view = build_view(FLEET_SIZES[0]);
+    let home = HomeId { node: node(0), incarnation: 1 };
+    let mut coordinator = Coordinator::new(home, 1, 600_000);
+    let before = resident_bytes(std::process::id());
+    for number in 0..RESIDENT_RECORDS {
+        let now = Timestamp(1);
+        let header = call_header(number);
+        let request = header.request.clone();
+        coordinator.submit(now, &view, header, number, 100);
+        coordinator.execution_ended(now, &view, &request, 1, Outcome::Completed, None);
+    }
+    let held = resident_bytes(std::process::id()).saturating_sub(before);
+    let each = held as f64 / RESIDENT_RECORDS as f64;
+    vec![row("request record, resident memory", RESIDENT_RECORDS, each, "bytes/record")]
+}
+
 fn job_header(key: &str) -> JobHeader {
     JobHeader {
         job: JobId {
@@ -348,14 +372,6 @@
     }
 }
 
-/// Resident memory of this process, in bytes.
-pub fn resident_bytes() -> u64 {
-    const PAGE_BYTES: u64 = 4_096;
-    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok());
-    pages.unwrap_or(0) * PAGE_BYTES
-}
-
 /// The rows as a table.
 pub fn table(rows: &[SlopeRow]) -> String {
     let mut table = String::from("| measured | size | value | unit |\n|---|---|---|---|\n");
--- a/crates/bench/src/standin/objects.rs
+++ b/crates/bench/src/standin/objects.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
 use serde_json::{json as json_value, Value};
 use tokio::sync::{broadcast, mpsc};
 use yokefall_types::declaration::{API_GROUP, API_VERSION};
@@ -45,6 +46,26 @@
     compacted: u64,
 }
 
+/// Path under which faults are switched on (`PUT`) and readers counted (`GET`).
+pub const CONTROLS_PATH: &str = "/controls";
+
+/// Faults as `PUT` carries them; what is left out stays as it is.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FaultChange {
+    delay_ms: Option<u64>,
+    down: Option<bool>,
+    lose_write_answers: Option<usize>,
+}
+
+/// Counts of readers as `GET` gives them.
+#[derive(Debug, Serialize)]
+struct ReaderCounts {
+    watches: usize,
+    most_watches: usize,
+    lists: usize,
+}
+
 /// Faults that can be switched on, and counts of readers.
 #[derive(Debug, Default)]
 pub struct ObjectApiControls {
@@ -134,6 +155,28 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
+impl ObjectApiControls {
+    fn change(&self, change: &FaultChange) {
+        if let Some(delay) = change.delay_ms {
+            self.delay_ms.store(delay, Ordering::Relaxed);
+        }
+        if let Some(down) = change.down {
+            self.down.store(down, Ordering::Relaxed);
+        }
+        if let Some(lost) = change.lose_write_answers {
+            self.lose_write_answers.store(lost, Ordering::SeqCst);
+        }
+    }
+
+    fn counts(&self) -> ReaderCounts {
+        ReaderCounts {
+            watches: self.watches.load(Ordering::SeqCst),
+            most_watches: self.most_watches.load(Ordering::SeqCst),
+            lists: self.lists.load(Ordering::SeqCst),
+        }
+    }
+}
+
 impl State {
     fn lock(&self) -> MutexGuard<'_, Store> {
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
@@ -160,6 +203,9 @@
 }
 
 async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == CONTROLS_PATH {
+        return control(&state, request).await;
+    }
     let delay = state.controls.delay_ms.load(Ordering::Relaxed);
     if delay > 0 {
         tokio::time::sleep(Duration::from_millis(delay)).await;
@@ -186,6 +232,16 @@
     response
 }
 
+async fn control(state: &State, request: Request<Incoming>) -> Response<Body> {
+    if request.method() == Method::PUT {
+        match read_json(request).await {
+            Ok(change) => state.controls.change(&change),
+            Err(response) => return *response,
+        }
+    }
+    json(StatusCode::OK, &state.controls.counts())
+}
+
 fn read(state: &Arc<State>, request: &Request<Incoming>, target: Target) -> Response<Body> {
     if let (Some(namespace), Some(name)) = (&target.namespace, &target.name) {
         let key = Key { plural: target.plural, namespace: namespace.clone(), name: name.clone() };
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use xxhash_rust::xxh3::xxh3_64;
 use yokefall_peer::MemberInfo;
 use yokefall_types::{
     rendezvous_order, BackendId, BackendSpec, Declaration, Kind, NodeName, RequestId, ServiceId,
@@ -54,6 +55,8 @@
     pub zone: String,
     /// Members believed alive, this daemon included, in order of name.
     pub members: Vec<MemberInfo>,
+    /// Digest of the members. Equal lists have equal digests; never zero.
+    pub members_digest: u64,
     /// Services by id.
     pub services: HashMap<ServiceId, ServiceView>,
     /// Back ends owned by this daemon.
@@ -71,6 +74,7 @@
             node,
             zone,
             members: Vec::new(),
+            members_digest: 1,
             services: HashMap::new(),
             owned: Vec::new(),
             owners: BTreeMap::new(),
@@ -86,6 +90,7 @@
         configuration: &ConfigurationStore,
     ) -> Self {
         let mut view = Self::empty(node.clone(), zone.to_owned());
+        view.members_digest = digest_of(&members);
         view.members = members;
         for (key, declaration) in configuration.live(Kind::Service) {
             if let Declaration::Service(spec) = declaration {
@@ -146,6 +151,17 @@
     }
 }
 
+fn digest_of(members: &[MemberInfo]) -> u64 {
+    let hash = |member: &MemberInfo| {
+        let text = format!(
+            "{} {} {} {} {} {}",
+            member.node, member.address, member.zone, member.region, member.data, member.accepting
+        );
+        xxh3_64(text.as_bytes())
+    };
+    members.iter().map(hash).fold(0, u64::wrapping_add).max(1)
+}
+
 fn add_slots(owners: &mut Vec<OwnerView>, owner: &MemberInfo, slots: u32) {
     match owners.iter_mut().find(|view| view.node == owner.node) {
         Some(view) => view.slots += slots,
--- a/crates/daemon/src/control/fleet.rs
+++ b/crates/daemon/src/control/fleet.rs
@@ -63,8 +63,10 @@
         /// Whether the digests are equal, and the difference.
         reply: oneshot::Sender<(bool, Repair)>,
     },
-    /// Tell digest and versions.
-    Versions(oneshot::Sender<(u64, Vec<ObjectVersion>)>),
+    /// Tell the digest over all objects.
+    Digest(oneshot::Sender<u64>),
+    /// Tell the versions of all objects.
+    Versions(oneshot::Sender<Vec<ObjectVersion>>),
     /// Tell all objects, deleted ones included.
     Objects(oneshot::Sender<Vec<VersionedObject>>),
     /// Tell the state of the fleet.
@@ -204,8 +206,11 @@
             FleetCommand::Compare { digest, versions, reply } => {
                 let _ = reply.send(self.compare(digest, &versions));
             }
+            FleetCommand::Digest(reply) => {
+                let _ = reply.send(self.configuration.digest());
+            }
             FleetCommand::Versions(reply) => {
-                let _ = reply.send((self.configuration.digest(), self.configuration.versions()));
+                let _ = reply.send(self.configuration.versions());
             }
             FleetCommand::Objects(reply) => {
                 let _ = reply.send(self.configuration.objects().collect());
--- a/crates/daemon/src/ports/peers.rs
+++ b/crates/daemon/src/ports/peers.rs
@@ -20,9 +20,11 @@
     async fn handle(self: Arc<Self>, from: NodeName, request: PeerRequest, responder: Responder) {
         let shared = &self.shared;
         match request {
-            PeerRequest::Members => {
-                let members = shared.view.load().members.clone();
-                responder.send(PeerReply::Members(members));
+            PeerRequest::Members { known } => {
+                let view = shared.view.load();
+                let digest = view.members_digest;
+                let members = (known != digest).then(|| view.members.clone());
+                responder.send(PeerReply::Members { digest, members });
             }
             PeerRequest::Submit { call, offset } => {
                 calls::submit(shared, call, offset, &responder).await;
--- a/crates/daemon/src/ports/repair.rs
+++ b/crates/daemon/src/ports/repair.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::SeedableRng;
 use tokio::sync::oneshot;
-use yokefall_peer::{ObjectVersion, PeerReply, PeerRequest};
+use yokefall_peer::{PeerReply, PeerRequest};
 use yokefall_types::{NodeName, ObjectKey};
 
 use crate::control::FleetCommand;
@@ -32,16 +32,24 @@
 }
 
 async fn repair_with(shared: &Shared, peer: &NodeName) {
-    let (reply, answer) = oneshot::channel();
-    let _ = shared.fleet().tell(FleetCommand::Versions(reply)).await;
-    let Ok((digest, versions)) = answer.await else { return };
+    let Some(digest) = ask(shared, FleetCommand::Digest).await else { return };
     let brief = PeerRequest::ConfigurationDigest { digest, versions: Vec::new() };
     if let Ok(PeerReply::Repair { same: false, .. }) = call_peer(shared, peer, brief).await {
-        exchange(shared, peer, digest, versions).await;
+        exchange(shared, peer, digest).await;
     }
 }
 
-async fn exchange(shared: &Shared, peer: &NodeName, digest: u64, versions: Vec<ObjectVersion>) {
+async fn ask<T>(
+    shared: &Shared,
+    command: impl FnOnce(oneshot::Sender<T>) -> FleetCommand,
+) -> Option<T> {
+    let (reply, answer) = oneshot::channel();
+    shared.fleet().tell(command(reply)).await.ok()?;
+    answer.await.ok()
+}
+
+async fn exchange(shared: &Shared, peer: &NodeName, digest: u64) {
+    let Some(versions) = ask(shared, FleetCommand::Versions).await else { return };
     let whole = PeerRequest::ConfigurationDigest { digest, versions };
     let Ok(PeerReply::Repair { objects, wanted, .. }) = call_peer(shared, peer, whole).await else {
         return;
@@ -55,9 +63,7 @@
 }
 
 async fn give(shared: &Shared, peer: &NodeName, wanted: &[ObjectKey]) {
-    let (reply, answer) = oneshot::channel();
-    let _ = shared.fleet().tell(FleetCommand::Objects(reply)).await;
-    let Ok(mut objects) = answer.await else { return };
+    let Some(mut objects) = ask(shared, FleetCommand::Objects).await else { return };
     objects.retain(|object| wanted.contains(&object.key));
     let _ = call_peer(shared, peer, PeerRequest::PushObjects(objects)).await;
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -194,7 +194,10 @@
 #[derive(Clone, Debug, BorshSerialize, BorshDeserialize)]
 pub enum PeerRequest {
     /// The members that take part. Reply: `Members`.
-    Members,
+    Members {
+        /// Digest of the list that the asker has; zero when it has none.
+        known: u64,
+    },
     /// Run or join an online call. Replies: `Call` events until `Ended`.
     Submit {
         /// The call.
@@ -316,7 +319,12 @@
     /// The request was not carried out.
     Refused(Refusal),
     /// Members of the fleet.
-    Members(Vec<MemberInfo>),
+    Members {
+        /// Digest of the list.
+        digest: u64,
+        /// The list; none when the asker has it.
+        members: Option<Vec<MemberInfo>>,
+    },
     /// A step of an answer.
     Call(CallEvent),
     /// The end of an execution, with the owner's load.
