Faults on a running fleet, and three broken promises that they found

`yokefall-bench chaos` loads both partners' deployments while engines die, hang, slow down, lose answers, talk nonsense and cut streams, plain services lose answers, machines leave and return, the object API is slow or down, and daemons die as by kill -9 and come back.

A record now keeps what is known of every attempt.

--- a/crates/app/src/commands/demo.rs
+++ b/crates/app/src/commands/demo.rs
@@ -65,7 +65,7 @@
         eprint!("\r{seconds:>4} s  {executed:>7} requests and items run  {items:>7} items listed");
         let _ = std::io::stderr().flush();
     };
-    let report = match load::run(fleet, &options, progress).await {
+    let report = match load::run(fleet, &options, None, progress).await {
         Ok(report) => report,
         Err(error) => return fail(ExitStatus::Failed, format!("run: {error}")),
     };
--- /dev/null
+++ b/crates/bench/src/chaos.rs
@@ -0,0 +1,199 @@
+//! Faults on a running fleet, drawn from a seed: any part, any moment, together and twice.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+use yokefall_objects::MachineState;
+
+use crate::fleet::{Backend, LocalFleet, PlacedBackend};
+use crate::standin::engine::EngineFault;
+
+/// Times for which a fault lasts, in milliseconds.
+const FAULT_MS: std::ops::RangeInclusive<u64> = 300..=4_000;
+/// Times between two faults, in milliseconds.
+const GAP_MS: std::ops::RangeInclusive<u64> = 100..=1_200;
+/// Interval at which faults begin and end.
+const STEP: Duration = Duration::from_millis(50);
+/// Slowdown of a slow engine.
+const SLOW_FACTOR: f64 = 6.0;
+/// Delay of a slow object API, in milliseconds.
+const SLOW_PLATFORM_MS: u64 = 2_000;
+
+/// Which faults may happen.
+#[derive(Clone, Debug)]
+pub struct FaultPlan {
+    /// Seed of the faults.
+    pub seed: u64,
+    /// Whether daemons crash and are stopped.
+    pub daemons: bool,
+    /// Write a line for each fault to standard error.
+    pub verbose: bool,
+}
+
+/// A fault on one part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    EngineDies(usize),
+    EngineHangs(usize),
+    EngineSlows(usize),
+    EngineLosesAnswers(usize),
+    EngineTalksNonsense(usize),
+    EngineCutsStreams(usize),
+    PlainLosesAnswers(usize),
+    MachineLeaves(usize),
+    PlatformDown,
+    PlatformSlow,
+    DaemonCrashes(usize),
+}
+
+/// A fault that is to end.
+struct Active {
+    fault: Fault,
+    ends: Instant,
+}
+
+/// Disturbs a fleet for a time, then mends everything.
+pub async fn disturb(
+    fleet: &mut LocalFleet,
+    plan: &FaultPlan,
+    duration: Duration,
+) -> Result<(), String> {
+    let begun = Instant::now();
+    let mut generator = SmallRng::seed_from_u64(plan.seed);
+    let mut active: Vec<Active> = Vec::new();
+    let mut next = begun;
+    while begun.elapsed() < duration || !active.is_empty() {
+        tokio::time::sleep(STEP).await;
+        let now = Instant::now();
+        if now >= next && begun.elapsed() < duration {
+            next = now + Duration::from_millis(generator.random_range(GAP_MS));
+            let fault = draw(fleet, plan, &mut generator);
+            if !active.iter().any(|other| conflicts(other.fault, fault)) {
+                if plan.verbose {
+                    eprintln!("{:>6.2} s  {fault:?}", begun.elapsed().as_secs_f64());
+                }
+                begin(fleet, fault).await;
+                let lasts = Duration::from_millis(generator.random_range(FAULT_MS));
+                active.push(Active { fault, ends: now + lasts });
+            }
+        }
+        let (over, still): (Vec<Active>, Vec<Active>) =
+            active.into_iter().partition(|fault| fault.ends <= now);
+        active = still;
+        for fault in over {
+            end(fleet, fault.fault).await?;
+        }
+    }
+    Ok(())
+}
+
+/// A part that is already disturbed is left alone, and one daemon is down at a time: with two
+/// copies of a record, two deaths at once may leave its outcome unknown.
+fn conflicts(active: Fault, fault: Fault) -> bool {
+    let daemons = |f: Fault| matches!(f, Fault::DaemonCrashes(_));
+    let platform = |f: Fault| matches!(f, Fault::PlatformDown | Fault::PlatformSlow);
+    let backend = |f: Fault| match f {
+        Fault::EngineDies(n)
+        | Fault::EngineHangs(n)
+        | Fault::EngineSlows(n)
+        | Fault::EngineLosesAnswers(n)
+        | Fault::EngineTalksNonsense(n)
+        | Fault::EngineCutsStreams(n)
+        | Fault::PlainLosesAnswers(n)
+        | Fault::MachineLeaves(n) => Some(n),
+        _ => None,
+    };
+    let same_backend = backend(active).is_some() && backend(active) == backend(fault);
+    daemons(active) && daemons(fault) || platform(active) && platform(fault) || same_backend
+}
+
+fn draw(fleet: &LocalFleet, plan: &FaultPlan, generator: &mut SmallRng) -> Fault {
+    let backend = generator.random_range(0..fleet.backends.len());
+    let is_engine = matches!(fleet.backends[backend].backend, Backend::Engine(_));
+    let kinds = if plan.daemons { 12 } else { 10 };
+    match generator.random_range(0..kinds) {
+        0 => Fault::PlatformDown,
+        1 => Fault::PlatformSlow,
+        2 => Fault::MachineLeaves(backend),
+        10 | 11 => Fault::DaemonCrashes(generator.random_range(0..fleet.daemons.len())),
+        _ if !is_engine => Fault::PlainLosesAnswers(backend),
+        3 => Fault::EngineHangs(backend),
+        4 => Fault::EngineSlows(backend),
+        5 => Fault::EngineLosesAnswers(backend),
+        6 => Fault::EngineTalksNonsense(backend),
+        7 => Fault::EngineCutsStreams(backend),
+        _ => Fault::EngineDies(backend),
+    }
+}
+
+async fn inject(placed: &PlacedBackend, fault: EngineFault) {
+    if let Backend::Engine(engine) = &placed.backend {
+        engine.inject(fault).await;
+    }
+}
+
+fn lose_answers(placed: &PlacedBackend, on: bool) {
+    if let Backend::Plain(plain) = &placed.backend {
+        plain.lose_answers.store(on, Ordering::Relaxed);
+    }
+}
+
+fn set_machine(fleet: &LocalFleet, backend: usize, state: MachineState) {
+    let machine = format!("machine-{}", fleet.backends[backend].name);
+    fleet.machines.set(&machine, state);
+}
+
+async fn begin(fleet: &mut LocalFleet, fault: Fault) {
+    let controls = fleet.objects.controls.clone();
+    match fault {
+        Fault::EngineDies(n) => inject(&fleet.backends[n], EngineFault::Die).await,
+        Fault::EngineHangs(n) => {
+            inject(&fleet.backends[n], EngineFault::Hang { on: true }).await;
+        }
+        Fault::EngineSlows(n) => {
+            let slow = EngineFault::Slow { factor: SLOW_FACTOR };
+            inject(&fleet.backends[n], slow).await;
+        }
+        Fault::EngineLosesAnswers(n) => {
+            inject(&fleet.backends[n], EngineFault::LoseAnswers { on: true }).await;
+        }
+        Fault::EngineTalksNonsense(n) => {
+            inject(&fleet.backends[n], EngineFault::BadJson { on: true }).await;
+        }
+        Fault::EngineCutsStreams(n) => inject(&fleet.backends[n], EngineFault::CutStreams).await,
+        Fault::PlainLosesAnswers(n) => lose_answers(&fleet.backends[n], true),
+        Fault::MachineLeaves(n) => set_machine(fleet, n, MachineState::Leaving),
+        Fault::PlatformDown => controls.down.store(true, Ordering::Relaxed),
+        Fault::PlatformSlow => controls.delay_ms.store(SLOW_PLATFORM_MS, Ordering::Relaxed),
+        Fault::DaemonCrashes(n) => fleet.daemons[n].crash(),
+    }
+}
+
+async fn end(fleet: &mut LocalFleet, fault: Fault) -> Result<(), String> {
+    let controls = fleet.objects.controls.clone();
+    match fault {
+        Fault::EngineDies(n) => inject(&fleet.backends[n], EngineFault::Revive).await,
+        Fault::EngineHangs(n) => {
+            inject(&fleet.backends[n], EngineFault::Hang { on: false }).await;
+        }
+        Fault::EngineSlows(n) => {
+            inject(&fleet.backends[n], EngineFault::Slow { factor: 1.0 }).await;
+        }
+        Fault::EngineLosesAnswers(n) => {
+            inject(&fleet.backends[n], EngineFault::LoseAnswers { on: false }).await;
+        }
+        Fault::EngineTalksNonsense(n) => {
+            inject(&fleet.backends[n], EngineFault::BadJson { on: false }).await;
+        }
+        Fault::EngineCutsStreams(_) => {}
+        Fault::PlainLosesAnswers(n) => lose_answers(&fleet.backends[n], false),
+        Fault::MachineLeaves(n) => set_machine(fleet, n, MachineState::Live),
+        Fault::PlatformDown => controls.down.store(false, Ordering::Relaxed),
+        Fault::PlatformSlow => controls.delay_ms.store(0, Ordering::Relaxed),
+        Fault::DaemonCrashes(n) => fleet.daemons[n].restart().await?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/commands/chaos.rs
@@ -0,0 +1,55 @@
+//! `yokefall-bench chaos`: load on a fleet under faults.
+
+use std::time::Duration;
+
+use clap::Args;
+use yokefall_bench::chaos::FaultPlan;
+use yokefall_bench::deployment;
+use yokefall_bench::fleet::{FleetOptions, LocalFleet};
+use yokefall_bench::load::{self, RunOptions};
+
+/// Arguments of `chaos`.
+#[derive(Debug, Args)]
+pub struct ChaosArguments {
+    /// Seconds for which load is offered and faults begin.
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Seed of arrivals, sizes and faults.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Leave the daemons alone.
+    #[arg(long)]
+    no_daemons: bool,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+    /// Write a line for each fault, and for each request that was lost or doubled.
+    #[arg(long)]
+    verbose: bool,
+}
+
+/// Runs load and faults, and judges by the ledgers.
+pub async fn run(arguments: ChaosArguments) -> Result<(), String> {
+    let fleet = LocalFleet::start(deployment::today(), &FleetOptions::default()).await?;
+    let options = RunOptions {
+        duration: Duration::from_secs(arguments.seconds),
+        seed: arguments.seed,
+        verbose: arguments.verbose,
+        ..RunOptions::default()
+    };
+    let faults = FaultPlan {
+        seed: arguments.seed,
+        daemons: !arguments.no_daemons,
+        verbose: arguments.verbose,
+    };
+    let report = load::run(fleet, &options, Some(faults), |_, _, _| {}).await?;
+    if arguments.json {
+        println!("{}", serde_json::to_string(&report).map_err(|error| error.to_string())?);
+    } else {
+        println!("{}", report.table());
+    }
+    if report.is_broken() {
+        return Err("something was lost, doubled or cut off".to_owned());
+    }
+    Ok(())
+}
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+pub mod chaos;
 pub mod load;
 pub mod measure;
 pub mod standin;
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
+use tokio::runtime::Runtime;
 use yokefall_agent::{Agent, AgentListeners};
 use yokefall_api::v1;
-use yokefall_daemon::{Daemon, Listeners};
+use yokefall_daemon::{Daemon, Listeners, StopReport};
 use yokefall_objects::MachineState;
 use yokefall_settings::{DataSettings, Role, Settings};
 use yokefall_types::key::digest_hex;
@@ -61,6 +62,112 @@
     pub backend: Backend,
 }
 
+/// A daemon in a runtime of its own, so that it can die as a process would: in the middle of
+/// whatever it does.
+pub struct LocalDaemon {
+    settings: Settings,
+    runtime: Option<Runtime>,
+    daemon: Option<Daemon>,
+}
+
+/// Threads of a local daemon's runtime.
+const DAEMON_THREADS: usize = 2;
+/// Tries to open the ports and the folder of a daemon that has just died, and the pause between.
+const RESTART_TRIES: u32 = 100;
+const RESTART_PAUSE: Duration = Duration::from_millis(50);
+
+impl LocalDaemon {
+    async fn start(settings: Settings) -> Result<Self, String> {
+        let mut local = Self { settings, runtime: None, daemon: None };
+        local.open().await?;
+        Ok(local)
+    }
+
+    async fn open(&mut self) -> Result<(), String> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(DAEMON_THREADS)
+            .enable_all()
+            .build()
+            .map_err(|error| error.to_string())?;
+        let mut settings = self.settings.clone();
+        let starting = runtime.spawn(async move {
+            let listeners = Listeners::open(&settings).await.map_err(|e| e.to_string())?;
+            if settings.fleet.seeds.is_empty() {
+                let own = listeners.peer_address().map_err(|e| e.to_string())?;
+                settings.fleet.seeds = vec![own];
+            }
+            Daemon::start(&settings, listeners).await.map_err(|e| e.to_string())
+        });
+        let daemon = starting.await.map_err(|error| error.to_string())??;
+        // A restart takes the same ports.
+        self.settings.listen.peer = daemon.peer_address();
+        self.settings.listen.rpc = daemon.rpc_address();
+        self.runtime = Some(runtime);
+        self.daemon = Some(daemon);
+        Ok(())
+    }
+
+    /// The running daemon, if it runs.
+    pub fn running(&self) -> Option<&Daemon> {
+        self.daemon.as_ref()
+    }
+
+    /// Name of the daemon.
+    pub fn name(&self) -> &str {
+        &self.settings.node.name
+    }
+
+    /// Address for operators.
+    pub fn rpc_address(&self) -> SocketAddr {
+        self.settings.listen.rpc
+    }
+
+    /// Address for peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.settings.listen.peer
+    }
+
+    /// Dies, as by `kill -9`: nothing is finished or told.
+    pub fn crash(&mut self) {
+        self.daemon = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Starts again, on the same ports and folder.
+    pub async fn restart(&mut self) -> Result<(), String> {
+        let mut last = String::new();
+        for _ in 0..RESTART_TRIES {
+            match self.open().await {
+                Ok(()) => return Ok(()),
+                Err(error) => last = error,
+            }
+            tokio::time::sleep(RESTART_PAUSE).await;
+        }
+        Err(format!("restart {}: {last}", self.name()))
+    }
+
+    /// Stops as planned.
+    pub async fn stop(&mut self, drain: Duration) -> StopReport {
+        let Some(daemon) = self.daemon.take() else { return StopReport { clean: true } };
+        let report = match &self.runtime {
+            Some(runtime) => runtime.spawn(daemon.stop(drain)).await.ok(),
+            None => None,
+        };
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+        report.unwrap_or(StopReport { clean: false })
+    }
+}
+
+impl Drop for LocalDaemon {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
 /// Where a local fleet keeps its files, and how its daemons are laid out.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -95,7 +202,7 @@
     /// Back ends.
     pub backends: Vec<PlacedBackend>,
     /// Daemons.
-    pub daemons: Vec<Daemon>,
+    pub daemons: Vec<LocalDaemon>,
     /// Agents, one a partner, in the order of the plans.
     pub agents: Vec<Agent>,
     _folder: TempDir,
@@ -179,13 +286,8 @@
                         let folder = self._folder.path().join(&name);
                         settings.data = Some(DataSettings { folder });
                     }
-                    let listeners =
-                        Listeners::open(&settings).await.map_err(|error| error.to_string())?;
-                    let own = listeners.peer_address().map_err(|error| error.to_string())?;
-                    settings.fleet.seeds = if seeds.is_empty() { vec![own] } else { seeds.clone() };
-                    let daemon = Daemon::start(&settings, listeners)
-                        .await
-                        .map_err(|error| error.to_string())?;
+                    settings.fleet.seeds.clone_from(&seeds);
+                    let daemon = LocalDaemon::start(settings).await?;
                     if seeds.len() < 2 {
                         seeds.push(daemon.peer_address());
                     }
@@ -198,7 +300,7 @@
 
     async fn start_agents(&mut self) -> Result<(), String> {
         let seeds: Vec<SocketAddr> =
-            self.daemons.iter().take(2).map(Daemon::peer_address).collect();
+            self.daemons.iter().take(2).map(LocalDaemon::peer_address).collect();
         for plan in self.plans.clone() {
             let name = format!("agent-{}", plan.partner);
             let mut settings = self.settings(Role::Agent, &name, &plan, plan.zones[0]);
@@ -277,13 +379,12 @@
         let begun = Instant::now();
         let wanted = (self.backends.len(), self.daemons.len());
         let ready = || {
-            self.daemons.iter().all(|daemon| daemon.view_size() == wanted)
+            self.view_sizes().into_iter().all(|size| size == wanted)
                 && self.agents.iter().all(|agent| agent.member_count() == wanted.1)
         };
         while !ready() {
             if begun.elapsed() > READY_TIMEOUT {
-                let sizes: Vec<(usize, usize)> =
-                    self.daemons.iter().map(Daemon::view_size).collect();
+                let sizes = self.view_sizes();
                 return Err(format!("not ready: want {wanted:?} everywhere, have {sizes:?}"));
             }
             tokio::time::sleep(READY_PAUSE).await;
@@ -291,6 +392,11 @@
         Ok(())
     }
 
+    fn view_sizes(&self) -> Vec<(usize, usize)> {
+        let running = self.daemons.iter().filter_map(LocalDaemon::running);
+        running.map(Daemon::view_size).collect()
+    }
+
     /// An operator of a partner, at the first daemon.
     pub async fn operator(&self, partner: &str) -> Result<Operator, String> {
         let address = self.daemons[0].rpc_address();
@@ -312,8 +418,9 @@
         for stopped in futures::future::join_all(agents).await {
             clean &= stopped;
         }
-        let daemons = self.daemons.into_iter().map(|daemon| daemon.stop(STOP_TIMEOUT));
-        for report in futures::future::join_all(daemons).await {
+        let mut daemons = self.daemons;
+        let stops = daemons.iter_mut().map(|daemon| daemon.stop(STOP_TIMEOUT));
+        for report in futures::future::join_all(stops).await {
             clean &= report.clean;
         }
         clean
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The product never depends on this crate, its `demo` command aside.
 
+pub mod chaos;
 pub mod deployment;
 pub mod fleet;
 pub mod ledger;
--- a/crates/bench/src/load/batch.rs
+++ b/crates/bench/src/load/batch.rs
@@ -1,6 +1,6 @@
 //! Batch jobs in heaps, and the check of every result.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 use yokefall_api::v1;
 
-use crate::ledger::Ledger;
+use crate::ledger::{ExecutionCounts, Ledger};
 use crate::report::OutcomeCounts;
 use crate::text::model_answer;
 use yokefall_rpc::client::Caller;
@@ -184,36 +184,53 @@
 }
 
 /// Judges what submitters saw by what the back ends ran.
-pub fn judge(records: &[JobRecord], ledger: &Ledger) -> OutcomeCounts {
+pub fn judge(records: &[JobRecord], ledger: &Ledger, verbose: bool) -> OutcomeCounts {
     let counts = ledger.counts();
     let mut total = OutcomeCounts::default();
     for record in records {
-        total.accepted += u64::from(record.accepted);
-        let mut seen = HashSet::new();
-        for result in &record.results {
-            if !seen.insert(result.index) {
-                total.doubled += 1;
-                continue;
-            }
-            let item_id = format!("{}/{}", record.ledger_id, result.index);
-            let ran = counts.get(&item_id).copied().unwrap_or_default();
-            if record.no_repeat && ran.begun > 1 {
-                total.doubled += 1;
+        let judged = judge_job(record, &counts, verbose);
+        if verbose && judged.is_broken() {
+            eprintln!("broken: job {} {judged:?}", record.ledger_id);
+        }
+        total.add(&judged);
+    }
+    total
+}
+
+fn judge_job(
+    record: &JobRecord,
+    counts: &HashMap<String, ExecutionCounts>,
+    verbose: bool,
+) -> OutcomeCounts {
+    let mut total = OutcomeCounts::default();
+    total.accepted += u64::from(record.accepted);
+    let mut seen = HashSet::new();
+    for result in &record.results {
+        if !seen.insert(result.index) {
+            total.doubled += 1;
+            continue;
+        }
+        let item_id = format!("{}/{}", record.ledger_id, result.index);
+        let ran = counts.get(&item_id).copied().unwrap_or_default();
+        if record.no_repeat && ran.begun > 1 {
+            total.doubled += 1;
+            if verbose {
+                eprintln!("broken: {item_id} ran {ran:?}");
             }
-            match result.outcome() {
-                v1::ItemOutcome::Completed => {
-                    let wanted = model_answer(&item_id, record.tokens);
-                    if result.body == wanted.as_bytes() && ran.finished > 0 {
-                        total.completed += 1;
-                    } else {
-                        total.lost += 1;
-                    }
+        }
+        match result.outcome() {
+            v1::ItemOutcome::Completed => {
+                let wanted = model_answer(&item_id, record.tokens);
+                if result.body == wanted.as_bytes() && ran.finished > 0 {
+                    total.completed += 1;
+                } else {
+                    total.lost += 1;
                 }
-                v1::ItemOutcome::Unknown => total.unknown += 1,
-                _ => total.refused += 1,
             }
+            v1::ItemOutcome::Unknown => total.unknown += 1,
+            _ => total.refused += 1,
         }
-        total.lost += u64::from(record.accepted).saturating_sub(seen.len() as u64);
     }
+    total.lost += u64::from(record.accepted).saturating_sub(seen.len() as u64);
     total
 }
--- a/crates/bench/src/load/online.rs
+++ b/crates/bench/src/load/online.rs
@@ -249,12 +249,16 @@
 }
 
 /// Judges what callers saw by what the back ends ran.
-pub fn judge(observations: &[Observation], ledger: &Ledger) -> OutcomeCounts {
+pub fn judge(observations: &[Observation], ledger: &Ledger, verbose: bool) -> OutcomeCounts {
     let counts = ledger.counts();
     let mut total = OutcomeCounts::default();
     for observation in observations {
         let ran = counts.get(&observation.ledger_id).copied().unwrap_or_default();
-        total.add(&judge_one(observation, ran));
+        let judged = judge_one(observation, ran);
+        if verbose && judged.is_broken() {
+            eprintln!("broken: {observation:?}, ran {ran:?}");
+        }
+        total.add(&judged);
     }
     total
 }
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::{batch, online};
+use crate::chaos::{self, FaultPlan};
 use crate::deployment::PartnerPlan;
 use crate::fleet::LocalFleet;
 use crate::report::{OnlineReport, RunReport};
@@ -26,6 +27,8 @@
     pub jobs_per_heap: usize,
     /// Time after the load until what is left of the jobs is cancelled.
     pub grace: Duration,
+    /// Write a line to standard error for each request or item that was lost or doubled.
+    pub verbose: bool,
 }
 
 impl Default for RunOptions {
@@ -37,6 +40,7 @@
             plain_rate: 40.0,
             jobs_per_heap: 6,
             grace: Duration::from_secs(20),
+            verbose: false,
         }
     }
 }
@@ -51,8 +55,9 @@
 /// Offers the load, waits for every end, stops the fleet and judges by the ledgers. `progress` is
 /// called every second with the time and the batch items completed.
 pub async fn run(
-    fleet: LocalFleet,
+    mut fleet: LocalFleet,
     options: &RunOptions,
+    faults: Option<FaultPlan>,
     mut progress: impl FnMut(Duration, u64, usize),
 ) -> Result<RunReport, String> {
     let begun = Instant::now();
@@ -78,9 +83,15 @@
             online.first_token.add(&record.first_token);
             online.whole.add(&record.whole);
         }
+        if options.verbose {
+            eprintln!("{:>6.2} s  every request has ended", begun.elapsed().as_secs_f64());
+        }
         for task in batch_tasks {
             jobs.extend(task.await.map_err(|error| error.to_string())?);
         }
+        if options.verbose {
+            eprintln!("{:>6.2} s  every job has ended", begun.elapsed().as_secs_f64());
+        }
         Ok::<(), String>(())
     };
     let reporting = async {
@@ -94,8 +105,15 @@
             progress(elapsed, items, ledger.counts().len());
         }
     };
+    let disturbing = async {
+        if let Some(plan) = faults {
+            chaos::disturb(&mut fleet, &plan, options.duration).await?;
+        }
+        Ok::<(), String>(())
+    };
+    let both = async { tokio::try_join!(collecting, disturbing) };
     tokio::select! {
-        collected = collecting => collected?,
+        done = both => { done?; }
         () = reporting => {}
     }
     if rate == 0.0 {
@@ -103,8 +121,8 @@
     }
     let clean_stop = fleet.stop().await;
     Ok(RunReport {
-        requests: online::judge(&online.observations, &ledger),
-        items: batch::judge(&jobs, &ledger),
+        requests: online::judge(&online.observations, &ledger, options.verbose),
+        items: batch::judge(&jobs, &ledger, options.verbose),
         online_ms: OnlineReport {
             first_token: online.first_token.percentiles(),
             whole: online.whole.percentiles(),
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 
-use commands::{load, measure, standin};
+use commands::{chaos, load, measure, standin};
 use yokefall_telemetry::{init_logs, Format, Level};
 
 /// Stand-ins of the systems that yokefall is met by, and measurements.
@@ -24,6 +24,8 @@
     Overhead(measure::OverheadArguments),
     /// Send online requests to a running agent, and tell what the processes spent on them.
     Load(load::LoadArguments),
+    /// Load a fleet while its parts die, hang, lie and come back; lost and doubled must stay 0.
+    Chaos(chaos::ChaosArguments),
     /// Measure what state, messages and decisions cost, as sizes grow.
     Slopes(measure::SlopesArguments),
 }
@@ -43,6 +45,7 @@
             Command::Standin(command) => standin::run(command).await,
             Command::Overhead(arguments) => measure::overhead(arguments).await,
             Command::Load(arguments) => load::run(arguments).await,
+            Command::Chaos(arguments) => chaos::run(arguments).await,
             Command::Slopes(arguments) => measure::slopes(&arguments),
         }
     });
--- a/crates/bench/src/standin/engine/server.rs
+++ b/crates/bench/src/standin/engine/server.rs
@@ -97,6 +97,8 @@
     engine_id: String,
     execution: ExecutionNumber,
     pieces: mpsc::UnboundedSender<Bytes>,
+    /// Whether a token was lost: nothing of the answer comes after it.
+    lost: bool,
 }
 
 struct State {
@@ -316,13 +318,15 @@
 
 fn emit(state: &State, emitted: Emitted, faults: Faults) {
     let mut streams = lock(&state.streams);
-    let Some(stream) = streams.get(&emitted.number) else { return };
-    if !faults.lose_answers {
+    let Some(stream) = streams.get_mut(&emitted.number) else { return };
+    stream.lost |= faults.lose_answers;
+    let lost = stream.lost;
+    if !lost {
         send_token(stream, emitted, faults);
     }
     if emitted.last {
         state.ledger.end(stream.execution, ExecutionEnd::Finished, emitted.index + 1);
-        if faults.lose_answers {
+        if lost {
             // The connection stays open without an end: the answer is lost, not cut.
             let stream = streams.remove(&emitted.number);
             tokio::spawn(async move {
@@ -443,7 +447,8 @@
         let _ = pieces.send(event_bytes(STREAM_END));
         return streaming(receiver);
     }
-    let stream = Stream { engine_id: order.request_id, execution, pieces: pieces.clone() };
+    let stream =
+        Stream { engine_id: order.request_id, execution, pieces: pieces.clone(), lost: false };
     streams.insert(number, stream);
     drop(streams);
     state.wake.notify_one();
--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -184,7 +184,7 @@
     });
     tokio::time::sleep(Duration::from_millis(300)).await;
     // The second daemon: the first has the data folder and serves the operators.
-    let leaver = fleet.daemons.remove(1);
+    let mut leaver = fleet.daemons.remove(1);
     assert!(leaver.stop(Duration::from_secs(20)).await.clean);
     for answer in calls.await.expect("all calls end") {
         answer.expect("all calls end").expect("no call is cut off");
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -108,19 +108,23 @@
     tried: Vec<NodeName>,
     second: Option<NodeName>,
     failed_holders: Vec<NodeName>,
-    /// Whether an owner may have sent the call to a back end.
+    /// Whether the owner of this attempt may have sent the call to a back end.
     sent: bool,
-    /// Whether an owner reported that a back end runs it.
+    /// Whether the owner of this attempt reported that a back end runs it.
     started: bool,
+    /// What is known of the attempts before this one: whether any ran.
+    earlier_ran: Option<bool>,
 }
 
 impl Record {
+    /// Whether the call ran, over all attempts.
     fn executed(&self) -> Option<bool> {
-        match (self.started, self.sent) {
+        let this_attempt = match (self.started, self.sent) {
             (true, _) => Some(true),
             (false, true) => None,
             (false, false) => Some(false),
-        }
+        };
+        either_ran(self.earlier_ran, this_attempt)
     }
 
     fn refusal(&self, reason: RefusalReason, detail: &str) -> Refusal {
@@ -402,10 +406,12 @@
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
         let not_run = refusal.executed == Some(false);
-        if not_run {
-            record.sent = false;
-            record.started = false;
-        }
+        let ran = if record.started && !not_run { Some(true) } else { refusal.executed };
+        record.earlier_ran = either_ran(record.earlier_ran, ran);
+        record.sent = false;
+        record.started = false;
+        // Proof that this attempt did not run says nothing of those before it.
+        let refusal = Refusal { executed: record.earlier_ran, ..refusal };
         let safe = not_run || record.header.repeat == RepeatPolicy::Allowed;
         let sensible = !matches!(
             refusal.reason,
@@ -418,7 +424,7 @@
         let in_count = record.attempt < MAX_ATTEMPTS;
         let service = record.header.service_id();
         if safe && sensible && in_time && in_count && self.spend_retry(&service) {
-            return self.retry(now, view, request, refusal);
+            return self.retry(now, view, request, refusal, not_run);
         }
         self.end(now, request, Outcome::Refused(refusal))
     }
@@ -438,9 +444,10 @@
         view: &FleetView,
         request: &RequestId,
         refusal: Refusal,
+        not_run: bool,
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
-        if refusal.executed == Some(false) {
+        if not_run {
             return self.execute_elsewhere(now, view, request, refusal);
         }
         let (low, high) = BACKOFF_RANGE_MS;
@@ -641,6 +648,16 @@
         failed_holders: Vec::new(),
         sent: false,
         started: false,
+        earlier_ran: Some(false),
+    }
+}
+
+/// Whether either of two attempts ran: known only when one is known to have, or both not to have.
+fn either_ran(left: Option<bool>, right: Option<bool>) -> Option<bool> {
+    match (left, right) {
+        (Some(true), _) | (_, Some(true)) => Some(true),
+        (Some(false), Some(false)) => Some(false),
+        _ => None,
     }
 }
 
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -114,8 +114,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Item {
     Waiting,
-    Leased { token: LeaseToken, until: Timestamp },
-    Started { token: LeaseToken },
+    Leased {
+        token: LeaseToken,
+        until: Timestamp,
+    },
+    /// `until` is when its holder is given up; its answer is taken all the same.
+    Started {
+        token: LeaseToken,
+        until: Timestamp,
+    },
     Ended(ItemOutcome),
 }
 
@@ -189,7 +196,10 @@
                 }
             }
             JobRecord::Started { number, index, token } => {
-                self.set_item(number, index, Item::Started { token });
+                // The holder may still run and extend.
+                let until = now.plus_millis(LEASE_MS);
+                self.set_item(number, index, Item::Started { token, until });
+                self.lapses.insert((until, number, index));
             }
             JobRecord::NotStarted { number, index } => {
                 self.set_item(number, index, Item::Waiting);
@@ -342,12 +352,11 @@
             let Some(state) = job.items.get_mut(item.index as usize) else { continue };
             match *state {
                 Item::Leased { token, until } if token == item.token && until > now => {
-                    *state = Item::Started { token };
-                    self.lapses.remove(&(until, number, item.index));
+                    *state = Item::Started { token, until };
                     records.push(JobRecord::Started { number, index: item.index, token });
                     granted.push(item);
                 }
-                Item::Started { token } if token == item.token => granted.push(item),
+                Item::Started { token, .. } if token == item.token => granted.push(item),
                 _ => {}
             }
         }
@@ -365,13 +374,14 @@
             return false;
         };
         match job.items.get_mut(item.index as usize) {
-            Some(Item::Leased { token, until }) if *token == item.token => {
+            Some(Item::Leased { token, until } | Item::Started { token, until })
+                if *token == item.token =>
+            {
                 self.lapses.remove(&(*until, number, item.index));
                 *until = now.plus_millis(LEASE_MS);
                 self.lapses.insert((*until, number, item.index));
                 true
             }
-            Some(Item::Started { token }) => *token == item.token,
             _ => false,
         }
     }
@@ -389,9 +399,10 @@
                     self.lapses.remove(&(until, number, item.index));
                     self.wait_again(number, item.index, cause, &mut records);
                 }
-                (Some(Item::Started { token }), cause @ ReturnCause::NotSent(_))
+                (Some(Item::Started { token, until }), cause @ ReturnCause::NotSent(_))
                     if token == item.token =>
                 {
+                    self.lapses.remove(&(until, number, item.index));
                     records.push(JobRecord::NotStarted { number, index: item.index });
                     self.wait_again(number, item.index, cause, &mut records);
                 }
@@ -446,7 +457,7 @@
         let no_repeat = job.header.repeat == RepeatPolicy::Forbidden;
         let accepted = match job.items.get(item.index as usize) {
             None | Some(Item::Ended(_)) => false,
-            Some(Item::Started { token }) => *token == item.token,
+            Some(Item::Started { token, .. }) => *token == item.token,
             Some(_) => !no_repeat,
         };
         if !accepted {
@@ -480,11 +491,10 @@
         let index = result.index;
         match job.items[index as usize] {
             Item::Ended(_) => return,
-            Item::Leased { until, .. } => {
+            Item::Leased { until, .. } | Item::Started { until, .. } => {
                 self.lapses.remove(&(until, number, index));
             }
             Item::Waiting => job.waiting.retain(|waiting| *waiting != index),
-            Item::Started { .. } => {}
         }
         job.items[index as usize] = Item::Ended(result.outcome);
         job.open -= 1;
@@ -495,8 +505,8 @@
     }
 
     /// Cancels a job: what is not started ends at once; what is started ends when its holder
-    /// reports, or at the deadline.
-    pub fn cancel(&mut self, id: &JobId) -> Decision<Option<JobProgress>> {
+    /// reports, or is given up.
+    pub fn cancel(&mut self, now: Timestamp, id: &JobId) -> Decision<Option<JobProgress>> {
         let mut records = Vec::new();
         let Some(number) = self.numbers.get(id).copied() else {
             return Decision { reply: None, records };
@@ -506,6 +516,7 @@
             job.waiting.clear();
             records.push(JobRecord::Cancelled { number });
             self.end_unstarted(number, ItemOutcome::Cancelled, &mut records);
+            self.end_given_up(now, number, &mut records);
         }
         Decision { reply: self.progress(id), records }
     }
@@ -525,6 +536,18 @@
         }
     }
 
+    /// Ends the started items of a cancelled job whose holder is given up: nobody waits for their
+    /// answer any more.
+    fn end_given_up(&mut self, now: Timestamp, number: JobNumber, records: &mut Vec<JobRecord>) {
+        let Some(job) = self.jobs.get(&number) else { return };
+        let given_up = |item: &Item| matches!(item, Item::Started { until, .. } if *until <= now);
+        let indexes: Vec<u32> =
+            (0..job.items.len() as u32).filter(|i| given_up(&job.items[*i as usize])).collect();
+        for index in indexes {
+            self.end_item(number, index, ItemOutcome::OutcomeUnknown, Vec::new(), records);
+        }
+    }
+
     /// Progress of a job.
     pub fn progress(&self, id: &JobId) -> Option<JobProgress> {
         let job = self.job(id)?;
@@ -555,7 +578,7 @@
                 break;
             }
             self.lapses.pop_first();
-            self.wait_again(number, index, ReturnCause::Yielded, &mut records);
+            self.lapse(now, number, index, &mut records);
         }
         while let Some((deadline, number)) = self.deadlines.first().copied() {
             if deadline > now {
@@ -567,6 +590,25 @@
         records
     }
 
+    /// A lease lapsed. An item that was not started waits again; one that was is never sent again,
+    /// and its answer is taken until the deadline unless its job was cancelled.
+    fn lapse(
+        &mut self,
+        now: Timestamp,
+        number: JobNumber,
+        index: u32,
+        records: &mut Vec<JobRecord>,
+    ) {
+        let Some(job) = self.jobs.get(&number) else { return };
+        match job.items[index as usize] {
+            Item::Leased { .. } => {
+                self.wait_again(number, index, ReturnCause::Yielded, records);
+            }
+            Item::Started { .. } if job.cancelled => self.end_given_up(now, number, records),
+            _ => {}
+        }
+    }
+
     fn end_late(&mut self, number: JobNumber, records: &mut Vec<JobRecord>) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         job.waiting.clear();
--- a/crates/core/tests/coordinator.rs
+++ b/crates/core/tests/coordinator.rs
@@ -194,3 +194,25 @@
     // And so it is told again, should the first reply be lost.
     assert!(holder.hold(Timestamp(4), &view, copy(restarted)).is_some());
 }
+
+#[test]
+fn a_refusal_after_a_repeat_speaks_of_every_attempt() {
+    let view = view(3, 2, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    let call = header("r", RepeatPolicy::Allowed);
+    let request = call.request.clone();
+    coordinator.submit(Timestamp(1), &view, call, DIGEST, 10);
+    let lost = Refusal::unknown(RefusalReason::BackendFailed, "no answer");
+    let lost = Outcome::Refused(lost);
+    coordinator.execution_ended(Timestamp(2), &view, &request, 1, lost, None);
+    let effects = coordinator.tick(Timestamp(9_000), &view);
+    assert_eq!(executions(&effects), vec![(request.clone(), 2)]);
+    // The second attempt is proven not to have run, and nothing else is left to try.
+    let unrun = Refusal::not_run(RefusalReason::DeadlineExceeded, "late");
+    let unrun = Outcome::Refused(unrun);
+    let effects = coordinator.execution_ended(Timestamp(9_001), &view, &request, 2, unrun, None);
+    let [CoordinatorEffect::End { outcome: Outcome::Refused(refusal), .. }] = &effects[..] else {
+        panic!("want one end, got {effects:?}");
+    };
+    assert_eq!(refusal.executed, None, "the first attempt may have run");
+}
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -112,7 +112,7 @@
             }
             6 if choice % 4 == 0 => self.restart(),
             7 if choice % 16 == 0 => {
-                let decision = self.store.cancel(&job("once"));
+                let decision = self.store.cancel(self.now, &job("once"));
                 self.write(decision.records);
             }
             _ => {
@@ -226,10 +226,25 @@
     let header = job_header("once", RepeatPolicy::Forbidden);
     store.accept(Timestamp(1), 1, header, 1, ITEMS, 1);
     let held = store.lease(Timestamp(1), &service(), 1);
-    let progress = store.cancel(&job("once")).reply.expect("the job is held");
+    let progress = store.cancel(Timestamp(1), &job("once")).reply.expect("the job is held");
     assert_eq!((progress.state, progress.cancelled), (JobState::Cancelled, ITEMS));
     assert!(store.lease(Timestamp(2), &service(), ITEMS).is_empty());
     let held: Vec<LeasedItemRef> = held.into_iter().map(|grant| grant.item).collect();
     assert!(store.start(Timestamp(2), held.clone()).reply.is_empty());
     assert!(store.extend(Timestamp(2), held).is_empty());
 }
+
+#[test]
+fn a_cancelled_job_ends_although_the_holder_of_a_started_item_is_dead() {
+    let mut store = JobStore::new(1);
+    let header = job_header("once", RepeatPolicy::Forbidden);
+    store.accept(Timestamp(1), 1, header, 1, ITEMS, 1);
+    let held = store.lease(Timestamp(1), &service(), 1);
+    let held: Vec<LeasedItemRef> = held.into_iter().map(|grant| grant.item).collect();
+    assert_eq!(store.start(Timestamp(1), held).reply.len(), 1);
+    let progress = store.cancel(Timestamp(2), &job("once")).reply.expect("the job is held");
+    assert_eq!(progress.state, JobState::Running, "the holder may still report");
+    store.tick(Timestamp(2 + LEASE_MS));
+    let progress = store.progress(&job("once")).expect("the job is held");
+    assert_eq!((progress.state, progress.unknown), (JobState::Cancelled, 1));
+}
--- a/crates/daemon/src/control/jobs.rs
+++ b/crates/daemon/src/control/jobs.rs
@@ -154,7 +154,7 @@
                 self.settle(decision, reply);
             }
             JobCommand::Cancel { job, reply } => {
-                let decision = self.store.cancel(&job);
+                let decision = self.store.cancel(now, &job);
                 self.settle(decision, reply);
             }
             JobCommand::Progress { job, reply } => {
