Request records at three daemons, moved when the fleet changes; resends say that they are

A record was held by its home and one more daemon, and was never copied again: one restart after another, or two deaths at once, left no copy, and a resend ran a no-repeat call a second time, or was refused as "not run" although the earlier call had run.

Change: - Two copies besides the home, both held before a no-repeat call leaves for its owner. - When the fleet changes, a daemon that joins, leaves or restarts included, records and copies go to the daemons that hold them from then on, 200 a tick; a planned stop waits for it. - A call says whether it is a resend. A no-repeat resend of which no record is found is not run; a refusal of a resend is never "not run".

Tests: records_move_to_the_daemons_that_hold_them_after_a_change, a_no_repeat_resend_without_a_record_is_not_run.

--- a/crates/agent/src/calls.rs
+++ b/crates/agent/src/calls.rs
@@ -74,6 +74,7 @@
         let begun = Instant::now();
         let whole = Duration::from_millis(call.header.deadline_ms);
         let mut progress = Progress { delivered: offset, tokens: 0, steps };
+        let resend = call.header.resend;
         let running = self.run_tries(&mut call, begun, whole, &mut progress);
         let outcome = match tokio::time::timeout(whole + DEADLINE_GRACE, running).await {
             Ok(outcome) => outcome,
@@ -84,6 +85,7 @@
             }
         };
         if let Some(outcome) = outcome {
+            let outcome = if resend { settle_resend(outcome) } else { outcome };
             let (length, tokens) = (progress.delivered, progress.tokens);
             let _ = progress.steps.send(CallStep::Ended { outcome, length, tokens });
         }
@@ -235,6 +237,16 @@
     }
 }
 
+/// An end of a resend: "not run" then only speaks of this call, not of the earlier one.
+fn settle_resend(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Refused(refusal) if refusal.executed == Some(false) => {
+            Outcome::Refused(Refusal { executed: None, ..refusal })
+        }
+        outcome => outcome,
+    }
+}
+
 impl Progress {
     /// Passes on the part of a piece that was not delivered yet. Returns `false` when the caller
     /// is gone.
--- a/crates/agent/src/port.rs
+++ b/crates/agent/src/port.rs
@@ -122,6 +122,7 @@
         service: ServiceName::new(&header.service),
         priority: convert::priority_from(header.priority),
         repeat: convert::repeat_from(header.repeat),
+        resend: header.resend,
         deadline_ms: header.deadline_ms,
         max_tokens,
     })
--- a/crates/app/src/commands/ask.rs
+++ b/crates/app/src/commands/ask.rs
@@ -44,6 +44,9 @@
     /// Whether the request may be executed again after a failure; otherwise it runs at most once.
     #[arg(long)]
     repeatable: bool,
+    /// An earlier request with this id may have been sent: join it, and say "not run" only on proof.
+    #[arg(long)]
+    resend: bool,
 }
 
 impl HeaderArguments {
@@ -57,6 +60,7 @@
             deadline_ms: self.deadline_ms,
             priority: priority as i32,
             repeat: repeat as i32,
+            resend: self.resend,
         }
     }
 }
--- a/crates/bench/src/chaos.rs
+++ b/crates/bench/src/chaos.rs
@@ -17,18 +17,31 @@
 const GAP_MS: std::ops::RangeInclusive<u64> = 100..=1_200;
 /// Interval at which faults begin and end.
 const STEP: Duration = Duration::from_millis(50);
+/// Time that a planned stop has to finish what runs.
+const STOP_TIMEOUT: Duration = Duration::from_secs(60);
 /// Slowdown of a slow engine.
 const SLOW_FACTOR: f64 = 6.0;
 /// Delay of a slow object API, in milliseconds.
 const SLOW_PLATFORM_MS: u64 = 2_000;
 
+/// Parts of a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Parts {
+    /// Back ends, the platform and daemons.
+    All,
+    /// Back ends and the platform.
+    Outside,
+    /// Daemons alone, which crash and are stopped all the time.
+    Daemons,
+}
+
 /// Which faults may happen.
 #[derive(Clone, Debug)]
 pub struct FaultPlan {
     /// Seed of the faults.
     pub seed: u64,
-    /// Whether daemons crash and are stopped.
-    pub daemons: bool,
+    /// Parts that are disturbed.
+    pub parts: Parts,
     /// Write a line for each fault to standard error.
     pub verbose: bool,
 }
@@ -47,6 +60,7 @@
     PlatformDown,
     PlatformSlow,
     DaemonCrashes(usize),
+    DaemonStops(usize),
 }
 
 /// A fault that is to end.
@@ -81,7 +95,7 @@
             }
         }
         let (over, still): (Vec<Active>, Vec<Active>) =
-            active.into_iter().partition(|fault| fault.ends <= now);
+            active.into_iter().partition(|fault| fault.ends <= now && !is_stopping(fleet, fault));
         active = still;
         for fault in over {
             end(fleet, fault.fault).await?;
@@ -90,10 +104,18 @@
     Ok(())
 }
 
-/// A part that is already disturbed is left alone, and one daemon is down at a time: with two
-/// copies of a record, two deaths at once may leave its outcome unknown.
+/// Whether a daemon still finishes what it runs before its planned stop ends.
+fn is_stopping(fleet: &LocalFleet, active: &Active) -> bool {
+    matches!(active.fault, Fault::DaemonStops(n) if fleet.daemons[n].is_stopping())
+}
+
+/// A part that is already disturbed is left alone.
 fn conflicts(active: Fault, fault: Fault) -> bool {
-    let daemons = |f: Fault| matches!(f, Fault::DaemonCrashes(_));
+    let daemon = |f: Fault| match f {
+        Fault::DaemonCrashes(n) | Fault::DaemonStops(n) => Some(n),
+        _ => None,
+    };
+    let same_daemon = daemon(active).is_some() && daemon(active) == daemon(fault);
     let platform = |f: Fault| matches!(f, Fault::PlatformDown | Fault::PlatformSlow);
     let backend = |f: Fault| match f {
         Fault::EngineDies(n)
@@ -107,18 +129,23 @@
         _ => None,
     };
     let same_backend = backend(active).is_some() && backend(active) == backend(fault);
-    daemons(active) && daemons(fault) || platform(active) && platform(fault) || same_backend
+    same_daemon || platform(active) && platform(fault) || same_backend
 }
 
 fn draw(fleet: &LocalFleet, plan: &FaultPlan, generator: &mut SmallRng) -> Fault {
     let backend = generator.random_range(0..fleet.backends.len());
     let is_engine = matches!(fleet.backends[backend].backend, Backend::Engine(_));
-    let kinds = if plan.daemons { 12 } else { 10 };
-    match generator.random_range(0..kinds) {
+    let kinds = match plan.parts {
+        Parts::All => 0..12,
+        Parts::Outside => 0..10,
+        Parts::Daemons => 10..13,
+    };
+    match generator.random_range(kinds) {
         0 => Fault::PlatformDown,
         1 => Fault::PlatformSlow,
         2 => Fault::MachineLeaves(backend),
-        10 | 11 => Fault::DaemonCrashes(generator.random_range(0..fleet.daemons.len())),
+        10 => Fault::DaemonStops(generator.random_range(0..fleet.daemons.len())),
+        11 | 12 => Fault::DaemonCrashes(generator.random_range(0..fleet.daemons.len())),
         _ if !is_engine => Fault::PlainLosesAnswers(backend),
         3 => Fault::EngineHangs(backend),
         4 => Fault::EngineSlows(backend),
@@ -169,6 +196,7 @@
         Fault::PlatformDown => controls.down.store(true, Ordering::Relaxed),
         Fault::PlatformSlow => controls.delay_ms.store(SLOW_PLATFORM_MS, Ordering::Relaxed),
         Fault::DaemonCrashes(n) => fleet.daemons[n].crash(),
+        Fault::DaemonStops(n) => fleet.daemons[n].begin_stop(STOP_TIMEOUT),
     }
 }
 
@@ -194,6 +222,12 @@
         Fault::PlatformDown => controls.down.store(false, Ordering::Relaxed),
         Fault::PlatformSlow => controls.delay_ms.store(0, Ordering::Relaxed),
         Fault::DaemonCrashes(n) => fleet.daemons[n].restart().await?,
+        Fault::DaemonStops(n) => {
+            if !fleet.daemons[n].finish_stop().await.clean {
+                return Err(format!("a planned stop of {} cut off work", fleet.daemons[n].name()));
+            }
+            fleet.daemons[n].restart().await?;
+        }
     }
     Ok(())
 }
--- a/crates/bench/src/commands/chaos.rs
+++ b/crates/bench/src/commands/chaos.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use clap::Args;
-use yokefall_bench::chaos::FaultPlan;
+use yokefall_bench::chaos::{FaultPlan, Parts};
 use yokefall_bench::deployment;
 use yokefall_bench::fleet::{FleetOptions, LocalFleet};
 use yokefall_bench::load::{self, RunOptions};
@@ -17,9 +17,9 @@
     /// Seed of arrivals, sizes and faults.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Leave the daemons alone.
-    #[arg(long)]
-    no_daemons: bool,
+    /// Parts that are disturbed.
+    #[arg(long, value_enum, default_value_t = Parts::All)]
+    parts: Parts,
     /// Print JSON.
     #[arg(long)]
     json: bool,
@@ -37,11 +37,8 @@
         verbose: arguments.verbose,
         ..RunOptions::default()
     };
-    let faults = FaultPlan {
-        seed: arguments.seed,
-        daemons: !arguments.no_daemons,
-        verbose: arguments.verbose,
-    };
+    let faults =
+        FaultPlan { seed: arguments.seed, parts: arguments.parts, verbose: arguments.verbose };
     let report = load::run(fleet, &options, Some(faults), |_, _, _| {}).await?;
     if arguments.json {
         println!("{}", serde_json::to_string(&report).map_err(|error| error.to_string())?);
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
 use yokefall_agent::{Agent, AgentListeners};
 use yokefall_api::v1;
 use yokefall_daemon::{Daemon, Listeners, StopReport};
@@ -68,6 +69,7 @@
     settings: Settings,
     runtime: Option<Runtime>,
     daemon: Option<Daemon>,
+    stopping: Option<JoinHandle<StopReport>>,
 }
 
 /// Threads of a local daemon's runtime.
@@ -78,7 +80,7 @@
 
 impl LocalDaemon {
     async fn start(settings: Settings) -> Result<Self, String> {
-        let mut local = Self { settings, runtime: None, daemon: None };
+        let mut local = Self { settings, runtime: None, daemon: None, stopping: None };
         local.open().await?;
         Ok(local)
     }
@@ -98,7 +100,14 @@
             }
             Daemon::start(&settings, listeners).await.map_err(|e| e.to_string())
         });
-        let daemon = starting.await.map_err(|error| error.to_string())??;
+        let started = starting.await.map_err(|error| error.to_string()).and_then(|done| done);
+        let daemon = match started {
+            Ok(daemon) => daemon,
+            Err(error) => {
+                runtime.shutdown_background();
+                return Err(error);
+            }
+        };
         // A restart takes the same ports.
         self.settings.listen.peer = daemon.peer_address();
         self.settings.listen.rpc = daemon.rpc_address();
@@ -148,17 +157,30 @@
         Err(format!("restart {}: {last}", self.name()))
     }
 
+    /// Begins a planned stop.
+    pub fn begin_stop(&mut self, drain: Duration) {
+        if let (Some(daemon), Some(runtime)) = (self.daemon.take(), &self.runtime) {
+            self.stopping = Some(runtime.spawn(daemon.stop(drain)));
+        }
+    }
+
+    /// Whether a planned stop that began has not ended.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.as_ref().is_some_and(|stopping| !stopping.is_finished())
+    }
+
+    /// Waits for the end of a planned stop.
+    pub async fn finish_stop(&mut self) -> StopReport {
+        let Some(stopping) = self.stopping.take() else { return StopReport { clean: true } };
+        let report = stopping.await.unwrap_or(StopReport { clean: false });
+        self.crash();
+        report
+    }
+
     /// Stops as planned.
     pub async fn stop(&mut self, drain: Duration) -> StopReport {
-        let Some(daemon) = self.daemon.take() else { return StopReport { clean: true } };
-        let report = match &self.runtime {
-            Some(runtime) => runtime.spawn(daemon.stop(drain)).await.ok(),
-            None => None,
-        };
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-        report.unwrap_or(StopReport { clean: false })
+        self.begin_stop(drain);
+        self.finish_stop().await
     }
 }
 
--- a/crates/bench/src/load/online.rs
+++ b/crates/bench/src/load/online.rs
@@ -23,6 +23,9 @@
 const PROMPT_PREFIX_BYTES: usize = 512;
 /// Tokens of an answer.
 const TOKENS: std::ops::RangeInclusive<u32> = 8..=40;
+/// Times that a request is sent again while it is not known whether it ran, and the pause before.
+const RESENDS: u32 = 3;
+const RESEND_PAUSE: Duration = Duration::from_millis(700);
 /// Part of the requests that may not be repeated.
 const NO_REPEAT_PART: f64 = 0.2;
 
@@ -161,7 +164,32 @@
 
 type Finished = (Observation, Option<Duration>, Option<Duration>);
 
+/// Sends a request, and sends it again under the same id while it is not known whether it ran, as
+/// clients do.
 async fn send_one(load: &OnlineLoad, mut caller: Caller, plan: Plan, begun: Instant) -> Finished {
+    let mut finished = send_once(load, &mut caller, &plan, begun, false).await;
+    for _ in 0..RESENDS {
+        let known = match &finished.0.seen {
+            Seen::Answer { .. } => true,
+            Seen::Refused { executed } => *executed != v1::Executed::Unknown,
+            Seen::Nothing { .. } => false,
+        };
+        if known {
+            break;
+        }
+        tokio::time::sleep(RESEND_PAUSE).await;
+        finished = send_once(load, &mut caller, &plan, begun, true).await;
+    }
+    finished
+}
+
+async fn send_once(
+    load: &OnlineLoad,
+    caller: &mut Caller,
+    plan: &Plan,
+    begun: Instant,
+    resend: bool,
+) -> Finished {
     let intended = begun + plan.arrival;
     let service = if plan.model { &load.model_service } else { &load.plain_service };
     let repeat = if plan.no_repeat { v1::Repeat::Forbidden } else { v1::Repeat::Allowed };
@@ -172,16 +200,17 @@
         deadline_ms: load.deadline.as_millis() as u64,
         priority: v1::Priority::High as i32,
         repeat: repeat as i32,
+        resend,
     };
     let ledger_id = format!("{}/{}/{}", load.partner, plan.tenant, plan.id);
     let mut first_token = None;
     let seen = if plan.model {
-        generate(&mut caller, header, &plan, &ledger_id, || {
+        generate(caller, header, plan, &ledger_id, || {
             first_token.get_or_insert_with(|| intended.elapsed());
         })
         .await
     } else {
-        call(&mut caller, header, &plan, &ledger_id).await
+        call(caller, header, plan, &ledger_id).await
     };
     let answered = matches!(seen, Seen::Answer { .. });
     let whole = answered.then(|| intended.elapsed());
--- a/crates/bench/src/measure/overhead.rs
+++ b/crates/bench/src/measure/overhead.rs
@@ -131,6 +131,7 @@
         deadline_ms: STALL.as_millis() as u64,
         priority: v1::Priority::High as i32,
         repeat: v1::Repeat::Allowed as i32,
+        resend: false,
     }
 }
 
--- a/crates/bench/src/measure/slopes.rs
+++ b/crates/bench/src/measure/slopes.rs
@@ -181,6 +181,7 @@
             let record = member_record(number);
             MemberInfo {
                 node: record.node,
+                incarnation: record.incarnation,
                 address: record.address,
                 zone: record.zone,
                 region: record.region,
@@ -257,6 +258,7 @@
         service: ServiceName::new(SERVICE),
         priority: Priority::High,
         repeat: RepeatPolicy::Allowed,
+        resend: false,
         deadline_ms: 30_000,
         max_tokens: 64,
     }
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -75,6 +75,7 @@
         deadline_ms: 20_000,
         priority: v1::Priority::High as i32,
         repeat: repeat as i32,
+        resend: false,
     }
 }
 
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! The home daemon of online requests: one record a request, one answer a record.
 //!
-//! A record is copied to a second daemon before a no-repeat call leaves for its owner; a second
-//! call with the same id joins the first.
+//! A record is copied to two more daemons before a no-repeat call leaves for its owner, and again
+//! to others when the fleet changes; a second call with the same id joins the first.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -16,6 +16,14 @@
 use crate::router::Router;
 use crate::time::Timestamp;
 
+/// Daemons that hold copies of a record besides its home: with two, any two of the three may die
+/// at once.
+const COPIES: usize = 2;
+/// Interval at which failed handovers are tried again, in milliseconds.
+const HANDOVER_INTERVAL_MS: u64 = 500;
+/// Records whose holders are compared with a changed fleet at one tick, so that a change does not
+/// hold up calls.
+const PLACED_PER_TICK: usize = 200;
 /// Most owners that are asked to run one call.
 const MAX_ATTEMPTS: u32 = 4;
 /// Bounds of the first pause before a repeated execution, in milliseconds.
@@ -46,6 +54,16 @@
         to: NodeName,
         /// The copy.
         copy: RecordCopy,
+        /// Whether it goes to a daemon that became a holder when the fleet changed.
+        handover: bool,
+    },
+    /// Copy an ended record, with its answer, to a daemon that became a holder when the fleet
+    /// changed; report like `Copy`.
+    CopyEnded {
+        /// The request.
+        request: RequestId,
+        /// The new holder.
+        to: NodeName,
     },
     /// Send the call to an owner; report with `started`, then `execution_ended` or
     /// `execution_lost`.
@@ -73,14 +91,14 @@
         /// The owner that runs it.
         owner: NodeName,
     },
-    /// The record ended: tell those who wait, and the holder of the copy.
+    /// The record ended: tell those who wait, and the holders of copies.
     End {
         /// The request.
         request: RequestId,
         /// How it ended.
         outcome: Outcome,
-        /// Holder of the copy, if there is one.
-        second: Option<NodeName>,
+        /// Holders of copies.
+        holders: Vec<NodeName>,
     },
     /// The record's retention is over.
     Forget {
@@ -98,6 +116,20 @@
     Ended,
 }
 
+/// One life of a daemon that holds copies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Holder {
+    node: NodeName,
+    incarnation: u64,
+}
+
+/// A copy held for another home daemon, and the holders that it is known or meant to have.
+#[derive(Clone, Debug)]
+struct HeldCopy {
+    copy: RecordCopy,
+    holders: Vec<Holder>,
+}
+
 #[derive(Clone, Debug)]
 struct Record {
     header: CallHeader,
@@ -106,7 +138,10 @@
     stage: Stage,
     attempt: u32,
     tried: Vec<NodeName>,
-    second: Option<NodeName>,
+    /// Daemons that were sent the copy of this attempt.
+    asked: Vec<Holder>,
+    /// Daemons that hold it.
+    held_by: Vec<NodeName>,
     failed_holders: Vec<NodeName>,
     /// Whether the owner of this attempt may have sent the call to a back end.
     sent: bool,
@@ -127,6 +162,14 @@
         either_ran(self.earlier_ran, this_attempt)
     }
 
+    /// Another attempt, of which no daemon has a copy yet.
+    fn begin_attempt(&mut self, owner: NodeName) {
+        self.stage = Stage::Copying { owner };
+        self.asked.clear();
+        self.held_by.clear();
+        self.failed_holders.clear();
+    }
+
     fn refusal(&self, reason: RefusalReason, detail: &str) -> Refusal {
         Refusal {
             reason,
@@ -144,7 +187,14 @@
     records: HashMap<RequestId, Record>,
     /// Requests that have not ended.
     open: BTreeSet<RequestId>,
-    copies: HashMap<RequestId, RecordCopy>,
+    copies: HashMap<RequestId, HeldCopy>,
+    /// Handovers that are not yet acknowledged.
+    handovers: usize,
+    handover_at: Option<Timestamp>,
+    /// Requests whose holders are still to be compared with the fleet.
+    to_place: BTreeSet<RequestId>,
+    /// Digest of the member list for which they are.
+    placed_for: u64,
     expiry: BTreeMap<(Timestamp, u64), (RequestId, bool)>,
     next_expiry: u64,
     budgets: HashMap<ServiceId, f64>,
@@ -161,6 +211,10 @@
             records: HashMap::new(),
             open: BTreeSet::new(),
             copies: HashMap::new(),
+            handovers: 0,
+            handover_at: None,
+            to_place: BTreeSet::new(),
+            placed_for: 0,
             expiry: BTreeMap::new(),
             next_expiry: 0,
             budgets: HashMap::new(),
@@ -182,8 +236,8 @@
         if let Some(record) = self.records.get(&header.request) {
             return (join(record.digest, digest), Vec::new());
         }
-        if let Some(copy) = self.copies.get(&header.request).cloned() {
-            return self.adopt_own_copy(now, header, digest, copy);
+        if let Some(held) = self.copies.get(&header.request).cloned() {
+            return self.adopt_own_copy(now, header, digest, held.copy);
         }
         if let Some(refusal) = check_limits(view, &header, body_bytes) {
             return (Submission::Refused(refusal), Vec::new());
@@ -229,7 +283,7 @@
         (Submission::Joined, vec![effect])
     }
 
-    /// Sends the copy of a record, and the call itself where it need not wait for the copy.
+    /// Sends the copies of a record, and the call itself where it need not wait for them.
     fn copy_record(
         &mut self,
         now: Timestamp,
@@ -238,52 +292,67 @@
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
         let Stage::Copying { owner } = record.stage.clone() else { return Vec::new() };
-        let holders = record_holders(request, &view.members);
-        let usable = |n: &&NodeName| **n != view.node && !record.failed_holders.contains(n);
-        record.second = holders.iter().find(usable).cloned();
-        let Some(to) = record.second.clone() else {
-            return self.execute_without_copy(now, request);
-        };
-        let copy = RecordCopy {
-            request: request.clone(),
-            home: self.home.clone(),
-            digest: record.digest,
-            repeat: record.header.repeat,
-            state: RecordState::Running { owner },
-        };
-        let repeatable = record.header.repeat == RepeatPolicy::Allowed;
-        let mut effects = vec![CoordinatorEffect::Copy { to, copy }];
-        if repeatable {
-            effects.extend(self.execute(request));
+        let mut effects = Vec::new();
+        for holder in other_holders(view, request, &record.failed_holders) {
+            if record.asked.contains(&holder) {
+                continue;
+            }
+            let copy = running_copy(&self.home, record, owner.clone());
+            effects.push(CoordinatorEffect::Copy {
+                to: holder.node.clone(),
+                copy,
+                handover: false,
+            });
+            record.asked.push(holder);
         }
+        effects.extend(self.execute_if_held(now, view, request));
         effects
     }
 
-    /// No other daemon can hold a copy. A fleet of one runs the call all the same; a no-repeat
-    /// call whose other holders are all out of reach is refused, since it could run again elsewhere.
-    fn execute_without_copy(
+    /// Sends the call to its owner once enough copies are held. A repeatable call does not wait. A
+    /// fleet of one runs the call all the same; a no-repeat call whose other holders are all out
+    /// of reach is refused, since it could run again elsewhere.
+    fn execute_if_held(
         &mut self,
         now: Timestamp,
+        view: &FleetView,
         request: &RequestId,
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get(request) else { return Vec::new() };
+        let holders = other_holders(view, request, &record.failed_holders);
+        let held = holders.iter().filter(|holder| record.held_by.contains(&holder.node)).count();
         // Members that are leaving hold nothing new, so that the last to stay is alone.
-        let alone = record.failed_holders.is_empty();
-        if alone || record.header.repeat == RepeatPolicy::Allowed {
-            return self.execute(request);
+        let alone = holders.is_empty() && record.failed_holders.is_empty();
+        let enough = !holders.is_empty() && held == holders.len();
+        if alone || enough || record.header.repeat == RepeatPolicy::Allowed {
+            return self.execute(now, view, request);
         }
-        let detail = "no second daemon could hold the record of a no-repeat call";
+        if !holders.is_empty() {
+            return Vec::new();
+        }
+        let detail = "no other daemon could hold the record of a no-repeat call";
         let refusal = record.refusal(RefusalReason::Unreachable, detail).retry_after(1_000);
-        self.end(now, request, Outcome::Refused(refusal))
+        self.end(now, view, request, Outcome::Refused(refusal))
     }
 
-    /// Sends a call to the owner chosen for it.
+    /// Sends a call to the owner chosen for it. A no-repeat call that may have been sent before is
+    /// not run where no record of the earlier call was found: the record may have been lost.
     ///
     /// Invariant: a no-repeat call passes here at most once after `sent` is set; otherwise it
     /// could run twice.
-    fn execute(&mut self, request: &RequestId) -> Vec<CoordinatorEffect> {
+    fn execute(
+        &mut self,
+        now: Timestamp,
+        view: &FleetView,
+        request: &RequestId,
+    ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
         let Stage::Copying { owner } = record.stage.clone() else { return Vec::new() };
+        if record.header.resend && record.header.repeat == RepeatPolicy::Forbidden {
+            let detail = "no record of the earlier call was found; it may have run";
+            let refusal = Refusal::unknown(RefusalReason::NotFound, detail);
+            return self.end(now, view, request, Outcome::Refused(refusal));
+        }
         record.stage = Stage::Executing { owner: owner.clone() };
         record.attempt += 1;
         record.sent = true;
@@ -296,14 +365,25 @@
     /// A daemon holds the copy now; it tells what it held before.
     pub fn copy_held(
         &mut self,
+        now: Timestamp,
+        view: &FleetView,
         request: &RequestId,
+        holder: &NodeName,
         held_before: Option<RecordCopy>,
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        record.held_by.push(holder.clone());
         if !matches!(record.stage, Stage::Copying { .. }) {
             return Vec::new();
         }
-        let Some(copy) = held_before else { return self.execute(request) };
+        let Some(copy) = held_before else {
+            return self.execute_if_held(now, view, request);
+        };
+        if copy.digest != record.digest {
+            let detail = "request_id: used before with other content";
+            let refusal = record.refusal(RefusalReason::Conflict, detail);
+            return self.end(now, view, request, Outcome::Refused(refusal));
+        }
         record.stage = Stage::Adopting;
         record.sent = true;
         record.attempt += 1;
@@ -327,6 +407,96 @@
         self.copy_record(now, view, request)
     }
 
+    /// A handover was acknowledged, or failed and is tried again.
+    pub fn handed_over(
+        &mut self,
+        now: Timestamp,
+        request: &RequestId,
+        holder: &NodeName,
+        acknowledged: bool,
+    ) {
+        self.handovers = self.handovers.saturating_sub(1);
+        if acknowledged {
+            return;
+        }
+        if let Some(record) = self.records.get_mut(request) {
+            record.asked.retain(|asked| asked.node != *holder);
+        }
+        if let Some(held) = self.copies.get_mut(request) {
+            held.holders.retain(|known| known.node != *holder);
+        }
+        self.handover_at = Some(now.plus_millis(HANDOVER_INTERVAL_MS));
+    }
+
+    /// The fleet changed: records go to the daemons that hold them from now on, some at every tick.
+    /// Without it, one restart after another would leave no copy, though no two daemons were ever
+    /// down at once.
+    pub fn view_changed(&mut self, view: &FleetView) {
+        if self.placed_for != view.members_digest {
+            self.placed_for = view.members_digest;
+            self.place_all();
+        }
+    }
+
+    fn place_all(&mut self) {
+        let requests = self.records.keys().chain(self.copies.keys());
+        self.to_place = requests.cloned().collect();
+    }
+
+    /// Hands over the next records whose holders may have changed.
+    fn place_some(&mut self, view: &FleetView) -> Vec<CoordinatorEffect> {
+        let mut effects = Vec::new();
+        for _ in 0..PLACED_PER_TICK {
+            let Some(request) = self.to_place.pop_first() else { break };
+            effects.extend(self.place_record(view, &request));
+            effects.extend(self.place_copy(view, &request));
+        }
+        self.handovers += effects.len();
+        effects
+    }
+
+    fn place_record(&mut self, view: &FleetView, request: &RequestId) -> Vec<CoordinatorEffect> {
+        let Some(record) = self.records.get_mut(request) else { return Vec::new() };
+        // The other stages send copies of their own, or follow another home's execution.
+        if !matches!(record.stage, Stage::Ended | Stage::Executing { .. }) {
+            return Vec::new();
+        }
+        let holders = other_holders(view, request, &[]);
+        let fresh = holders.iter().filter(|holder| !record.asked.contains(holder));
+        let hand_over = |holder: &Holder| {
+            let to = holder.node.clone();
+            match &record.stage {
+                Stage::Executing { owner } => {
+                    let copy = running_copy(&self.home, record, owner.clone());
+                    CoordinatorEffect::Copy { to, copy, handover: true }
+                }
+                _ => CoordinatorEffect::CopyEnded { request: request.clone(), to },
+            }
+        };
+        let effects = fresh.map(hand_over).collect();
+        record.asked = holders;
+        effects
+    }
+
+    fn place_copy(&mut self, view: &FleetView, request: &RequestId) -> Vec<CoordinatorEffect> {
+        let Some(held) = self.copies.get_mut(request) else { return Vec::new() };
+        let holders = holders_of_copy(view, request);
+        let fresh = holders.iter().filter(|holder| !held.holders.contains(holder));
+        let hand_over = |holder: &Holder| CoordinatorEffect::Copy {
+            to: holder.node.clone(),
+            copy: held.copy.clone(),
+            handover: true,
+        };
+        let effects = fresh.map(hand_over).collect();
+        held.holders = holders;
+        effects
+    }
+
+    /// Handovers that are not yet acknowledged.
+    pub fn open_handovers(&self) -> usize {
+        self.handovers + self.to_place.len() + usize::from(self.handover_at.is_some())
+    }
+
     /// The owner reports that a back end runs the call.
     pub fn started(&mut self, request: &RequestId, attempt: u32) {
         if let Some(record) = self.records.get_mut(request).filter(|r| r.attempt == attempt) {
@@ -348,7 +518,7 @@
             return Vec::new();
         }
         match outcome {
-            Outcome::Completed => self.end(now, request, Outcome::Completed),
+            Outcome::Completed => self.end(now, view, request, Outcome::Completed),
             Outcome::Refused(refusal) => self.refused(now, view, request, refusal),
         }
     }
@@ -426,7 +596,7 @@
         if safe && sensible && in_time && in_count && self.spend_retry(&service) {
             return self.retry(now, view, request, refusal, not_run);
         }
-        self.end(now, request, Outcome::Refused(refusal))
+        self.end(now, view, request, Outcome::Refused(refusal))
     }
 
     fn spend_retry(&mut self, service: &ServiceId) -> bool {
@@ -467,10 +637,9 @@
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
         let service = record.header.service_id();
         let Some(owner) = self.router.choose(now, view, &service, &record.tried) else {
-            return self.end(now, request, Outcome::Refused(refusal));
+            return self.end(now, view, request, Outcome::Refused(refusal));
         };
-        record.stage = Stage::Copying { owner };
-        record.failed_holders.clear();
+        record.begin_attempt(owner);
         self.copy_record(now, view, request)
     }
 
@@ -478,6 +647,7 @@
     pub fn cancel(
         &mut self,
         now: Timestamp,
+        view: &FleetView,
         request: &RequestId,
     ) -> (bool, Vec<CoordinatorEffect>) {
         let Some(record) = self.records.get(request) else { return (false, Vec::new()) };
@@ -485,13 +655,14 @@
             return (false, Vec::new());
         }
         let refusal = record.refusal(RefusalReason::Cancelled, "cancelled by its caller");
-        (true, self.stop(now, request, refusal))
+        (true, self.stop(now, view, request, refusal))
     }
 
     /// Ends a request without an answer, and stops its execution.
     fn stop(
         &mut self,
         now: Timestamp,
+        view: &FleetView,
         request: &RequestId,
         refusal: Refusal,
     ) -> Vec<CoordinatorEffect> {
@@ -502,22 +673,25 @@
             self.router.returned(now, &owner, &record.header.service_id(), None);
             effects.push(CoordinatorEffect::CancelExecution { request: request.clone(), owner });
         }
-        effects.extend(self.end(now, request, Outcome::Refused(refusal)));
+        effects.extend(self.end(now, view, request, Outcome::Refused(refusal)));
         effects
     }
 
     fn end(
         &mut self,
         now: Timestamp,
+        view: &FleetView,
         request: &RequestId,
         outcome: Outcome,
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
         record.stage = Stage::Ended;
         self.open.remove(request);
-        let second = record.second.clone();
+        let holders = other_holders(view, request, &[]);
+        record.asked.clone_from(&holders);
+        let holders = holders.into_iter().map(|holder| holder.node).collect();
         self.expire_at(now.plus_millis(self.retention_ms), request.clone(), true);
-        vec![CoordinatorEffect::End { request: request.clone(), outcome, second }]
+        vec![CoordinatorEffect::End { request: request.clone(), outcome, holders }]
     }
 
     fn expire_at(&mut self, at: Timestamp, request: RequestId, record: bool) {
@@ -544,7 +718,7 @@
             let (digest, repeat) = (record.digest, record.header.repeat);
             return Some(RecordCopy { request, home: self.home.clone(), digest, repeat, state });
         }
-        let before = self.copies.get(&request).cloned();
+        let before = self.copies.get(&request).map(|held| held.copy.clone());
         let ended = |c: &RecordCopy| !matches!(c.state, RecordState::Running { .. });
         if before.as_ref().is_some_and(|held| ended(held) && !ended(&copy)) {
             return before;
@@ -555,7 +729,8 @@
         if foreign.is_some() && !ended(&copy) {
             return foreign;
         }
-        self.copies.insert(request.clone(), copy);
+        let holders = holders_of_copy(view, &request);
+        self.copies.insert(request.clone(), HeldCopy { copy, holders });
         let longest = yokefall_types::limits::MAX_CALL_DEADLINE_MS + self.retention_ms;
         self.expire_at(now.plus_millis(longest), request, false);
         foreign
@@ -563,7 +738,7 @@
 
     /// The copy held of a request.
     pub fn copy_of(&self, request: &RequestId) -> Option<&RecordCopy> {
-        self.copies.get(request)
+        self.copies.get(request).map(|held| &held.copy)
     }
 
     /// Whether this daemon is home of a request.
@@ -589,11 +764,16 @@
             let Some(record) = self.records.get(&request) else { continue };
             if record.deadline <= now {
                 let refusal = record.refusal(RefusalReason::DeadlineExceeded, "deadline passed");
-                effects.extend(self.stop(now, &request, refusal));
+                effects.extend(self.stop(now, view, &request, refusal));
             } else if matches!(record.stage, Stage::Backoff { until } if until <= now) {
                 effects.extend(self.repeat(now, view, &request));
             }
         }
+        if self.handover_at.is_some_and(|at| at <= now) {
+            self.handover_at = None;
+            self.place_all();
+        }
+        effects.extend(self.place_some(view));
         effects.extend(self.forget(now));
         effects
     }
@@ -611,9 +791,9 @@
         let owner = elsewhere.or_else(|| self.router.choose(now, view, &service, &[]));
         let Some(owner) = owner else {
             let refusal = record.refusal(RefusalReason::NoBackend, "no live back end is left");
-            return self.end(now, request, Outcome::Refused(refusal));
+            return self.end(now, view, request, Outcome::Refused(refusal));
         };
-        record.stage = Stage::Copying { owner };
+        record.begin_attempt(owner);
         self.copy_record(now, view, request)
     }
 
@@ -644,7 +824,8 @@
         stage,
         attempt: 0,
         tried: Vec::new(),
-        second: None,
+        asked: Vec::new(),
+        held_by: Vec::new(),
         failed_holders: Vec::new(),
         sent: false,
         started: false,
@@ -661,6 +842,37 @@
     }
 }
 
+/// The daemons besides this one that should hold copies of a record.
+fn other_holders(view: &FleetView, request: &RequestId, failed: &[NodeName]) -> Vec<Holder> {
+    let holders = record_holders(request, &view.members).into_iter();
+    let others = holders.filter(|node| *node != view.node && !failed.contains(node));
+    holder_lives(view, others.take(COPIES))
+}
+
+/// The daemons besides this one that should hold a record of another home.
+fn holders_of_copy(view: &FleetView, request: &RequestId) -> Vec<Holder> {
+    let holders = record_holders(request, &view.members).into_iter().take(COPIES + 1);
+    holder_lives(view, holders.filter(|node| *node != view.node))
+}
+
+fn holder_lives(view: &FleetView, nodes: impl Iterator<Item = NodeName>) -> Vec<Holder> {
+    let life = |node: NodeName| {
+        let incarnation = view.member(&node)?.incarnation;
+        Some(Holder { node, incarnation })
+    };
+    nodes.filter_map(life).collect()
+}
+
+fn running_copy(home: &HomeId, record: &Record, owner: NodeName) -> RecordCopy {
+    RecordCopy {
+        request: record.header.request.clone(),
+        home: home.clone(),
+        digest: record.digest,
+        repeat: record.header.repeat,
+        state: RecordState::Running { owner },
+    }
+}
+
 fn join(held: u64, given: u64) -> Submission {
     if held == given {
         return Submission::Joined;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -143,19 +143,19 @@
     pub fn member(&self, node: &NodeName) -> Option<&MemberInfo> {
         self.members.iter().find(|member| member.node == *node)
     }
-
-    /// The daemon other than this one that holds the copy of a request's record.
-    pub fn second_holder(&self, request: &RequestId) -> Option<NodeName> {
-        let holders = record_holders(request, &self.members);
-        holders.into_iter().find(|node| *node != self.node)
-    }
 }
 
 fn digest_of(members: &[MemberInfo]) -> u64 {
     let hash = |member: &MemberInfo| {
         let text = format!(
-            "{} {} {} {} {} {}",
-            member.node, member.address, member.zone, member.region, member.data, member.accepting
+            "{} {} {} {} {} {} {}",
+            member.node,
+            member.incarnation,
+            member.address,
+            member.zone,
+            member.region,
+            member.data,
+            member.accepting
         );
         xxh3_64(text.as_bytes())
     };
@@ -184,7 +184,7 @@
 }
 
 /// The daemons that hold a request's record, in order: the home daemon, then the holder of the
-/// copy, which stands in another zone where there is one, then the rest.
+/// first copy, which stands in another zone where there is one, then the rest.
 pub fn record_holders(request: &RequestId, members: &[MemberInfo]) -> Vec<NodeName> {
     let accepting: Vec<&MemberInfo> = members.iter().filter(|m| m.accepting).collect();
     let key = request.to_string();
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -550,6 +550,7 @@
 fn info(record: &MemberRecord) -> MemberInfo {
     MemberInfo {
         node: record.node.clone(),
+        incarnation: record.incarnation,
         address: record.address.clone(),
         zone: record.zone.clone(),
         region: record.region.clone(),
--- a/crates/core/tests/coordinator.rs
+++ b/crates/core/tests/coordinator.rs
@@ -44,7 +44,10 @@
         let mut proven = None;
         let effects = match kind % 8 {
             0 => coordinator.submit(now, &view, header, DIGEST, 10).1,
-            1 => coordinator.copy_held(&request, None),
+            1 => {
+                let holder = node(1 + choice as usize % 2);
+                coordinator.copy_held(now, &view, &request, &holder, None)
+            }
             2 => coordinator.copy_failed(now, &view, &request, &node(1)),
             3 => {
                 coordinator.execution_ended(now, &view, &request, attempt, Outcome::Completed, None)
@@ -64,7 +67,7 @@
                 coordinator.execution_lost(now, &view, &request, attempt, reached, detail)
             }
             6 => coordinator.tick(now, &view),
-            _ => coordinator.cancel(now, &request).1,
+            _ => coordinator.cancel(now, &view, &request).1,
         };
         if let Some(attempt) = proven {
             unproven.entry(request).or_default().retain(|sent| *sent != attempt);
@@ -216,3 +219,53 @@
     };
     assert_eq!(refusal.executed, None, "the first attempt may have run");
 }
+
+#[test]
+fn records_move_to_the_daemons_that_hold_them_after_a_change() {
+    let before = view(4, 1, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    let call = header("r", RepeatPolicy::Allowed);
+    let request = call.request.clone();
+    coordinator.submit(Timestamp(1), &before, call, DIGEST, 10);
+    let outcome = Outcome::Completed;
+    let ended = coordinator.execution_ended(Timestamp(2), &before, &request, 1, outcome, None);
+    let [CoordinatorEffect::End { holders, .. }] = &ended[..] else { panic!("want one end") };
+    assert_eq!(holders.len(), 2);
+    // One of the holders restarts: its copy is gone, and it is given another.
+    let mut after = before.clone();
+    let restarted = holders[0].clone();
+    for member in after.members.iter_mut().filter(|member| member.node == restarted) {
+        member.incarnation += 1;
+    }
+    after.members_digest += 1;
+    coordinator.view_changed(&after);
+    let effects = coordinator.tick(Timestamp(3), &after);
+    let [CoordinatorEffect::CopyEnded { to, .. }] = &effects[..] else {
+        panic!("want one handover, got {effects:?}");
+    };
+    assert_eq!(*to, restarted);
+    assert_eq!(coordinator.open_handovers(), 1);
+    // A handover that fails is tried again, one that is acknowledged is not.
+    coordinator.handed_over(Timestamp(4), &request, &restarted, false);
+    assert_eq!(coordinator.tick(Timestamp(5_000), &after).len(), 1);
+    coordinator.handed_over(Timestamp(5_001), &request, &restarted, true);
+    assert!(coordinator.tick(Timestamp(10_000), &after).is_empty());
+    assert_eq!(coordinator.open_handovers(), 0);
+}
+
+#[test]
+fn a_no_repeat_resend_without_a_record_is_not_run() {
+    let view = view(3, 2, 4, 0);
+    let mut coordinator = Coordinator::new(home(0), 1, RETENTION_MS);
+    let mut call = header("r", RepeatPolicy::Forbidden);
+    call.resend = true;
+    let request = call.request.clone();
+    let (_, effects) = coordinator.submit(Timestamp(1), &view, call, DIGEST, 10);
+    assert!(executions(&effects).is_empty());
+    let mut effects = coordinator.copy_held(Timestamp(2), &view, &request, &node(1), None);
+    effects.extend(coordinator.copy_held(Timestamp(2), &view, &request, &node(2), None));
+    let [CoordinatorEffect::End { outcome: Outcome::Refused(refusal), .. }] = &effects[..] else {
+        panic!("want one end, got {effects:?}");
+    };
+    assert_eq!(refusal.executed, None);
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -24,6 +24,7 @@
 pub fn member(number: usize) -> MemberInfo {
     MemberInfo {
         node: node(number),
+        incarnation: 1,
         address: format!("10.0.0.{number}:7100"),
         zone: format!("zone-{number}"),
         region: "region".to_owned(),
@@ -77,6 +78,7 @@
         service: ServiceName::new(SERVICE),
         priority: Priority::High,
         repeat,
+        resend: false,
         deadline_ms: 10_000,
         max_tokens: 10,
     }
--- a/crates/daemon/src/control/dispatch.rs
+++ b/crates/daemon/src/control/dispatch.rs
@@ -26,6 +26,8 @@
     pub admitted: usize,
     /// Batch items whose end is not yet acknowledged.
     pub items: usize,
+    /// Records that their new holders have not yet acknowledged.
+    pub handovers: usize,
 }
 
 impl BusyCounts {
@@ -59,6 +61,8 @@
     CopyHeld {
         /// The request.
         request: RequestId,
+        /// The daemon.
+        holder: NodeName,
         /// What it held before.
         held_before: Option<RecordCopy>,
     },
@@ -69,6 +73,15 @@
         /// The daemon.
         holder: NodeName,
     },
+    /// A handover of a record was acknowledged or failed.
+    HandedOver {
+        /// The request.
+        request: RequestId,
+        /// The new holder.
+        holder: NodeName,
+        /// Whether it holds the record.
+        acknowledged: bool,
+    },
     /// A back end runs the call.
     Started {
         /// The request.
@@ -352,6 +365,7 @@
             requests: self.coordinator.open_requests(),
             admitted: self.admission.busy(),
             items: self.runner.held(),
+            handovers: self.coordinator.open_handovers(),
         }
     }
 }
@@ -367,19 +381,26 @@
                 let view = self.shared.view.load_full();
                 let effects = self.admission.configure(now, &view);
                 self.admit(effects);
+                self.coordinator.view_changed(&view);
             }
             DispatchCommand::Submit { call, reply } => {
                 let _ = reply.send(self.submit(call));
             }
             DispatchCommand::Cancel { request, reply } => {
-                let (cancelled, effects) = self.coordinator.cancel(now, &request);
+                let view = self.shared.view.load_full();
+                let (cancelled, effects) = self.coordinator.cancel(now, &view, &request);
                 self.coordinate(effects);
                 let _ = reply.send(cancelled);
             }
-            DispatchCommand::CopyHeld { request, held_before } => {
-                let effects = self.coordinator.copy_held(&request, held_before);
+            DispatchCommand::CopyHeld { request, holder, held_before } => {
+                let view = self.shared.view.load_full();
+                let effects =
+                    self.coordinator.copy_held(now, &view, &request, &holder, held_before);
                 self.coordinate(effects);
             }
+            DispatchCommand::HandedOver { request, holder, acknowledged } => {
+                self.coordinator.handed_over(now, &request, &holder, acknowledged);
+            }
             DispatchCommand::CopyFailed { request, holder } => {
                 let view = self.shared.view.load_full();
                 let effects = self.coordinator.copy_failed(now, &view, &request, &holder);
--- a/crates/daemon/src/traffic/home.rs
+++ b/crates/daemon/src/traffic/home.rs
@@ -27,9 +27,16 @@
 pub fn carry_out(shared: &Arc<Shared>, traffic: &Handle, effect: CoordinatorEffect) {
     let shared = shared.clone();
     match effect {
-        CoordinatorEffect::Copy { to, copy } => {
+        CoordinatorEffect::Copy { to, copy, handover: false } => {
             traffic.spawn(copy_record(shared, to, copy));
         }
+        CoordinatorEffect::Copy { to, copy, handover: true } => {
+            traffic.spawn(hand_over(shared, to, copy.request.clone(), Some(copy)));
+        }
+        CoordinatorEffect::CopyEnded { request, to } => {
+            let copy = shared.calls.get(&request).and_then(|call| ended_copy(&shared, &call));
+            traffic.spawn(hand_over(shared, to, request, copy));
+        }
         CoordinatorEffect::Execute { request, attempt, owner } => {
             if let Some(call) = shared.calls.get(&request) {
                 traffic.spawn(execute(shared, call, attempt, owner));
@@ -49,8 +56,8 @@
                 tell(&shared, &owner, order).await;
             });
         }
-        CoordinatorEffect::End { request, outcome, second } => {
-            end(&shared, traffic, &request, outcome, second);
+        CoordinatorEffect::End { request, outcome, holders } => {
+            end(&shared, traffic, &request, outcome, holders);
         }
         CoordinatorEffect::Forget { request } => shared.calls.remove(&request),
     }
@@ -80,7 +87,7 @@
     let request = copy.request.clone();
     let command = match call_peer(&shared, &to, PeerRequest::HoldRecord(copy)).await {
         Ok(PeerReply::RecordHeld(held_before)) => {
-            DispatchCommand::CopyHeld { request, held_before }
+            DispatchCommand::CopyHeld { request, holder: to, held_before }
         }
         answer => {
             let detail = answer.err().map_or_else(|| "unexpected reply".into(), |e| e.to_string());
@@ -205,32 +212,57 @@
     let _ = shared.dispatch().tell(command).await;
 }
 
-/// Gives those who wait the end, and the holder of the copy the answer.
+/// Gives a record to a daemon that became one of its holders.
+async fn hand_over(
+    shared: Arc<Shared>,
+    to: NodeName,
+    request: RequestId,
+    copy: Option<RecordCopy>,
+) {
+    let acknowledged = match copy {
+        Some(copy) => {
+            let reply = call_peer(&shared, &to, PeerRequest::HoldRecord(copy)).await;
+            matches!(reply, Ok(PeerReply::RecordHeld(_)))
+        }
+        // The record was forgotten meanwhile.
+        None => true,
+    };
+    let command = DispatchCommand::HandedOver { request, holder: to, acknowledged };
+    let _ = shared.dispatch().tell(command).await;
+}
+
+/// The copy of an ended call, with its answer.
+fn ended_copy(shared: &Shared, call: &Call) -> Option<RecordCopy> {
+    let state = match call.buffer().ended()?.0 {
+        Outcome::Completed => RecordState::Answered(call.buffer().answer()),
+        Outcome::Refused(refusal) => RecordState::Refused(refusal),
+    };
+    Some(RecordCopy {
+        request: call.header().request.clone(),
+        home: shared.home.clone(),
+        digest: call.digest(),
+        repeat: call.header().repeat,
+        state,
+    })
+}
+
+/// Gives those who wait the end, and the holders of copies the answer.
 fn end(
     shared: &Arc<Shared>,
     traffic: &Handle,
     request: &RequestId,
     outcome: Outcome,
-    second: Option<NodeName>,
+    holders: Vec<NodeName>,
 ) {
     let Some(call) = shared.calls.get(request) else { return };
     call.buffer().end(outcome.clone(), None);
     call.release_body();
     count_end(&outcome);
-    let Some(second) = second else { return };
-    let state = match outcome {
-        Outcome::Completed => RecordState::Answered(call.buffer().answer()),
-        Outcome::Refused(refusal) => RecordState::Refused(refusal),
-    };
-    let copy = RecordCopy {
-        request: request.clone(),
-        home: shared.home.clone(),
-        digest: call.digest(),
-        repeat: call.header().repeat,
-        state,
-    };
-    let shared = shared.clone();
-    traffic.spawn(async move { tell(&shared, &second, PeerRequest::HoldRecord(copy)).await });
+    let Some(copy) = ended_copy(shared, &call) else { return };
+    for holder in holders {
+        let (shared, copy) = (shared.clone(), copy.clone());
+        traffic.spawn(async move { tell(&shared, &holder, PeerRequest::HoldRecord(copy)).await });
+    }
 }
 
 fn count_end(outcome: &Outcome) {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -158,6 +158,8 @@
 pub struct MemberInfo {
     /// Name of the daemon.
     pub node: NodeName,
+    /// Grows with every start of the daemon, and with every refutation of its death.
+    pub incarnation: u64,
     /// Its peer port, `IP:PORT`.
     pub address: String,
     /// Its zone.
--- a/crates/types/src/call.rs
+++ b/crates/types/src/call.rs
@@ -69,6 +69,8 @@
     pub priority: Priority,
     /// Whether the call may be executed more than once.
     pub repeat: RepeatPolicy,
+    /// Whether an earlier call with this id may have been sent.
+    pub resend: bool,
     /// Time left until the caller stops waiting, in milliseconds, as of sending this message.
     pub deadline_ms: u64,
     /// Greatest number of tokens generated; unused by plain services.
