Stores tell owners of waiting items; a wrong join found by chaos; modules split

A new home daemon, which counts attempts from one again, joined an execution that its predecessor had ordered to skip tokens. An order now joins only what begins at the same token; the decision moved into the core.

--- a/crates/bench/src/standin/engine/server.rs
+++ b/crates/bench/src/standin/engine/server.rs
@@ -19,8 +19,10 @@
 
 use super::cache::{BlockHash, CacheEvent};
 use super::control::{ControlAction, ControlOrder, ControlState};
+use super::fault::{EngineFault, Faults};
 use super::model::{Emitted, EngineLoad, EngineModel, Sequence, SequenceNumber};
 use super::parameters::EngineParameters;
+use super::report::{CacheEventReport, LoadReport};
 use crate::ledger::{ExecutionEnd, ExecutionNumber, Ledger};
 use crate::standin::http::{
     json, query_value, read_body, read_json, streaming, whole, Body, HttpServer, ResponseFuture,
@@ -46,52 +48,6 @@
 /// Pause of an engine that waits for memory or hangs.
 const BLOCKED_PAUSE: Duration = Duration::from_millis(5);
 
-/// A fault of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "fault", rename_all = "snake_case")]
-pub enum EngineFault {
-    /// The process dies: connections are cut, memory is lost, the port is closed.
-    Die,
-    /// It comes back after a death.
-    Revive,
-    /// It stops to make progress, or goes on.
-    Hang {
-        /// Whether it hangs.
-        on: bool,
-    },
-    /// Iterations take so many times their time.
-    Slow {
-        /// The factor; 1 is normal.
-        factor: f64,
-    },
-    /// Every open stream is cut in the middle.
-    CutStreams,
-    /// Work is done and its answers are lost, or no longer.
-    LoseAnswers {
-        /// Whether answers are lost.
-        on: bool,
-    },
-    /// Events are malformed JSON, or no longer.
-    BadJson {
-        /// Whether events are malformed.
-        on: bool,
-    },
-    /// Events are malformed UTF-8, or no longer.
-    BadText {
-        /// Whether events are malformed.
-        on: bool,
-    },
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Faults {
-    hang: bool,
-    slow: f64,
-    lose_answers: bool,
-    bad_json: bool,
-    bad_text: bool,
-}
-
 /// An open stream.
 struct Stream {
     engine_id: String,
@@ -121,32 +77,6 @@
     event: CacheEvent,
 }
 
-/// A load report as the engine sends it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Sequences in the batch.
-    pub running: usize,
-    /// Sequences that wait.
-    pub waiting: usize,
-    /// KV blocks in memory.
-    pub kv_blocks_used: usize,
-    /// KV blocks at the most.
-    pub kv_blocks: usize,
-    /// Age of the report, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// A cache event as the engine sends it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEventReport {
-    /// Number; a gap means that events were lost.
-    pub sequence: u64,
-    /// Block.
-    pub block: BlockHash,
-    /// Whether the block was stored, else evicted.
-    pub stored: bool,
-}
-
 /// Blocks on their way between engines.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExportedBlocks {
@@ -177,13 +107,7 @@
     ) -> std::io::Result<Self> {
         let models = parameters.models.iter().map(|model| (model.clone(), 1)).collect();
         let control = ControlState { models, ..ControlState::default() };
-        let faults = Faults {
-            hang: false,
-            slow: 1.0,
-            lose_answers: false,
-            bad_json: false,
-            bad_text: false,
-        };
+        let faults = Faults::none();
         let state = Arc::new(State {
             model: Mutex::new(EngineModel::new(parameters)),
             streams: Mutex::default(),
--- a/crates/core/src/batch.rs
+++ b/crates/core/src/batch.rs
@@ -12,8 +12,9 @@
 const EXTEND_INTERVAL_MS: u64 = 1_000;
 /// Pause before an unacknowledged report is sent again, in milliseconds.
 const REPORT_RETRY_MS: u64 = 500;
-/// Pause after an empty answer of a store: doubled from the least to the most, in milliseconds.
-const EMPTY_PAUSE_RANGE_MS: (u64, u64) = (50, 1_000);
+/// Pause after an empty answer of a store: doubled from the least to the most, in milliseconds. A
+/// store tells when it has work again; asking is for what was not told.
+const EMPTY_PAUSE_RANGE_MS: (u64, u64) = (100, 10_000);
 /// Pause after which an unanswered lease request no longer counts, in milliseconds.
 const LEASE_REQUEST_TIMEOUT_MS: u64 = 2_000;
 /// Most items asked for at once.
@@ -216,6 +217,14 @@
         effects
     }
 
+    /// A store tells that it has work for a service: it is asked at once where slots are idle.
+    pub fn work_available(&mut self, store: &NodeName, service: &ServiceId) {
+        if let Some(poll) = self.polls.get_mut(&(store.clone(), service.clone())) {
+            poll.pause_ms = 0;
+            poll.not_before = Timestamp(0);
+        }
+    }
+
     /// A store could not be asked.
     pub fn lease_failed(&mut self, now: Timestamp, store: &NodeName, service: &ServiceId) {
         self.note_answer(now, store, service, true);
--- /dev/null
+++ b/crates/core/src/coordinator/limits.rs
@@ -0,0 +1,36 @@
+//! Checks of a call before a record is made.
+
+use yokefall_types::{CallHeader, Refusal, RefusalReason};
+
+use super::Submission;
+use crate::fleet::FleetView;
+
+pub(super) fn join(held: u64, given: u64) -> Submission {
+    if held == given {
+        return Submission::Joined;
+    }
+    let detail = "request_id: used before with other content";
+    Submission::Refused(Refusal::not_run(RefusalReason::Conflict, detail))
+}
+
+pub(super) fn check_limits(
+    view: &FleetView,
+    header: &CallHeader,
+    body_bytes: usize,
+) -> Option<Refusal> {
+    let service = header.service_id();
+    let invalid = |detail: String| Some(Refusal::not_run(RefusalReason::InvalidArgument, detail));
+    let Some(declared) = view.services.get(&service) else {
+        let detail = format!("service: {service} is not declared");
+        return Some(Refusal::not_run(RefusalReason::UnknownService, detail));
+    };
+    let most_bytes = declared.spec.max_prompt_bytes as usize;
+    if body_bytes > most_bytes {
+        return invalid(format!("prompt: {body_bytes} bytes, {service} takes {most_bytes}"));
+    }
+    if header.max_tokens > declared.spec.max_tokens {
+        let most = declared.spec.max_tokens;
+        return invalid(format!("max_tokens: {}, {service} gives {most}", header.max_tokens));
+    }
+    None
+}
--- /dev/null
+++ b/crates/core/src/jobs/record.rs
@@ -0,0 +1,95 @@
+//! What the job store makes durable, and what it answers.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use yokefall_peer::{JobHeader, LeaseToken, LeasedItemRef};
+use yokefall_types::ItemResult;
+
+/// A job's number within its store.
+pub type JobNumber = u64;
+
+/// What must last.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum JobRecord {
+    /// A job was accepted.
+    Accepted {
+        /// Number of the job.
+        number: JobNumber,
+        /// Upload under which the bodies of its items are stored.
+        upload: u64,
+        /// Header.
+        header: JobHeader,
+        /// Digest over the header and the bodies.
+        digest: u64,
+        /// Number of items.
+        items: u32,
+        /// Time of acceptance, milliseconds since 1970.
+        accepted_unix_ms: u64,
+    },
+    /// A job was cancelled.
+    Cancelled {
+        /// Number of the job.
+        number: JobNumber,
+    },
+    /// A no-repeat item may be sent to a back end from now on.
+    Started {
+        /// Number of the job.
+        number: JobNumber,
+        /// Position within the job.
+        index: u32,
+        /// Lease under which it starts.
+        token: LeaseToken,
+    },
+    /// A started item was proven not to have been sent.
+    NotStarted {
+        /// Number of the job.
+        number: JobNumber,
+        /// Position within the job.
+        index: u32,
+    },
+    /// An item ended.
+    Ended {
+        /// Number of the job.
+        number: JobNumber,
+        /// Its result.
+        result: ItemResult,
+    },
+}
+
+/// A reply that may be sent once the records are durable.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision<T> {
+    /// The reply.
+    pub reply: T,
+    /// What must be durable first.
+    pub records: Vec<JobRecord>,
+}
+
+/// Answer to a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acceptance {
+    /// A new job.
+    New {
+        /// Items accepted.
+        accepted: u32,
+    },
+    /// The job existed with the same content; the upload is to be discarded.
+    Joined {
+        /// Items accepted then.
+        accepted: u32,
+    },
+    /// The key was used with other content; the upload is to be discarded.
+    Conflict,
+}
+
+/// An item leased to a holder; its body is stored under `upload` and the item's index.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseGrant {
+    /// The item and its lease.
+    pub item: LeasedItemRef,
+    /// Upload under which its body is stored.
+    pub upload: u64,
+    /// Header of its job.
+    pub header: JobHeader,
+    /// Milliseconds until the job's deadline.
+    pub deadline_ms: u64,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod batch;
 pub mod configuration;
 pub mod coordinator;
+pub mod execution;
 pub mod fleet;
 pub mod jobs;
 pub mod membership;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership/mod.rs
@@ -4,16 +4,19 @@
 //! suspects it, and declares it dead unless it refutes with a higher incarnation. News travels on
 //! the probes themselves (the SWIM scheme, Das, Gupta and Motivala, 2002).
 
+mod digest;
+mod message;
+
 use std::collections::BTreeMap;
 
-use borsh::{BorshDeserialize, BorshSerialize};
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::SeedableRng;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yokefall_peer::MemberInfo;
 use yokefall_types::NodeName;
 
+use self::digest::{bucket_of, record_hash, REPAIR_BUCKETS};
+pub use self::message::{Datagram, DatagramKind, MemberRecord, MemberState, Outgoing};
 use crate::time::Timestamp;
 
 /// Interval between two probes of one daemon, in milliseconds.
@@ -34,101 +37,6 @@
 const SEED_INTERVAL_MS: u64 = 5_000;
 /// Least interval between two repairs, in milliseconds.
 const REPAIR_INTERVAL_MS: u64 = 2_000;
-/// Parts of the member list that are compared one by one in a repair, so that one change costs
-/// one part of the list and not the whole.
-const REPAIR_BUCKETS: usize = 32;
-
-/// Place of the state within the seed of a record's hash, above any incarnation.
-const STATE_SHIFT: u32 = 60;
-
-/// State of a member.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
-)]
-pub enum MemberState {
-    /// Answers probes.
-    Alive,
-    /// Alive, but takes nothing new: it is stopping.
-    Leaving,
-    /// Did not answer; may refute.
-    Suspect,
-    /// Did not refute in time, or has left.
-    Dead,
-}
-
-/// A member as told between daemons.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct MemberRecord {
-    /// Name.
-    pub node: NodeName,
-    /// Grows with every start and every refutation.
-    pub incarnation: u64,
-    /// Peer address, `IP:PORT`; TCP and UDP.
-    pub address: String,
-    /// Zone.
-    pub zone: String,
-    /// Region of the zone.
-    pub region: String,
-    /// Whether it holds a data folder.
-    pub data: bool,
-    /// State.
-    pub state: MemberState,
-}
-
-/// A membership datagram.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Datagram {
-    /// The sender.
-    pub from: NodeName,
-    /// Highest configuration version in force at the sender.
-    pub configuration_version: u64,
-    /// Digest of the sender's member list.
-    pub digest: u64,
-    /// What it says.
-    pub kind: DatagramKind,
-    /// News.
-    pub updates: Vec<MemberRecord>,
-}
-
-/// What a datagram says.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub enum DatagramKind {
-    /// Asks for the whole member list.
-    Join,
-    /// A part of the member list.
-    Members,
-    /// Asks for the parts of the member list that differ.
-    Repair {
-        /// Digest of each part of the sender's list.
-        buckets: Vec<u64>,
-    },
-    /// Asks for an acknowledgement.
-    Ping {
-        /// Number of the probe.
-        sequence: u64,
-    },
-    /// Acknowledges a probe.
-    Ack {
-        /// Number of the probe.
-        sequence: u64,
-    },
-    /// Asks to probe a third member.
-    PingRequest {
-        /// Number of the probe at the sender.
-        sequence: u64,
-        /// The member to probe.
-        target: NodeName,
-    },
-}
-
-/// A datagram to be sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Outgoing {
-    /// Destination, `IP:PORT`.
-    pub to: String,
-    /// Content.
-    pub datagram: Datagram,
-}
 
 #[derive(Clone, Debug)]
 struct Entry {
@@ -538,15 +446,6 @@
     }
 }
 
-fn bucket_of(node: &NodeName) -> usize {
-    xxh3_64_with_seed(node.as_str().as_bytes(), 0) as usize % REPAIR_BUCKETS
-}
-
-fn record_hash(record: &MemberRecord) -> u64 {
-    let seed = record.incarnation ^ ((record.state as u64) << STATE_SHIFT);
-    xxh3_64_with_seed(record.node.as_str().as_bytes(), seed)
-}
-
 fn info(record: &MemberRecord) -> MemberInfo {
     MemberInfo {
         node: record.node.clone(),
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -248,3 +248,20 @@
     let progress = store.progress(&job("once")).expect("the job is held");
     assert_eq!((progress.state, progress.unknown), (JobState::Cancelled, 1));
 }
+
+#[test]
+fn owners_are_told_once_when_items_wait_that_did_not() {
+    let mut store = JobStore::new(1);
+    let accept = |store: &mut JobStore, key: &str| {
+        let header = job_header(key, RepeatPolicy::Allowed);
+        store.accept(Timestamp(1), 1, header, 1, ITEMS, 1);
+    };
+    accept(&mut store, "first");
+    accept(&mut store, "second");
+    assert_eq!(store.take_newly_ready(), vec![service()]);
+    assert!(store.take_newly_ready().is_empty());
+    let grants = store.lease(Timestamp(1), &service(), 2 * ITEMS);
+    let item = grants[0].item.clone();
+    store.give_back(vec![ReturnedItem { item, cause: ReturnCause::Yielded }]);
+    assert_eq!(store.take_newly_ready(), vec![service()]);
+}
--- a/crates/daemon/src/control/dispatch.rs
+++ b/crates/daemon/src/control/dispatch.rs
@@ -155,6 +155,13 @@
         /// The items.
         items: Option<Vec<LeasedItem>>,
     },
+    /// A store has items of a service that wait.
+    WorkAvailable {
+        /// The store's daemon.
+        store: NodeName,
+        /// The service.
+        service: ServiceId,
+    },
     /// A store answered a request for start marks.
     StartAnswered {
         /// The items asked for.
@@ -438,6 +445,10 @@
             DispatchCommand::Leased { store, service, items } => {
                 self.leased(&store, &service, items);
             }
+            DispatchCommand::WorkAvailable { store, service } => {
+                self.runner.work_available(&store, &service);
+                self.lease();
+            }
             DispatchCommand::StartAnswered { asked, granted } => {
                 self.start_answered(&asked, &granted);
             }
--- a/crates/daemon/src/control/jobs.rs
+++ b/crates/daemon/src/control/jobs.rs
@@ -1,17 +1,24 @@
 //! The job store: one actor, whose replies wait for the journal.
 
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use kameo::message::{Context, Message};
 use kameo::Actor;
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use yokefall_core::jobs::{Acceptance, Decision, JobNumber, JobRecord, JobStore, LeaseGrant};
-use yokefall_peer::{CompletedItem, JobHeader, LeasedItemRef, ReturnedItem};
+use yokefall_core::Timestamp;
+use yokefall_peer::{CompletedItem, JobHeader, LeasedItemRef, PeerRequest, ReturnedItem};
 use yokefall_storage::JournalTask;
 use yokefall_types::{JobId, JobProgress, ServiceId};
 
 use crate::clock::unix_ms;
 use crate::shared::Shared;
+use crate::traffic::call_peer;
+
+/// Least interval at which the owners of a service are told of waiting items, in milliseconds.
+const TELL_INTERVAL_MS: u64 = 500;
 
 /// Commands to the actor. A dropped reply means that the journal failed.
 pub enum JobCommand {
@@ -94,12 +101,44 @@
 #[derive(Actor)]
 pub struct JobActor {
     shared: Arc<Shared>,
+    traffic: Handle,
     store: JobStore,
+    told: HashMap<ServiceId, Timestamp>,
+    untold: HashSet<ServiceId>,
 }
 
 impl JobActor {
-    pub(super) fn new(shared: Arc<Shared>, store: JobStore) -> Self {
-        Self { shared, store }
+    pub(super) fn new(shared: Arc<Shared>, traffic: Handle, store: JobStore) -> Self {
+        Self { shared, traffic, store, told: HashMap::new(), untold: HashSet::new() }
+    }
+
+    /// Tells the owners of a service's back ends that items wait, at most once an interval: items
+    /// that yield and wait again in a burst must not become a burst of messages.
+    fn tell_owners(&mut self, now: Timestamp) {
+        self.untold.extend(self.store.take_newly_ready());
+        let told = &self.told;
+        let is_due = |service: &ServiceId| {
+            told.get(service).is_none_or(|at| now.millis_since(*at) >= TELL_INTERVAL_MS)
+        };
+        let due: Vec<ServiceId> = self.untold.iter().filter(|s| is_due(s)).cloned().collect();
+        for service in due {
+            self.untold.remove(&service);
+            self.told.insert(service.clone(), now);
+            self.tell_owners_of(&service);
+        }
+    }
+
+    fn tell_owners_of(&self, service: &ServiceId) {
+        let view = self.shared.view.load();
+        let Some(declared) = view.services.get(service) else { return };
+        for owner in &declared.owners {
+            let (shared, owner) = (self.shared.clone(), owner.node.clone());
+            let store = self.shared.node.clone();
+            let request = PeerRequest::WorkAvailable { store, service: service.clone() };
+            self.traffic.spawn(async move {
+                let _ = call_peer(&shared, &owner, request).await;
+            });
+        }
     }
 
     /// Sends a reply once its records, and all before them, are durable.
@@ -129,6 +168,7 @@
                 if !records.is_empty() {
                     self.write(records, || {});
                 }
+                self.tell_owners(now);
                 metrics::gauge!("yokefall_job_items_open").set(self.store.size().1 as f64);
             }
             JobCommand::Accept { header, digest, items, upload, reply } => {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -85,7 +85,7 @@
     tick(dispatch.clone(), || DispatchCommand::Tick);
     let _ = shared.dispatch.set(dispatch);
     if let Some(store) = parts.jobs {
-        let jobs = JobActor::new(shared.clone(), store);
+        let jobs = JobActor::new(shared.clone(), traffic.clone(), store);
         let jobs = JobActor::spawn_with_mailbox(jobs, mailbox::bounded(MAILBOX));
         tick(jobs.clone(), || JobCommand::Tick);
         let _ = shared.jobs.set(jobs);
--- a/crates/daemon/src/ports/calls.rs
+++ b/crates/daemon/src/ports/calls.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use yokefall_core::coordinator::Submission;
+use yokefall_core::execution::{joins, HeldExecution};
 use yokefall_peer::{
     CallEvent, ExecuteCall, OnlineCall, PeerReply, PeerRequest, RecordState, Responder,
 };
-use yokefall_types::{NodeName, Outcome, Refusal, RefusalReason, RepeatPolicy, RequestId};
+use yokefall_types::{NodeName, Outcome, Refusal, RefusalReason, RequestId};
 
 use crate::control::DispatchCommand;
 use crate::ports::peers::ask;
@@ -114,47 +115,50 @@
     }
 }
 
-/// Runs a call on an owned back end, by order of a home daemon, and sends its answer.
-///
-/// Invariant: a no-repeat call of which an execution is held is joined, not run again, unless
-/// that one is proven not to have run. Two home daemons may both believe that it is theirs.
+/// Runs a call on an owned back end, by order of a home daemon, or joins the execution held, and
+/// sends its answer.
 pub async fn execute(
     shared: &Arc<Shared>,
     home: &NodeName,
     order: ExecuteCall,
     responder: &Responder,
 ) {
-    let request = order.call.header.request.clone();
-    let held = shared.executions.get(&request);
-    let no_repeat = order.call.header.repeat == RepeatPolicy::Forbidden;
+    let held = shared.executions.get(&order.call.header.request);
+    let repeat = order.call.header.repeat;
     let call = match held {
-        Some(held) if no_repeat && !proven_not_run(&held) => held,
-        Some(held) if held.attempt() >= order.attempt && held.buffer().ended().is_none() => held,
+        Some(held) if joins(&describe(&held), repeat, order.attempt, order.resume_from_token) => {
+            held
+        }
         held => {
             if let Some(earlier) = held {
                 earlier.stop();
             }
-            let call = Call::execution(order.call, order.attempt, order.resume_from_token);
-            shared.executions.replace(call.clone());
-            let execution = call.clone();
-            let arrived = shared.dispatch().tell(DispatchCommand::Arrive { execution }).await;
-            if arrived.is_err() {
-                let detail = format!("{} is stopping, asked by {home}", shared.node);
-                let refusal = Refusal::not_run(RefusalReason::Stopping, detail);
-                call.buffer().end(Outcome::Refused(refusal), None);
-            }
-            tokio::spawn(retain(shared.clone(), call.clone()));
-            call
+            begin_execution(shared, home, order).await
         }
     };
     send_execution(&call, responder).await;
 }
 
-fn proven_not_run(call: &Call) -> bool {
-    matches!(
-        call.buffer().ended(),
-        Some((Outcome::Refused(Refusal { executed: Some(false), .. }), _))
-    )
+fn describe(call: &Call) -> HeldExecution {
+    HeldExecution {
+        attempt: call.attempt(),
+        resume_from_token: call.resume_from_token(),
+        ended: call.buffer().ended().map(|(outcome, _)| outcome),
+    }
+}
+
+async fn begin_execution(shared: &Arc<Shared>, home: &NodeName, order: ExecuteCall) -> Arc<Call> {
+    let call = Call::execution(order.call, order.attempt, order.resume_from_token);
+    shared.executions.replace(call.clone());
+    let execution = call.clone();
+    let arrived = shared.dispatch().tell(DispatchCommand::Arrive { execution }).await;
+    if arrived.is_err() {
+        let detail = format!("{} is stopping, asked by {home}", shared.node);
+        let refusal = Refusal::not_run(RefusalReason::Stopping, detail);
+        call.buffer().end(Outcome::Refused(refusal), None);
+    }
+    tokio::spawn(retain(shared.clone(), call.clone()));
+    call
 }
 
 async fn send_execution(call: &Call, responder: &Responder) {
--- a/crates/daemon/src/ports/peers.rs
+++ b/crates/daemon/src/ports/peers.rs
@@ -60,6 +60,11 @@
                 });
                 responder.send(answer.unwrap_or_else(|_| stopping()));
             }
+            PeerRequest::WorkAvailable { store, service } => {
+                let command = DispatchCommand::WorkAvailable { store, service };
+                let _ = shared.dispatch().tell(command).await;
+                responder.send(PeerReply::Done);
+            }
             PeerRequest::PushObjects(objects) => {
                 let _ = shared.fleet().tell(FleetCommand::Apply(objects)).await;
                 responder.send(PeerReply::Done);
--- a/crates/daemon/src/traffic/batch.rs
+++ b/crates/daemon/src/traffic/batch.rs
@@ -69,6 +69,7 @@
 
 async fn lease(shared: Arc<Shared>, store: NodeName, service: ServiceId, most: u32) {
     let holder = shared.node.clone();
+    metrics::counter!("yokefall_lease_requests_total").increment(1);
     let request = PeerRequest::LeaseItems { service: service.clone(), most, holder };
     let items = match call_peer(&shared, &store, request).await {
         Ok(PeerReply::Leased(items)) => Some(items),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -273,6 +273,13 @@
     ReturnItems(Vec<ReturnedItem>),
     /// Report the end of items. Reply: `Done`, once on disk.
     CompleteItems(Vec<CompletedItem>),
+    /// The sender's store has items of a service that wait. Reply: `Done`.
+    WorkAvailable {
+        /// The store's daemon.
+        store: NodeName,
+        /// The service.
+        service: ServiceId,
+    },
     /// Objects that the sender holds. Reply: `Repair`.
     ConfigurationDigest {
         /// Digest over all objects held by the sender.
