--- a/crates/app/tests/walk.rs
+++ b/crates/app/tests/walk.rs
@@ -100,6 +100,21 @@
         text(&output.stdout),
         text(&output.stderr),
     );
+    for file in ["daemon-1.log", "daemon-2.log", "agent.log"] {
+        check_log(&folder.path().join(file));
+    }
+}
+
+/// Every line of a log is a JSON object that names role, step, peer and id.
+fn check_log(file: &Path) {
+    let log = std::fs::read_to_string(file).expect("a log");
+    assert!(!log.is_empty(), "{} is empty", file.display());
+    for line in log.lines() {
+        let value: serde_json::Value = serde_json::from_str(line).expect(line);
+        for field in ["role", "step", "peer", "id"] {
+            assert!(value["kv"][field].is_string(), "{field} is missing: {line}");
+        }
+    }
 }
 
 #[test]
--- a/crates/daemon/src/traffic/home.rs
+++ b/crates/daemon/src/traffic/home.rs
@@ -43,12 +43,9 @@
             }
         }
         CoordinatorEffect::Adopt { request, attempt, state } => {
-            // The table entry of a call that is adopted on arrival is made just after this effect.
-            traffic.spawn(async move {
-                if let Some(call) = wait_for_call(&shared, &request).await {
-                    adopt(shared, call, attempt, state).await;
-                }
-            });
+            if let Some(call) = shared.calls.get(&request) {
+                traffic.spawn(adopt(shared, call, attempt, state));
+            }
         }
         CoordinatorEffect::CancelExecution { request, owner } => {
             traffic.spawn(async move {
@@ -63,17 +60,6 @@
     }
 }
 
-async fn wait_for_call(shared: &Shared, request: &RequestId) -> Option<Arc<Call>> {
-    for _ in 0..TELL_TRIES {
-        if let Some(call) = shared.calls.get(request) {
-            return Some(call);
-        }
-        tokio::task::yield_now().await;
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
-    None
-}
-
 async fn tell(shared: &Shared, node: &NodeName, request: PeerRequest) {
     for _ in 0..TELL_TRIES {
         if call_peer(shared, node, request.clone()).await.is_ok() {
