--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -5,12 +5,15 @@
 use xxhash_rust::xxh3::xxh3_64;
 use yokefall_peer::MemberInfo;
 use yokefall_types::{
-    rendezvous_order, BackendId, BackendSpec, Declaration, Kind, NodeName, RequestId, ServiceId,
-    ServiceSpec,
+    rendezvous_order, rendezvous_score, BackendId, BackendSpec, Declaration, Kind, NodeName,
+    RequestId, ServiceId, ServiceSpec,
 };
 
 use crate::configuration::ConfigurationStore;
 
+/// Holders of a record that are told, in order: more than are ever tried.
+const MOST_HOLDERS: usize = 8;
+
 /// A back end owned by this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnedBackend {
@@ -184,22 +187,30 @@
 }
 
 /// The daemons that hold a request's record, in order: the home daemon, then the holder of the
-/// first copy, which stands in another zone where there is one, then the rest.
+/// first copy, which stands in another zone where there is one, then the next. At most
+/// `MOST_HOLDERS` are told: this runs for every call, and the whole fleet need not be put in order.
 pub fn record_holders(request: &RequestId, members: &[MemberInfo]) -> Vec<NodeName> {
-    let accepting: Vec<&MemberInfo> = members.iter().filter(|m| m.accepting).collect();
-    let key = request.to_string();
-    let mut order: Vec<NodeName> =
-        rendezvous_order(key.as_bytes(), accepting.iter().map(|m| &m.node))
-            .into_iter()
-            .cloned()
-            .collect();
-    let zone_of = |node: &NodeName| accepting.iter().find(|m| m.node == *node).map(|m| &m.zone);
-    let Some(home_zone) = order.first().map(zone_of) else { return order };
-    if let Some(position) = order.iter().position(|node| zone_of(node) != home_zone) {
-        let second = order.remove(position);
-        order.insert(1, second);
+    let score = rendezvous_score(request.to_string().as_bytes());
+    let accepting = members.iter().filter(|member| member.accepting);
+    let mut scored: Vec<(u64, &MemberInfo)> = accepting.map(|m| (score(&m.node), m)).collect();
+    let by_score = |left: &(u64, &MemberInfo), right: &(u64, &MemberInfo)| {
+        (right.0, &right.1.node).cmp(&(left.0, &left.1.node))
+    };
+    if scored.len() > MOST_HOLDERS {
+        scored.select_nth_unstable_by(MOST_HOLDERS, by_score);
     }
-    order
+    let first = scored.len().min(MOST_HOLDERS);
+    let (order, rest) = scored.split_at_mut(first);
+    order.sort_unstable_by(by_score);
+    let Some((_, home)) = order.first() else { return Vec::new() };
+    let elsewhere = |(_, member): &&(u64, &MemberInfo)| member.zone != home.zone;
+    let near = order.iter().find(elsewhere).copied();
+    // Rarely, the whole head of the order stands in the home's zone.
+    let second =
+        near.or_else(|| rest.iter().filter(elsewhere).min_by(|l, r| by_score(l, r)).copied());
+    let second = second.map(|(_, member)| &member.node);
+    let others = order.iter().skip(1).map(|(_, m)| &m.node).filter(|node| Some(*node) != second);
+    std::iter::once(&home.node).chain(second).chain(others).cloned().collect()
 }
 
 /// The data daemon that stores a job: first in rendezvous order over the configured data daemons,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,4 +17,4 @@
     BackendId, JobId, NodeName, PartnerName, RequestId, ServiceId, ServiceName, TenantName,
 };
 pub use job::{ItemOutcome, ItemResult, JobProgress, JobState};
-pub use place::rendezvous_order;
+pub use place::{rendezvous_order, rendezvous_score};
