Dead code out, holders of a repeatable call worked out once less, narrower visibility

Cause, found on reading the whole change again: splitting the modules had opened methods that only their own module calls; a summary of observations, an extension of ledgers and a check for closed connections were called by nobody; and for a repeatable call, which waits for no copy, the holders were found a second time only to be ignored.

--- a/crates/bench/src/ledger.rs
+++ b/crates/bench/src/ledger.rs
@@ -82,11 +82,6 @@
         self.lock().clone()
     }
 
-    /// Entries of other ledgers, such as those of other processes.
-    pub fn extend(&self, entries: Vec<Execution>) {
-        self.lock().extend(entries);
-    }
-
     /// Executions by the request's or item's own id.
     pub fn counts(&self) -> HashMap<String, ExecutionCounts> {
         let mut counts: HashMap<String, ExecutionCounts> = HashMap::new();
--- a/crates/bench/src/load/online.rs
+++ b/crates/bench/src/load/online.rs
@@ -1,6 +1,5 @@
 //! Online requests at open-loop arrivals; latencies count from the intended arrival.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -309,17 +308,3 @@
     }
     counts
 }
-
-/// Requests by what their callers saw, for progress lines.
-pub fn summary(observations: &[Observation]) -> HashMap<&'static str, usize> {
-    let mut summary = HashMap::new();
-    for observation in observations {
-        let name = match observation.seen {
-            Seen::Answer { .. } => "answered",
-            Seen::Refused { .. } => "refused",
-            Seen::Nothing { .. } => "nothing",
-        };
-        *summary.entry(name).or_default() += 1;
-    }
-    summary
-}
--- a/crates/core/src/coordinator/attempts.rs
+++ b/crates/core/src/coordinator/attempts.rs
@@ -90,7 +90,7 @@
     }
 
     /// Notes the end of an attempt. Returns `false` for an attempt that no longer counts.
-    pub(super) fn settle(
+    fn settle(
         &mut self,
         now: Timestamp,
         request: &RequestId,
@@ -112,7 +112,7 @@
     }
 
     /// An attempt was refused: run again where that is safe and within the budget, else end.
-    pub(super) fn refused(
+    fn refused(
         &mut self,
         now: Timestamp,
         view: &FleetView,
@@ -144,7 +144,7 @@
         self.end(now, view, request, Outcome::Refused(refusal))
     }
 
-    pub(super) fn spend_retry(&mut self, service: &ServiceId) -> bool {
+    fn spend_retry(&mut self, service: &ServiceId) -> bool {
         let budget = self.budgets.entry(service.clone()).or_insert(RETRY_BUDGET_RESERVE);
         if *budget < 1.0 {
             return false;
@@ -153,7 +153,7 @@
         true
     }
 
-    pub(super) fn retry(
+    fn retry(
         &mut self,
         now: Timestamp,
         view: &FleetView,
@@ -172,7 +172,7 @@
     }
 
     /// Sends the call to an owner not yet tried; without one the refusal is final.
-    pub(super) fn execute_elsewhere(
+    fn execute_elsewhere(
         &mut self,
         now: Timestamp,
         view: &FleetView,
--- a/crates/core/src/coordinator/copies.rs
+++ b/crates/core/src/coordinator/copies.rs
@@ -47,19 +47,22 @@
     /// Sends the call to its owner once enough copies are held. A repeatable call does not wait. A
     /// fleet of one runs the call all the same; a no-repeat call whose other holders are all out
     /// of reach is refused, since it could run again elsewhere.
-    pub(super) fn execute_if_held(
+    fn execute_if_held(
         &mut self,
         now: Timestamp,
         view: &FleetView,
         request: &RequestId,
     ) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get(request) else { return Vec::new() };
+        if record.header.repeat == RepeatPolicy::Allowed {
+            return self.execute(now, view, request);
+        }
         let holders = other_holders(view, request, &record.failed_holders);
         let held = holders.iter().filter(|holder| record.held_by.contains(&holder.node)).count();
         // Members that are leaving hold nothing new, so that the last to stay is alone.
         let alone = holders.is_empty() && record.failed_holders.is_empty();
         let enough = !holders.is_empty() && held == holders.len();
-        if alone || enough || record.header.repeat == RepeatPolicy::Allowed {
+        if alone || enough {
             return self.execute(now, view, request);
         }
         if !holders.is_empty() {
@@ -163,11 +166,7 @@
         effects
     }
 
-    pub(super) fn place_record(
-        &mut self,
-        view: &FleetView,
-        request: &RequestId,
-    ) -> Vec<CoordinatorEffect> {
+    fn place_record(&mut self, view: &FleetView, request: &RequestId) -> Vec<CoordinatorEffect> {
         let Some(record) = self.records.get_mut(request) else { return Vec::new() };
         // The other stages send copies of their own, or follow another home's execution.
         if !matches!(record.stage, Stage::Ended | Stage::Executing { .. }) {
@@ -190,11 +189,7 @@
         effects
     }
 
-    pub(super) fn place_copy(
-        &mut self,
-        view: &FleetView,
-        request: &RequestId,
-    ) -> Vec<CoordinatorEffect> {
+    fn place_copy(&mut self, view: &FleetView, request: &RequestId) -> Vec<CoordinatorEffect> {
         let Some(held) = self.copies.get_mut(request) else { return Vec::new() };
         let holders = holders_of_copy(view, request);
         let fresh = holders.iter().filter(|holder| !held.holders.contains(holder));
--- a/crates/core/src/coordinator/record.rs
+++ b/crates/core/src/coordinator/record.rs
@@ -51,7 +51,7 @@
 
 impl Record {
     /// Whether the call ran, over all attempts.
-    pub(super) fn executed(&self) -> Option<bool> {
+    fn executed(&self) -> Option<bool> {
         let this_attempt = match (self.started, self.sent) {
             (true, _) => Some(true),
             (false, true) => None,
--- a/crates/core/src/jobs/ends.rs
+++ b/crates/core/src/jobs/ends.rs
@@ -18,11 +18,7 @@
         Decision { reply: (), records }
     }
 
-    pub(super) fn complete_one(
-        &mut self,
-        completed: CompletedItem,
-        records: &mut Vec<JobRecord>,
-    ) -> bool {
+    fn complete_one(&mut self, completed: CompletedItem, records: &mut Vec<JobRecord>) -> bool {
         let item = completed.item;
         let Some(number) = self.numbers.get(&item.job).copied() else { return false };
         let Some(job) = self.jobs.get(&number) else { return false };
@@ -58,12 +54,7 @@
         self.end_with(number, ItemResult { index, outcome, attempt, body }, records);
     }
 
-    pub(super) fn end_with(
-        &mut self,
-        number: JobNumber,
-        result: ItemResult,
-        records: &mut Vec<JobRecord>,
-    ) {
+    fn end_with(&mut self, number: JobNumber, result: ItemResult, records: &mut Vec<JobRecord>) {
         let Some(job) = self.jobs.get_mut(&number) else { return };
         let index = result.index;
         match job.items[index as usize] {
@@ -98,7 +89,7 @@
         Decision { reply: self.progress(id), records }
     }
 
-    pub(super) fn end_unstarted(
+    fn end_unstarted(
         &mut self,
         number: JobNumber,
         outcome: ItemOutcome,
@@ -115,12 +106,7 @@
 
     /// Ends the started items of a cancelled job whose holder is given up: nobody waits for their
     /// answer any more.
-    pub(super) fn end_given_up(
-        &mut self,
-        now: Timestamp,
-        number: JobNumber,
-        records: &mut Vec<JobRecord>,
-    ) {
+    fn end_given_up(&mut self, now: Timestamp, number: JobNumber, records: &mut Vec<JobRecord>) {
         let Some(job) = self.jobs.get(&number) else { return };
         let given_up = |item: &Item| matches!(item, Item::Started { until, .. } if *until <= now);
         let indexes: Vec<u32> =
--- a/crates/core/src/jobs/leases.rs
+++ b/crates/core/src/jobs/leases.rs
@@ -24,7 +24,7 @@
         grants
     }
 
-    pub(super) fn lease_one(&mut self, now: Timestamp, number: JobNumber) -> Option<LeaseGrant> {
+    fn lease_one(&mut self, now: Timestamp, number: JobNumber) -> Option<LeaseGrant> {
         let epoch = self.epoch;
         let job = self.jobs.get_mut(&number)?;
         let index = job.waiting.pop_front()?;
@@ -80,7 +80,7 @@
         items.into_iter().filter(|item| self.extend_one(now, item)).collect()
     }
 
-    pub(super) fn extend_one(&mut self, now: Timestamp, item: &LeasedItemRef) -> bool {
+    fn extend_one(&mut self, now: Timestamp, item: &LeasedItemRef) -> bool {
         let Some(number) = self.numbers.get(&item.job).copied() else { return false };
         let Some(job) = self.jobs.get_mut(&number).filter(|job| !job.cancelled) else {
             return false;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -30,11 +30,6 @@
     pub fn send(&self, reply: PeerReply) -> bool {
         self.replies.send(Frame::Reply { call: self.call, reply }).is_ok()
     }
-
-    /// Whether the connection is gone.
-    pub fn is_closed(&self) -> bool {
-        self.replies.is_closed()
-    }
 }
 
 /// Carries out requests of peers.
