Job stores: bounded group, bounded log, packed results, a full store refuses

Every storage machine took the whole log as a learner; up to 48 MB of entries stayed in memory; a compaction held the state four times; a start read the whole file at once; a state over the bound was encoded anew at every step after a start, until entries were applied.

Change: 2t+1 voters, the others stand by with nothing and are told who leads; a place is filled from them, zones with few voters first. Payloads and states are shared, not copied. Results are kept compressed. The log is read record by record. Replicas rewrite at different lengths. Above a bound from memory and disk a job is refused. A machine that is emptied is let go once as many voters as wanted remain, where others can fill its place. Loads are taken by any job store.

--- a/crates/app/src/commands/serving.rs
+++ b/crates/app/src/commands/serving.rs
@@ -24,6 +24,12 @@
 
 /// Part of the memory that bodies of requests may take.
 const BODY_MEMORY_SHARE: f64 = 0.4;
+/// Parts of memory and disk that jobs may take: encoding and rewriting need as much again.
+const JOB_MEMORY_SHARE: f64 = 0.38;
+const JOB_DISK_SHARE: f64 = 0.35;
+/// Part of the memory that the newest entries of the log may take, and its bounds in MB.
+const LOG_MEMORY_SHARE: f64 = 0.05;
+const LOG_MB: std::ops::RangeInclusive<f64> = 1.0..=16.0;
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
 /// Arguments of `gateway` and `job-store`.
@@ -222,7 +228,12 @@
         folder: "data".into(),
         bootstrap: false,
         retention_seconds: 0.0,
+        disk_mb: None,
     });
+    let memory_mb = settings.limits.memory_mb;
+    let log_mb = (memory_mb * LOG_MEMORY_SHARE).clamp(*LOG_MB.start(), *LOG_MB.end());
+    let disk_share = data.disk_mb.map_or(f64::MAX, |room| room * JOB_DISK_SHARE);
+    let job_mb = (memory_mb * JOB_MEMORY_SHARE).min(disk_share);
     JobStoreOptions {
         name: settings.node.name,
         zone: settings.node.zone,
@@ -233,5 +244,7 @@
         bootstrap: data.bootstrap,
         tolerated_losses: settings.fleet.tolerated_losses,
         retention: Duration::from_secs_f64(data.retention_seconds),
+        log_bytes: (log_mb * BYTES_PER_MB) as usize,
+        job_bytes: (job_mb * BYTES_PER_MB) as usize,
     }
 }
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,6 +1,7 @@
 //! Entries, and the part of the log that is held in memory.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
@@ -16,8 +17,8 @@
 pub enum Payload {
     /// Nothing: begins a term.
     Empty,
-    /// A command of the replicated state machine.
-    Command(Vec<u8>),
+    /// A command of the replicated state machine; the log, the disk and the links share its bytes.
+    Command(Arc<[u8]>),
     /// The members from this entry on.
     Members(Members),
 }
@@ -56,10 +57,19 @@
     /// The members after it.
     pub members: Members,
     /// The state machine.
-    pub state: Vec<u8>,
+    pub state: Arc<[u8]>,
 }
 
-/// Entries after a snapshot.
+impl Snapshot {
+    /// The same position without the state, which the log does not need to hold.
+    pub fn position(&self) -> Self {
+        let (index, term, members) = (self.index, self.term, self.members.clone());
+        Self { index, term, members, state: Arc::default() }
+    }
+}
+
+/// Entries after a snapshot. Of the snapshot only its position is held: the state machine has the
+/// state, and whoever needs it is sent the present one.
 #[derive(Clone, Debug, Default)]
 pub struct Log {
     snapshot: Snapshot,
@@ -71,10 +81,10 @@
     /// A log from what a disk held.
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
         let bytes = entries.iter().map(Entry::bytes).sum();
-        Self { snapshot, entries: entries.into(), bytes }
+        Self { snapshot: snapshot.position(), entries: entries.into(), bytes }
     }
 
-    /// The snapshot before the first entry.
+    /// Position of the snapshot before the first entry.
     pub fn snapshot(&self) -> &Snapshot {
         &self.snapshot
     }
@@ -84,6 +94,12 @@
         self.bytes
     }
 
+    /// Bytes of the entries up to a position.
+    pub fn bytes_up_to(&self, index: Index) -> usize {
+        let applied = self.entries.iter().take_while(|entry| entry.index <= index);
+        applied.map(Entry::bytes).sum()
+    }
+
     /// Last position.
     pub fn last_index(&self) -> Index {
         self.snapshot.index + self.entries.len() as u64
@@ -139,20 +155,20 @@
     }
 
     /// Puts a snapshot in the place of the entries up to it.
-    pub fn compact(&mut self, snapshot: Snapshot) {
+    pub fn compact(&mut self, snapshot: &Snapshot) {
         while self.entries.front().is_some_and(|entry| entry.index <= snapshot.index) {
             if let Some(entry) = self.entries.pop_front() {
                 self.bytes -= entry.bytes();
             }
         }
-        self.snapshot = snapshot;
+        self.snapshot = snapshot.position();
     }
 
     /// Puts a snapshot in the place of everything.
-    pub fn restart(&mut self, snapshot: Snapshot) {
+    pub fn restart(&mut self, snapshot: &Snapshot) {
         self.entries.clear();
         self.bytes = 0;
-        self.snapshot = snapshot;
+        self.snapshot = snapshot.position();
     }
 
     /// The newest members in the log, and the position that holds them.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -2,6 +2,7 @@
 //! `replication`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -61,6 +62,9 @@
     pub install: Option<Snapshot>,
     /// Entries to apply, in order.
     pub committed: Vec<Entry>,
+    /// Members that need the whole state. After `committed` is applied the shell calls
+    /// `Consensus::install` for each with the state.
+    pub installs: Vec<MemberId>,
 }
 
 /// What a disk held.
@@ -125,7 +129,7 @@
     pub(crate) leader: Option<MemberId>,
     pub(crate) log: Log,
     pub(crate) commit: Index,
-    applied: Index,
+    pub(crate) applied: Index,
     /// Last entry that is on this member's disk.
     pub(crate) durable: Index,
     /// What each batch of writes that is not synced yet brings to the disk.
@@ -487,7 +491,7 @@
     fn take_snapshot(&mut self, from: MemberId, snapshot: Snapshot, sent_at: Millis) {
         let matched = snapshot.index;
         if matched > self.commit {
-            self.log.restart(snapshot.clone());
+            self.log.restart(&snapshot);
             self.commit = matched;
             self.applied = matched;
             self.durable = self.durable.min(matched);
@@ -504,7 +508,7 @@
     }
 
     /// Puts the state after the last applied entry in the place of the entries up to it.
-    pub fn compact(&mut self, state: Vec<u8>) {
+    pub fn compact(&mut self, state: Arc<[u8]>) {
         let index = self.applied;
         let Some(term) = self.log.term_at(index) else { return };
         if index <= self.log.snapshot().index {
@@ -512,10 +516,15 @@
         }
         let members = self.members_at(index);
         let snapshot = Snapshot { index, term, members, state };
-        self.log.compact(snapshot.clone());
+        self.log.compact(&snapshot);
         self.effects.writes.push(Write::Snapshot { snapshot, keep_rest: true });
     }
 
+    /// Bytes of the entries that `compact` would remove.
+    pub fn applied_bytes(&self) -> usize {
+        self.log.bytes_up_to(self.applied)
+    }
+
     pub(crate) fn members_at(&self, index: Index) -> Members {
         let mut at = index;
         while at > self.log.snapshot().index {
--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -11,6 +11,8 @@
 const PAIR_SILENCE_MS: Millis = 6_000;
 /// The same where the other one's disk is known to be lost.
 const LOST_SILENCE_MS: Millis = 1_200;
+/// Time without an answer after which a learner is dropped, in milliseconds; it may ask again.
+const LEARNER_SILENCE_MS: Millis = 5_000;
 /// Entries that a learner may lack when it becomes a voter.
 const CAUGHT_UP_ENTRIES: u64 = 64;
 
@@ -40,11 +42,12 @@
 /// up, so that the group is a pair only where there are no more than two machines for it.
 pub fn next_step(node: &Consensus, now: Millis, wishes: &Wishes) -> Step {
     let members = node.members();
-    let step = admit(members, wishes)
+    let step = admit(node, now, members, wishes)
         .or_else(|| replace_lost(node, now, members))
         .or_else(|| promote(node, now, members, wishes))
         .or_else(|| release(node, now, members, wishes))
-        .or_else(|| drop_silent(node, now, members, wishes));
+        .or_else(|| drop_silent(node, now, members, wishes))
+        .or_else(|| drop_silent_learner(node, now, members));
     step.unwrap_or(Step::Rest)
 }
 
@@ -99,10 +102,23 @@
     }
 }
 
-/// Lets a member that asks begin to learn. A learner of the same name is another disk that is gone.
-fn admit(members: &Members, wishes: &Wishes) -> Option<Step> {
-    let wanted =
-        |member: &&MemberId| !members.contains(member) && !wishes.leaving.contains(&member.name);
+/// Whether a member that asks may belong to the group at all.
+fn may_join(members: &Members, wishes: &Wishes, member: &MemberId) -> bool {
+    !members.contains(member) && !wishes.leaving.contains(&member.name)
+}
+
+/// Lets a member that asks begin to learn, where the group has or is about to have too few voters.
+/// The others stand by with nothing: each member costs the leader the whole log. One whose name the
+/// group knows has a new disk in the place of a lost one, and is always admitted.
+fn admit(node: &Consensus, now: Millis, members: &Members, wishes: &Wishes) -> Option<Step> {
+    let stays = |member: &&MemberId| {
+        node.silent_ms(now, member) < SILENCE_MS && !wishes.leaving.contains(&member.name)
+    };
+    let staying = members.all().filter(stays).count();
+    let wanted = |member: &&MemberId| {
+        let known = members.all().any(|held| held.name == member.name);
+        may_join(members, wishes, member) && (known || staying < wishes.voters)
+    };
     let joining = wishes.joining.iter().find(wanted)?;
     let mut members = members.clone();
     members.learners.retain(|learner| learner.name != joining.name);
@@ -144,7 +160,16 @@
     (members.voters.len() > wishes.voters).then(|| Step::Change(without(members, gone)))
 }
 
-/// Removes a member that is to be emptied, once enough others vote and have everything.
+/// Removes a learner that has been silent for long: each look at it costs the whole state.
+fn drop_silent_learner(node: &Consensus, now: Millis, members: &Members) -> Option<Step> {
+    let silent = |learner: &&MemberId| node.silent_ms(now, learner) >= LEARNER_SILENCE_MS;
+    let gone = members.learners.iter().find(silent)?;
+    Some(Step::Change(without(members, gone)))
+}
+
+/// Removes a member that is to be emptied, once enough others vote and have everything: as many as
+/// are wanted, where other machines could still fill its place, since the loss of several may follow
+/// at once.
 fn release(node: &Consensus, now: Millis, members: &Members, wishes: &Wishes) -> Option<Step> {
     let leaving = members.all().find(|member| wishes.leaving.contains(&member.name))?;
     let others: Vec<&MemberId> = members
@@ -154,8 +179,15 @@
         .filter(|voter| node.silent_ms(now, voter) < SILENCE_MS)
         .filter(|voter| node.matched(voter) >= node.commit_index())
         .collect();
-    // A promotion that is possible comes first.
-    let enough = wishes.voters.min(2);
+    let can_fill = |member: &&MemberId| !wishes.leaving.contains(&member.name);
+    let learners = members.learners.iter().filter(can_fill);
+    let successor = learners.into_iter().any(|learner| node.silent_ms(now, learner) < SILENCE_MS)
+        || wishes.joining.iter().any(|member| may_join(members, wishes, member));
+    let is_voter = members.voters.contains(leaving);
+    let enough = match successor && is_voter {
+        true => wishes.voters,
+        false => wishes.voters.min(2),
+    };
     if others.len() < enough {
         return None;
     }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,13 +1,14 @@
 //! What a leader does: sends entries, counts who has them, holds its lease, changes members.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
-use crate::log::{Entry, Index, Payload};
+use crate::log::{Entry, Index, Payload, Snapshot};
 use crate::message::{Body, MemberId, Members};
 use crate::node::{Consensus, Millis, Role, ELECTION_MIN_MS, HEARTBEAT_MS, LEASE_MS};
 
 /// Most bytes of entries in one message.
-const APPEND_BYTES: usize = 256 * 1024;
+const APPEND_BYTES: usize = 128 * 1024;
 /// Most messages with entries under way to one member.
 const WINDOW: usize = 8;
 /// Time after which an unanswered probe counts as lost, in milliseconds; a snapshot takes long.
@@ -98,7 +99,7 @@
         if self.role != Role::Leader || self.handing_over {
             return None;
         }
-        Some(self.append_as_leader(now, Payload::Command(command)))
+        Some(self.append_as_leader(now, Payload::Command(command.into())))
     }
 
     fn append_as_leader(&mut self, now: Millis, payload: Payload) -> Index {
@@ -232,22 +233,35 @@
             if progress.under_way.len() >= window || progress.next > self.log.last_index() {
                 break;
             }
-            progress.sent_at = now;
             if progress.next <= self.log.snapshot().index {
-                let snapshot = self.log.snapshot().clone();
-                progress.next = snapshot.index + 1;
-                progress.under_way.push_back(snapshot.index);
-                self.send(member.clone(), self.term, Body::Install { snapshot, sent_at: now });
-            } else {
-                let entries = self.log.from(progress.next, APPEND_BYTES);
-                progress.under_way.extend(entries.last().map(|entry| entry.index));
-                self.send_append(now, member, entries);
+                if !self.effects.installs.contains(member) {
+                    self.effects.installs.push(member.clone());
+                }
+                break;
             }
+            progress.sent_at = now;
+            let entries = self.log.from(progress.next, APPEND_BYTES);
+            progress.under_way.extend(entries.last().map(|entry| entry.index));
+            self.send_append(now, member, entries);
             sent = true;
         }
         sent
     }
 
+    /// Sends a member the state after the last applied entry, which `state` must be: the log no
+    /// longer has what the member lacks.
+    pub fn install(&mut self, now: Millis, member: &MemberId, state: Arc<[u8]>) {
+        let index = self.applied;
+        let Some(term) = self.log.term_at(index) else { return };
+        let Some(progress) = self.progress.get_mut(member) else { return };
+        progress.sent_at = now;
+        progress.next = index + 1;
+        progress.under_way.push_back(index);
+        let members = self.members_at(index);
+        let snapshot = Snapshot { index, term, members, state };
+        self.send(member.clone(), self.term, Body::Install { snapshot, sent_at: now });
+    }
+
     fn send_append(&mut self, now: Millis, member: &MemberId, entries: Vec<Entry>) {
         let Some(progress) = self.progress.get_mut(member) else { return };
         let snapshot_index = self.log.snapshot().index;
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -241,7 +241,8 @@
     fn carry_out(&mut self, at: usize) -> Result<(), Violation> {
         let Some(core) = self.nodes[at].core.as_mut() else { return Ok(()) };
         let effects = core.take_effects();
-        let Effects { writes, messages, messages_after_sync, install, committed } = effects;
+        let Effects { writes, messages, messages_after_sync, install, committed, installs } =
+            effects;
         let has_writes = !writes.is_empty();
         if has_writes {
             core.writing();
@@ -256,6 +257,7 @@
         for entry in committed {
             self.apply(at, entry)?;
         }
+        self.install(at, &installs);
         let delay = self.random.random_range(1..4);
         let node = &mut self.nodes[at];
         node.disk.writes.extend(writes);
@@ -273,6 +275,15 @@
         Ok(())
     }
 
+    /// Sends the applied state to members that need it whole.
+    fn install(&mut self, at: usize, members: &[MemberId]) {
+        let state = encode(&self.nodes[at].applied);
+        let Some(core) = self.nodes[at].core.as_mut() else { return };
+        for member in members {
+            core.install(self.now, member, state.clone().into());
+        }
+    }
+
     fn apply(&mut self, at: usize, entry: Entry) -> Result<(), Violation> {
         let command = match &entry.payload {
             Payload::Command(bytes) => u64::from_le_bytes(bytes[..8].try_into().expect("8 bytes")),
@@ -423,7 +434,7 @@
             if core.log().bytes() > 6_000 && self.random.random_bool(0.1) {
                 let state = encode(&self.nodes[at].applied);
                 if let Some(core) = self.nodes[at].core.as_mut() {
-                    core.compact(state);
+                    core.compact(state.into());
                 }
             }
             self.carry_out(at)?;
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 use yokefall_consensus::{Consensus, Index, MemberId, Role, Term};
 use yokefall_serving::fleet::{run_membership, start_number, Identity};
 use yokefall_serving::news::News;
@@ -20,10 +21,13 @@
 use crate::disk::{Disk, Synced};
 use crate::runner::Runner;
 use crate::state::Applied;
-use crate::store::{Store, StoreObserver};
+use crate::store::{Store, StoreLimits, StoreObserver};
 use crate::wal::Wal;
 use crate::{group, server};
 
+/// Parts in which replicas differ in when they rewrite their disks.
+const STAGGER_PARTS: u64 = 64;
+
 /// What a job store is told at its start.
 #[derive(Clone, Debug)]
 pub struct JobStoreOptions {
@@ -45,6 +49,10 @@
     pub tolerated_losses: usize,
     /// Time for which jobs that are over are kept.
     pub retention: Duration,
+    /// Bytes of log that are held in memory, and on disk beside the state.
+    pub log_bytes: usize,
+    /// Bytes of jobs above which no further one is taken.
+    pub job_bytes: usize,
 }
 
 /// A job store whose ports are open.
@@ -126,12 +134,16 @@
             run_membership(datagrams, identity, seeds, fleet.clone(), news, stop.clone());
         tokio::task::spawn_local(membership);
 
-        let snapshot = opened.recovered.snapshot.clone();
+        let state = opened.recovered.snapshot.state.clone();
         let core = Consensus::new(me.clone(), opened.recovered, 0, rand::random());
         let links = Links::new(fleet.clone());
-        let copies = options.tolerated_losses + 1;
+        let limits = StoreLimits {
+            copies: options.tolerated_losses + 1,
+            log_bytes: staggered(options.log_bytes, &options.name),
+            job_bytes: options.job_bytes,
+        };
         let observer = Box::new(LogObserver);
-        let store = Rc::new(Store::new(core, &snapshot, disk, links, observer, copies));
+        let store = Rc::new(Store::new(core, state, disk, links, observer, limits));
         tokio::task::spawn_local(take_synced(store.clone(), synced));
         tokio::task::spawn_local(tick(store.clone()));
 
@@ -152,10 +164,10 @@
         if options.bootstrap && opened.was_empty {
             tokio::task::spawn_local(group::found(platform.clone(), store.clone(), me.clone()));
         }
-        tokio::task::spawn_local(group::join(store.clone(), fleet, me));
+        tokio::task::spawn_local(group::join(store.clone(), fleet.clone(), me));
         tokio::task::spawn_local(group::outlive(platform.clone(), store.clone()));
         let voters = 2 * options.tolerated_losses + 1;
-        tokio::task::spawn_local(group::lead(platform.clone(), store.clone(), voters));
+        tokio::task::spawn_local(group::lead(platform.clone(), store.clone(), fleet, voters));
         let runner = Rc::new(Runner::new(
             store.clone(),
             catalog,
@@ -179,6 +191,13 @@
     }
 }
 
+/// A bound on the log that differs among replicas by up to a third: all of them would rewrite their
+/// disks at the same moment, and nothing could be committed meanwhile.
+fn staggered(log_bytes: usize, name: &str) -> usize {
+    let part = xxh3_64(name.as_bytes()) % STAGGER_PARTS;
+    log_bytes - log_bytes / 3 * part as usize / STAGGER_PARTS as usize
+}
+
 async fn take_synced(store: Rc<Store>, mut synced: Synced) {
     while let Some(orders) = synced.recv().await {
         store.synced(orders);
@@ -231,6 +250,14 @@
             .write();
     }
 
+    fn compacted(&self, state: usize, log: usize, jobs: usize) {
+        Line::new(EventName::LogCompacted)
+            .field("state_bytes", state)
+            .field("log_bytes", log)
+            .field("job_bytes", jobs)
+            .write();
+    }
+
     fn applied(&self, index: Index, applied: &Applied) {
         metrics::gauge!("job_store_log_position").set(index as f64);
         let (id, event) = match applied {
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -18,10 +18,15 @@
 use crate::protocol::Frame;
 use crate::store::Store;
 
-/// Interval at which a member that is outside asks to join.
+/// Interval at which a member that is outside asks to join, at first: a lost disk is to be replaced
+/// within seconds.
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
+/// The same once it has asked for a while: it stands by.
+const STANDBY_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Askings at the first interval.
+const EAGER_JOINS: u32 = 20;
 /// Time for which an asking counts.
-const JOIN_LIFETIME: Duration = Duration::from_millis(1_200);
+const JOIN_LIFETIME: Duration = Duration::from_millis(2_300);
 /// Interval at which the leader looks at members while a change is wanted.
 const POLICY_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a call to the platform's store that failed.
@@ -107,15 +112,19 @@
 
 /// Asks to join for as long as this member is outside of the group.
 pub async fn join(store: Rc<Store>, fleet: FleetCell, me: MemberId) {
+    let mut asked = 0;
     loop {
         let outside = store.with_core(|core, _| !core.members().contains(&me));
         if outside {
             for member in fleet.load().job_stores().filter(|member| member.name != me.name) {
                 store.send_frame(&member.name, &Frame::Join(me.clone()));
             }
-            tokio::time::sleep(JOIN_INTERVAL).await;
+            asked += 1;
+            let interval = if asked < EAGER_JOINS { JOIN_INTERVAL } else { STANDBY_INTERVAL };
+            tokio::time::sleep(interval).await;
             continue;
         }
+        asked = 0;
         // A member that was removed while it was away learns it from nobody: look now and then.
         tokio::time::sleep(JOIN_INTERVAL * 4).await;
         let leaderless = store.with_core(|core, _| core.leader().is_none());
@@ -128,7 +137,7 @@
 }
 
 /// Changes members while this member leads.
-pub async fn lead<P: Platform>(platform: P, store: Rc<Store>, voters: usize) {
+pub async fn lead<P: Platform>(platform: P, store: Rc<Store>, fleet: FleetCell, voters: usize) {
     let leaving = Leaving::default();
     let mut watch: Option<tokio::task::JoinHandle<()>> = None;
     loop {
@@ -149,7 +158,7 @@
             watch =
                 Some(tokio::task::spawn_local(follow(platform.retirements(), sink, Rc::default())));
         }
-        let busy = change_members(&platform, &store, &leaving, voters).await;
+        let busy = change_members(&platform, &store, &fleet, &leaving, voters).await;
         report_emptied(&platform, &store, &leaving).await;
         if busy {
             tokio::time::sleep(POLICY_INTERVAL).await;
@@ -163,10 +172,12 @@
 async fn change_members<P: Platform>(
     platform: &P,
     store: &Store,
+    fleet: &FleetCell,
     leaving: &Leaving,
     voters: usize,
 ) -> bool {
-    let wishes = Wishes { joining: store.joining(JOIN_LIFETIME), leaving: leaving.all(), voters };
+    let joining = spread(store, fleet, store.joining(JOIN_LIFETIME));
+    let wishes = Wishes { joining, leaving: leaving.all(), voters };
     let (step, pair) = store.with_core(|core, now| {
         let step = next_step(core, now, &wishes);
         let pair = core.pair().filter(|_| match &step {
@@ -196,6 +207,20 @@
     !wishes.joining.is_empty() || !leaving.open().is_empty() || learners
 }
 
+/// Puts first those who ask from zones with few voters: a lost zone should cost few of them.
+fn spread(store: &Store, fleet: &FleetCell, mut joining: Vec<MemberId>) -> Vec<MemberId> {
+    let fleet = fleet.load();
+    let zone_of = |name: &str| {
+        let found = fleet.members.iter().find(|member| member.name == name);
+        found.map(|member| member.zone.as_str())
+    };
+    let voters = store.with_core(|core, _| core.members().voters.clone());
+    let in_zone =
+        |zone: Option<&str>| voters.iter().filter(|voter| zone_of(&voter.name) == zone).count();
+    joining.sort_by_cached_key(|member| (in_zone(zone_of(&member.name)), member.name.clone()));
+    joining
+}
+
 /// Claims a pair for this member; where there is none, nothing needs a claim.
 async fn claim_pair<P: Platform>(platform: &P, store: &Store, pair: Option<Pair>) -> bool {
     let Some(Pair { epoch }) = pair else { return true };
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod disk;
 pub mod group;
 pub mod loads;
+pub mod packed;
 pub mod protocol;
 pub mod run;
 pub mod runner;
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -107,6 +107,8 @@
     Consensus(Message),
     /// A member asks to join the group.
     Join(MemberId),
+    /// The sender leads; to a process outside of the group, which gets nothing of the log.
+    Leader(String),
     /// A request with its number on this connection.
     Request {
         /// Number.
--- a/crates/jobstore/src/server.rs
+++ b/crates/jobstore/src/server.rs
@@ -7,8 +7,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::time::Instant;
+use yokefall_consensus::MemberId;
 
-use crate::protocol::{decode, encode, framed, Frame, Reply, Request};
+use crate::protocol::{decode, encode, framed, BackendCount, Frame, Reply, Request};
 use crate::state::Command;
 use crate::store::{Found, ProposeError, Store};
 
@@ -43,7 +44,8 @@
         let Ok(frame) = decode(&bytes) else { break };
         match frame {
             Frame::Consensus(message) => store.receive(message),
-            Frame::Join(member) => store.note_joining(member),
+            Frame::Join(member) => take_join(&store, member),
+            Frame::Leader(name) => store.note_leader(name),
             Frame::Request { call, request } => {
                 let (store, replies) = (store.clone(), replies.clone());
                 tokio::task::spawn_local(answer(store, call, request, replies));
@@ -54,12 +56,26 @@
     writer.abort();
 }
 
+/// A member asks to join; the leader tells it who leads, whether it is admitted or not.
+fn take_join(store: &Store, member: MemberId) {
+    if store.is_leader() {
+        let me = store.with_core(|core, _| core.id().name.clone());
+        store.send_frame(&member.name, &Frame::Leader(me));
+    }
+    store.note_joining(member);
+}
+
 async fn answer(store: Rc<Store>, call: u64, request: Request, replies: UnboundedSender<Frame>) {
     let reply = carry_out(&store, request).await;
     let _ = replies.send(Frame::Reply { call, reply });
 }
 
 async fn carry_out(store: &Store, request: Request) -> Reply {
+    // Loads are no part of the log: any job store adds them up, so that they stay known while
+    // nobody leads.
+    if let Request::Load { gateway, counts } = request {
+        return take_loads(store, &gateway, counts);
+    }
     if !store.serves() {
         return not_sure(store);
     }
@@ -68,6 +84,9 @@
             if store.with_job(&job, |_| ()).is_some() {
                 return Reply::Accepted;
             }
+            if store.is_full_for(&submission) {
+                return Reply::Full;
+            }
             changed(store, Command::Submit { job, submission }, Reply::Accepted).await
         }
         Request::End { job } => {
@@ -80,11 +99,7 @@
             let body = store.read(|jobs| jobs.body(&job, &item).map(<[u8]>::to_vec));
             found(store, body, Reply::Body)
         }
-        Request::Load { gateway, counts } => {
-            store.loads.take(&gateway, counts);
-            store.work_changed.notify_one();
-            Reply::Totals(store.loads.totals())
-        }
+        Request::Load { .. } => Reply::Unsure,
         Request::Results { job, from, wait_ms } => {
             let wait = Duration::from_millis(wait_ms).min(MAX_READ_WAIT);
             read_results(store, &job, from, Instant::now() + wait).await
@@ -92,6 +107,12 @@
     }
 }
 
+fn take_loads(store: &Store, gateway: &str, counts: Vec<BackendCount>) -> Reply {
+    store.loads.take(gateway, counts);
+    store.work_changed.notify_one();
+    Reply::Totals(store.loads.totals())
+}
+
 fn not_sure(store: &Store) -> Reply {
     if store.is_leader() {
         return Reply::Unsure;
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -6,11 +6,15 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use yokefall_serving::{ItemState, JobItem, PositionedResult, ResultPage};
 
+use crate::packed::PackedText;
 use crate::protocol::Submission;
 
 /// Most bytes of results in one page.
 const PAGE_BYTES: usize = 900 * 1024;
 
+/// Bytes of a result beside its text.
+const RECORD_BYTES: usize = 96;
+
 /// A change of the state.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Command {
@@ -114,6 +118,23 @@
     pub partial: Partial,
 }
 
+/// The result of an item at its position.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct HeldResult {
+    /// Id of the item.
+    pub id: String,
+    /// How it ended.
+    pub state: ItemState,
+    /// Its whole output.
+    pub text: PackedText,
+}
+
+impl HeldResult {
+    fn positioned(&self) -> PositionedResult {
+        PositionedResult { id: self.id.clone(), state: self.state, text: self.text.unpack() }
+    }
+}
+
 /// A job.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Job {
@@ -129,7 +150,7 @@
     pub open: BTreeMap<u32, OpenItem>,
     /// Results by position. Invariant: only ever added to; a caller that read a position reads the
     /// same there later.
-    pub results: Vec<PositionedResult>,
+    pub results: Vec<HeldResult>,
     /// Whether its caller ended it.
     pub ended: bool,
 }
@@ -139,6 +160,13 @@
     pub fn is_open(&self) -> bool {
         !self.ended && !self.open.is_empty()
     }
+
+    fn held_bytes(&self) -> usize {
+        let open = |open: &OpenItem| open.item.held_bytes() + open.partial.text.len();
+        let result = |result: &HeldResult| RECORD_BYTES + result.text.held_bytes();
+        let open: usize = self.open.values().map(open).sum();
+        open + self.results.iter().map(result).sum::<usize>()
+    }
 }
 
 /// Text to be joined to what an item gave before.
@@ -275,7 +303,8 @@
                 join(&mut whole, after_event, text);
             }
         }
-        job.results.push(PositionedResult { id: open.item.id, state, text: whole });
+        let text = PackedText::pack(whole);
+        job.results.push(HeldResult { id: open.item.id, state, text });
         Applied::Finished { job: id, item }
     }
 
@@ -302,16 +331,21 @@
         let mut page = ResultPage { total: u64::from(job.total), results: Vec::new(), next: from };
         let mut bytes = 0;
         for result in job.results.iter().skip(from as usize) {
-            bytes += result.text.len();
+            bytes += result.text.text_bytes();
             if bytes > PAGE_BYTES && !page.results.is_empty() {
                 break;
             }
-            page.results.push(result.clone());
+            page.results.push(result.positioned());
             page.next += 1;
         }
         Some(page)
     }
 
+    /// About the bytes that the jobs take.
+    pub fn held_bytes(&self) -> usize {
+        self.jobs.values().map(Job::held_bytes).sum()
+    }
+
     /// Body of an item without a result.
     pub fn body(&self, id: &str, item: &str) -> Option<&[u8]> {
         let open = self.jobs.get(id)?.open.values().find(|open| open.item.id == item)?;
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
@@ -11,17 +12,28 @@
     Consensus, Effects, Entry, Index, MemberId, Message, Millis, Payload, Role, Snapshot, Term,
     Write,
 };
-use yokefall_serving::{ItemState, ResultPage};
+use yokefall_serving::{ItemState, JobItem, ResultPage};
 
 use crate::connections::Links;
 use crate::disk::{Disk, DiskOrder};
 use crate::loads::Loads;
-use crate::protocol::Frame;
+use crate::protocol::{Frame, Submission};
 use crate::state::{Applied, Command, Job, Jobs, Run};
 use crate::wal::Rewrite;
 
-/// Bytes of log after which the state takes the place of its entries.
-const COMPACT_BYTES: usize = 48 * 1024 * 1024;
+/// Time for which another member's word of who leads counts.
+const HINT_LIFETIME: std::time::Duration = std::time::Duration::from_millis(3_000);
+
+/// What a replica may hold, and what its answers need.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreLimits {
+    /// Disks that must hold what is acknowledged.
+    pub copies: usize,
+    /// Bytes of log after which the state takes the place of its entries.
+    pub log_bytes: usize,
+    /// Bytes of jobs above which no further one is taken.
+    pub job_bytes: usize,
+}
 
 /// Looks for output that was proposed, and the pause between two.
 const KEPT_LOOKS: u32 = 50;
@@ -48,6 +60,8 @@
     /// When this replica applied the submission of each job.
     accepted_at: HashMap<String, Instant>,
     joining: HashMap<String, (MemberId, Instant)>,
+    /// Who leads by the word of another member; for a process outside of the group.
+    leader_hint: Option<(String, Instant)>,
     role: Role,
 }
 
@@ -57,6 +71,8 @@
     fn role(&self, role: Role, term: Term, leader: Option<&MemberId>);
     /// The members changed.
     fn members(&self, voters: usize, learners: usize, index: Index);
+    /// The state took the place of log entries; bytes of the state, the log and the jobs.
+    fn compacted(&self, state: usize, log: usize, jobs: usize);
     /// A command was applied.
     fn applied(&self, index: Index, applied: &Applied);
 }
@@ -68,8 +84,7 @@
     links: Links,
     origin: Instant,
     observer: Box<dyn StoreObserver>,
-    /// Disks that must hold what is acknowledged.
-    copies: usize,
+    limits: StoreLimits,
     /// What is in flight at back ends.
     pub loads: Loads,
     /// Woken when the role or a deadline changed.
@@ -104,20 +119,21 @@
     /// A replica; `core` is not ticked yet.
     pub fn new(
         core: Consensus,
-        snapshot: &Snapshot,
+        state: Arc<[u8]>,
         disk: Disk,
         links: Links,
         observer: Box<dyn StoreObserver>,
-        copies: usize,
+        limits: StoreLimits,
     ) -> Self {
         let inner = Inner {
             core,
-            jobs: decode_state(&snapshot.state),
+            jobs: decode_state(&state),
             batches: VecDeque::new(),
             proposals: HashMap::new(),
             readers: HashMap::new(),
             accepted_at: HashMap::new(),
             joining: HashMap::new(),
+            leader_hint: None,
             role: Role::Follower,
         };
         Self {
@@ -126,7 +142,7 @@
             links,
             origin: Instant::now(),
             observer,
-            copies,
+            limits,
             loads: Loads::default(),
             deadline_changed: Notify::new(),
             work_changed: Notify::new(),
@@ -203,8 +219,12 @@
     fn carry_out(&self, inner: &mut Inner) {
         loop {
             let effects = inner.core.take_effects();
-            let Effects { writes, messages, messages_after_sync, install, committed } = effects;
-            let idle = writes.is_empty() && install.is_none() && committed.is_empty();
+            let Effects { writes, messages, messages_after_sync, install, committed, installs } =
+                effects;
+            let idle = writes.is_empty()
+                && install.is_none()
+                && committed.is_empty()
+                && installs.is_empty();
             self.send(messages);
             self.order_writes(inner, writes, messages_after_sync);
             if let Some(snapshot) = install {
@@ -213,19 +233,33 @@
             for entry in committed {
                 self.apply(inner, entry);
             }
+            if !installs.is_empty() {
+                self.send_state(inner, &installs);
+            }
             if idle {
                 break;
             }
         }
         self.note_role(inner);
-        if inner.core.log().bytes() > COMPACT_BYTES {
-            let state = borsh::to_vec(&inner.jobs).unwrap_or_default();
+        let log = inner.core.log().bytes();
+        if log > self.limits.log_bytes && inner.core.applied_bytes() > self.limits.log_bytes / 2 {
+            let state = encode_state(&inner.jobs);
+            self.observer.compacted(state.len(), log, inner.jobs.held_bytes());
             inner.core.compact(state);
             let effects = inner.core.take_effects();
             self.order_writes(inner, effects.writes, Vec::new());
         }
     }
 
+    /// Sends the whole state to members that lack entries which the log no longer has.
+    fn send_state(&self, inner: &mut Inner, members: &[MemberId]) {
+        let state = encode_state(&inner.jobs);
+        let now = self.now();
+        for member in members {
+            inner.core.install(now, member, state.clone());
+        }
+    }
+
     fn order_writes(&self, inner: &mut Inner, writes: Vec<Write>, held: Vec<Message>) {
         if writes.is_empty() {
             match inner.batches.back_mut() {
@@ -336,12 +370,28 @@
     /// one. What a group below that holds, a lost disk may take away again.
     pub fn serves(&self) -> bool {
         let inner = self.inner.borrow();
-        inner.core.can_read(self.now()) && inner.core.committed_voters() >= self.copies
+        inner.core.can_read(self.now()) && inner.core.committed_voters() >= self.limits.copies
     }
 
     /// Name of the leader, as far as known.
     pub fn leader(&self) -> Option<String> {
-        self.inner.borrow().core.leader().map(|leader| leader.name.clone())
+        let inner = self.inner.borrow();
+        if let Some(leader) = inner.core.leader() {
+            return Some(leader.name.clone());
+        }
+        let hint = inner.leader_hint.as_ref().filter(|(_, at)| at.elapsed() < HINT_LIFETIME);
+        hint.map(|(name, _)| name.clone())
+    }
+
+    /// Another member tells who leads.
+    pub fn note_leader(&self, name: String) {
+        self.inner.borrow_mut().leader_hint = Some((name, Instant::now()));
+    }
+
+    /// Whether a submission would hold more than this replica may.
+    pub fn is_full_for(&self, submission: &Submission) -> bool {
+        let items = submission.items.iter().map(JobItem::held_bytes).sum::<usize>();
+        self.inner.borrow().jobs.held_bytes() + items > self.limits.job_bytes
     }
 
     /// Proposes a command and waits until it is in force.
@@ -452,6 +502,13 @@
     }
 }
 
+fn encode_state(jobs: &Jobs) -> Arc<[u8]> {
+    let mut bytes = Vec::with_capacity(jobs.held_bytes());
+    // Encoding into memory fails for no value of this type.
+    let _ = borsh::to_writer(&mut bytes, jobs);
+    bytes.into()
+}
+
 fn decode_state(state: &[u8]) -> Jobs {
     if state.is_empty() {
         return Jobs::default();
--- a/crates/jobstore/src/wal.rs
+++ b/crates/jobstore/src/wal.rs
@@ -7,7 +7,7 @@
 
 use std::fmt;
 use std::fs::{File, OpenOptions};
-use std::io::{Read, Seek, SeekFrom, Write as _};
+use std::io::{BufReader, Read, Seek, SeekFrom, Write as _};
 use std::path::{Path, PathBuf};
 
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -16,8 +16,10 @@
 
 /// Bytes of a record's length and checksum.
 const HEAD_BYTES: usize = 8;
+/// Most bytes of a snapshot's record beside the state.
+const SNAPSHOT_OVERHEAD_BYTES: usize = 4 * 1024;
 /// Largest record believed, in bytes.
-const MAX_RECORD_BYTES: usize = 512 * 1024 * 1024;
+const MAX_RECORD_BYTES: u32 = 512 * 1024 * 1024;
 
 /// One record.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -106,14 +108,13 @@
             let path = file_path(folder, number);
             let at = |step| move |cause| WalError { step, path: path.clone(), cause };
             let file = OpenOptions::new().read(true).write(true).open(file_path(folder, number));
-            let mut file = file.map_err(at("open"))?;
-            let mut bytes = Vec::new();
-            file.read_to_end(&mut bytes).map_err(|cause| WalError {
+            let file = file.map_err(at("open"))?;
+            let scanned = scan(&file).map_err(|cause| WalError {
                 step: "read",
                 path: file_path(folder, number),
                 cause,
             })?;
-            if let Some(Scan { incarnation, recovered, valid }) = scan(&bytes) {
+            if let Some(Scan { incarnation, recovered, valid }) = scanned {
                 let wal = Self::resume(folder, number, file, incarnation, valid)?;
                 return Ok(Opened { wal, incarnation, recovered, was_empty: false });
             }
@@ -159,14 +160,16 @@
         let mut options = OpenOptions::new();
         let options = options.read(true).write(true).create(true).truncate(true);
         let mut file = options.open(&path).map_err(at("create"))?;
-        let mut bytes = Vec::new();
+        let mut synced = 0;
+        // Record by record: a snapshot is large, and a copy of it in memory is enough.
         for record in start {
+            let mut bytes = Vec::new();
             encode(record, &mut bytes);
+            file.write_all(&bytes).map_err(at("write"))?;
+            synced += bytes.len() as u64;
         }
-        file.write_all(&bytes).map_err(at("write"))?;
         file.sync_all().map_err(at("sync"))?;
         sync_folder(folder).map_err(at("sync folder of"))?;
-        let synced = bytes.len() as u64;
         let folder = folder.to_owned();
         Ok(Self { folder, number, file, incarnation, synced, pending: Vec::new() })
     }
@@ -250,8 +253,8 @@
     let mut numbers = list(folder).map_err(at("list folder"))?;
     numbers.sort_unstable_by(|left, right| right.cmp(left));
     for number in numbers {
-        let bytes = std::fs::read(file_path(folder, number)).map_err(at("read log in"))?;
-        if let Some(scan) = scan(&bytes) {
+        let file = File::open(file_path(folder, number)).map_err(at("read log in"))?;
+        if let Some(scan) = scan(&file).map_err(at("read log in"))? {
             let Recovered { snapshot, entries, .. } = scan.recovered;
             return Ok(Log::new(snapshot, entries).members().1.clone());
         }
@@ -278,11 +281,18 @@
 }
 
 fn encode(record: &Record, bytes: &mut Vec<u8>) {
+    let head = bytes.len();
+    if let Record::Snapshot(snapshot) = record {
+        // Exactly, and not by doubling: a state is large.
+        bytes.reserve_exact(snapshot.state.len() + SNAPSHOT_OVERHEAD_BYTES);
+    }
+    bytes.extend_from_slice(&[0; HEAD_BYTES]);
     // Encoding into memory fails for no value of this type.
-    let content = borsh::to_vec(record).unwrap_or_default();
-    bytes.extend_from_slice(&(content.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&crc32fast::hash(&content).to_le_bytes());
-    bytes.extend_from_slice(&content);
+    let _ = borsh::to_writer(&mut *bytes, record);
+    let content = &bytes[head + HEAD_BYTES..];
+    let (length, checksum) = (content.len() as u32, crc32fast::hash(content));
+    bytes[head..head + 4].copy_from_slice(&length.to_le_bytes());
+    bytes[head + 4..head + HEAD_BYTES].copy_from_slice(&checksum.to_le_bytes());
 }
 
 struct Scan {
@@ -292,14 +302,18 @@
     valid: u64,
 }
 
-/// Reads a file up to the first record that is not whole; `None` where it is not sealed.
-fn scan(bytes: &[u8]) -> Option<Scan> {
+/// Reads a file up to the first record that is not whole; `None` where it is not sealed. One record
+/// at a time is in memory beside what was recovered.
+fn scan(file: &File) -> std::io::Result<Option<Scan>> {
+    let mut left = file.metadata()?.len();
+    let mut reader = BufReader::new(file);
     let mut recovered = Recovered::default();
     let mut incarnation = None;
     let mut sealed = false;
-    let mut offset = 0;
-    while let Some((record, length)) = next_record(&bytes[offset..]) {
-        offset += length;
+    let mut valid = 0;
+    while let Some((record, length)) = next_record(&mut reader, left)? {
+        valid += length;
+        left -= length;
         match record {
             Record::Identity { incarnation: held } => incarnation = Some(held),
             Record::State { term, voted_for, settled } => {
@@ -315,8 +329,8 @@
             Record::Sealed => sealed = true,
         }
     }
-    let incarnation = incarnation.filter(|_| sealed)?;
-    Some(Scan { incarnation, recovered, valid: offset as u64 })
+    let incarnation = incarnation.filter(|_| sealed);
+    Ok(incarnation.map(|incarnation| Scan { incarnation, recovered, valid }))
 }
 
 fn take_entries(recovered: &mut Recovered, entries: Vec<Entry>) {
@@ -327,15 +341,24 @@
     recovered.entries.extend(entries);
 }
 
-fn next_record(bytes: &[u8]) -> Option<(Record, usize)> {
-    let length = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
-    let checksum = u32::from_le_bytes(bytes.get(4..HEAD_BYTES)?.try_into().ok()?);
-    if length > MAX_RECORD_BYTES {
-        return None;
+/// The next record of a file of which `left` bytes remain, and its bytes; `None` where it is torn.
+fn next_record(reader: &mut impl Read, left: u64) -> std::io::Result<Option<(Record, u64)>> {
+    if left < HEAD_BYTES as u64 {
+        return Ok(None);
+    }
+    let mut head = [0; HEAD_BYTES];
+    reader.read_exact(&mut head)?;
+    let [l0, l1, l2, l3, c0, c1, c2, c3] = head;
+    let length = u32::from_le_bytes([l0, l1, l2, l3]);
+    let checksum = u32::from_le_bytes([c0, c1, c2, c3]);
+    let whole = HEAD_BYTES as u64 + u64::from(length);
+    if length > MAX_RECORD_BYTES || whole > left {
+        return Ok(None);
     }
-    let content = bytes.get(HEAD_BYTES..HEAD_BYTES + length)?;
-    if crc32fast::hash(content) != checksum {
-        return None;
+    let mut content = vec![0; length as usize];
+    reader.read_exact(&mut content)?;
+    if crc32fast::hash(&content) != checksum {
+        return Ok(None);
     }
-    Some((borsh::from_slice(content).ok()?, HEAD_BYTES + length))
+    Ok(borsh::from_slice(&content).ok().map(|record| (record, whole)))
 }
--- a/crates/jobstore/tests/wal.rs
+++ b/crates/jobstore/tests/wal.rs
@@ -8,7 +8,7 @@
 use yokefall_jobstore::wal::{Opened, Rewrite, Wal};
 
 fn entry(index: u64, term: u64) -> Entry {
-    Entry { index, term, payload: Payload::Command(index.to_le_bytes().to_vec()) }
+    Entry { index, term, payload: Payload::Command(index.to_le_bytes().to_vec().into()) }
 }
 
 fn open(folder: &Path) -> Opened {
@@ -83,7 +83,8 @@
     let mut wal = open(folder.path()).wal;
     wal.add(&Write::Entries(vec![entry(1, 1), entry(2, 1), entry(3, 1)]));
     wal.sync().expect("a sync");
-    let snapshot = Snapshot { index: 2, term: 1, state: b"state".to_vec(), ..Snapshot::default() };
+    let snapshot =
+        Snapshot { index: 2, term: 1, state: b"state".to_vec().into(), ..Snapshot::default() };
     let rewrite = Rewrite {
         term: 4,
         voted_for: None,
--- a/crates/serving/src/job.rs
+++ b/crates/serving/src/job.rs
@@ -17,6 +17,17 @@
     pub tokens: u64,
 }
 
+/// Bytes of an item's record beside its body and headers.
+const RECORD_BYTES: usize = 200;
+
+impl JobItem {
+    /// About the bytes that it takes.
+    pub fn held_bytes(&self) -> usize {
+        let headers = self.headers.iter().map(|header| header.name.len() + header.value.len());
+        RECORD_BYTES + self.body.len() + headers.sum::<usize>()
+    }
+}
+
 /// A header of an item's request.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct ItemHeader {
--- a/crates/settings/src/serving.rs
+++ b/crates/settings/src/serving.rs
@@ -68,6 +68,8 @@
     /// Time for which jobs that are over are kept, in seconds.
     #[serde(default = "default_retention_seconds")]
     pub retention_seconds: f64,
+    /// Room on the disk, in MB; what jobs may take follows from it and from the memory.
+    pub disk_mb: Option<f64>,
 }
 
 /// What the machine gives.
@@ -217,6 +219,10 @@
             let value = data.retention_seconds.to_string();
             return Err(("data.retention_seconds", value, "give 0 to 10000000"));
         }
+        if data.disk_mb.is_some_and(|room| !(8.0..=1e9).contains(&room)) {
+            let value = format!("{:?}", data.disk_mb);
+            return Err(("data.disk_mb", value, "give 8 to 1000000000"));
+        }
         Ok(())
     }
 }
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -113,6 +113,8 @@
     RoleChanged = "role-changed", Info, FAILURE_BUDGET;
     /// The members of the group changed.
     MembersChanged = "members-changed", Info, FAILURE_BUDGET;
+    /// The state took the place of the log's entries.
+    LogCompacted = "log-compacted", Info, FAILURE_BUDGET;
     /// Something was decided about the group from outside of its log.
     GroupDecision = "group-decision", Info, FAILURE_BUDGET;
     /// The disk refused a step, which is tried again.
