Requests are poured over back ends; loads count for back ends never used; short read buffers

Cause: a gateway took what everybody has in flight only for back ends that it had used itself; with 76 gateways and 72 back ends most looked empty.

Change: totals make records for all back ends. A back end is drawn by the part that it would get if the requests expected meanwhile were poured over all, the emptiest first (serving/spread.rs); expected are own arrivals times the other gateways over the age of the totals. 8 KB are read at once from back ends.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -48,8 +48,10 @@
 }
 
 fn hear(shared: &Shared, totals: &[BackendCount]) {
-    let total = |id: &str| {
-        totals.iter().find(|count| count.backend == id).map_or(0, |count| count.requests)
-    };
-    shared.places.with(|balancer, now| balancer.heard_totals(now, total));
+    let gateways = shared.fleet.load().gateways().count();
+    let totals = totals.iter().map(|count| (count.backend.as_str(), count.requests));
+    shared.places.with(|balancer, now| {
+        balancer.set_choosers(gateways);
+        balancer.heard_totals(now, totals);
+    });
 }
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -1,15 +1,16 @@
-//! Choice of the back end for a request: the least loaded one, with failing ones left out.
+//! Choice of the back end for a request: one of the least loaded, with failing ones left out.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yokefall_core::Timestamp;
 
 use crate::dialect::BackendLoad;
 use crate::model::Backend;
+use crate::spread::{draw, Level};
 
 /// Time for which a told load counts, in milliseconds; its weight falls to zero over it.
 const LOAD_LIFETIME_MS: u64 = 1_500;
@@ -28,6 +29,12 @@
 const OTHER_ZONE_COST: f64 = 0.1;
 /// Load, in parts of its slots, above which a back end loses requests that prefer it.
 const AFFINITY_LOAD_LIMIT: f64 = 0.75;
+/// Time that what everybody has in flight takes to be told and heard, in milliseconds.
+const TELLING_MS: u64 = 150;
+/// Longest time over which arrivals at other processes are reckoned with, in milliseconds.
+const LONGEST_BLIND_MS: u64 = 800;
+/// Time over which the rate of own arrivals is averaged, in milliseconds.
+const RATE_MS: f64 = 2_000.0;
 /// Back ends that a prefix prefers.
 const AFFINITY_CANDIDATES: usize = 2;
 
@@ -65,12 +72,39 @@
     generator: SmallRng,
     zone: String,
     records: HashMap<String, BackendRecord>,
+    /// Processes that choose as this one does, itself included.
+    choosers: usize,
+    /// When everybody's requests were last heard.
+    heard_at: Option<Timestamp>,
+    arrivals: HashMap<String, Arrivals>,
+}
+
+/// Rate of own requests to a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arrivals {
+    at: Timestamp,
+    per_ms: f64,
+}
+
+impl Arrivals {
+    fn note(&mut self, now: Timestamp) {
+        let elapsed = now.millis_since(self.at) as f64;
+        self.per_ms = self.per_ms * (-elapsed / RATE_MS).exp() + 1.0 / RATE_MS;
+        self.at = now;
+    }
 }
 
 impl Balancer {
     /// A balancer for a process in `zone`, whose draws follow from `seed`.
     pub fn new(zone: String, seed: u64) -> Self {
-        Self { generator: SmallRng::seed_from_u64(seed), zone, records: HashMap::new() }
+        Self {
+            generator: SmallRng::seed_from_u64(seed),
+            zone,
+            records: HashMap::new(),
+            choosers: 1,
+            heard_at: None,
+            arrivals: HashMap::new(),
+        }
     }
 
     /// Chooses a back end that is not in `tried`. `affinity` is a hash of what back ends may hold
@@ -97,31 +131,42 @@
         if let Some(backend) = affinity.and_then(|key| preferred(&open, key)) {
             return Some(backend.clone());
         }
-        let least = self.least(&open);
+        let least = self.least(now, &open);
         least.or(ejected.map(|(_, backend)| backend)).cloned()
     }
 
-    /// The cheapest; a draw among those that cost the same, so that processes do not all choose
-    /// the same one.
-    fn least<'a>(&mut self, open: &[(f64, &'a Arc<Backend>)]) -> Option<&'a Arc<Backend>> {
-        let mut best: Option<(f64, &'a Arc<Backend>)> = None;
-        let mut ties = 0u32;
-        for (cost, backend) in open {
-            match best {
-                Some((least, _)) if *cost > least => {}
-                Some((least, _)) if *cost == least => {
-                    ties += 1;
-                    if self.generator.random_range(0..=ties) == 0 {
-                        best = Some((*cost, backend));
-                    }
-                }
-                _ => {
-                    ties = 0;
-                    best = Some((*cost, backend));
-                }
-            }
+    /// How many processes choose as this one does, itself included.
+    pub fn set_choosers(&mut self, choosers: usize) {
+        self.choosers = choosers.max(1);
+    }
+
+    /// Requests that other processes probably place at a service without this one knowing it yet.
+    fn unseen_arrivals(&mut self, now: Timestamp, service: &str) -> f64 {
+        if !self.arrivals.contains_key(service) {
+            self.arrivals.insert(service.to_owned(), Arrivals { at: now, per_ms: 0.0 });
         }
-        best.map(|(_, backend)| backend)
+        let Some(arrivals) = self.arrivals.get_mut(service) else { return 0.0 };
+        arrivals.note(now);
+        let age = self.heard_at.map_or(LONGEST_BLIND_MS, |at| now.millis_since(at) + TELLING_MS);
+        let others = self.choosers - 1;
+        arrivals.per_ms * others as f64 * age.min(LONGEST_BLIND_MS) as f64
+    }
+
+    /// One of the cheapest: the more others choose meanwhile, the more are drawn from.
+    fn least<'a>(
+        &mut self,
+        now: Timestamp,
+        open: &[(f64, &'a Arc<Backend>)],
+    ) -> Option<&'a Arc<Backend>> {
+        let service = &open.first()?.1.service;
+        let unseen = self.unseen_arrivals(now, service);
+        let level = |(cost, backend): &(f64, &Arc<Backend>)| Level {
+            load: *cost,
+            slots: f64::from(backend.slots.max(1)),
+        };
+        let levels: Vec<Level> = open.iter().map(level).collect();
+        let position = draw(&mut self.generator, &levels, unseen + 1.0)?;
+        open.get(position).map(|(_, backend)| *backend)
     }
 
     /// Whether a back end is left out for a while.
@@ -200,10 +245,24 @@
         }
     }
 
-    /// Everybody's requests became known; back ends that `total` does not know have none.
-    pub fn heard_totals(&mut self, now: Timestamp, total: impl Fn(&str) -> u32) {
-        for (id, record) in &mut self.records {
-            record.foreign = (f64::from(total(id)) - f64::from(record.in_flight)).max(0.0);
+    /// Everybody's requests became known; back ends that `totals` does not name have none.
+    pub fn heard_totals<'a>(
+        &mut self,
+        now: Timestamp,
+        totals: impl Iterator<Item = (&'a str, u32)>,
+    ) {
+        self.heard_at = Some(now);
+        for record in self.records.values_mut() {
+            record.foreign = 0.0;
+            record.told_at = Some(now);
+        }
+        for (id, total) in totals {
+            // One that this process has never used counts as well: it would look empty else.
+            if !self.records.contains_key(id) {
+                self.records.insert(id.to_owned(), BackendRecord::default());
+            }
+            let Some(record) = self.records.get_mut(id) else { continue };
+            record.foreign = (f64::from(total) - f64::from(record.in_flight)).max(0.0);
             record.told_at = Some(now);
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod news;
 pub mod observer;
 pub mod source;
+pub mod spread;
 pub mod table;
 pub mod watch;
 
--- a/crates/serving/tests/balance.rs
+++ b/crates/serving/tests/balance.rs
@@ -46,7 +46,7 @@
     for backend in &all {
         balancer.started(&backend.id);
     }
-    balancer.heard_totals(NOW, |id| if id == "i-0" { 9 } else { 1 });
+    balancer.heard_totals(NOW, [("i-0", 9), ("i-1", 1)].into_iter());
     for _ in 0..5 {
         assert_eq!(choose(&mut balancer, NOW, &all), "i-1");
     }
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -20,6 +20,8 @@
 /// Time before the end that a back end tells after which its connection is not used: a request that
 /// crosses the close may or may not have run.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
+/// Bytes read at once from a back end. There are hundreds of connections, and events are short.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Time without acknowledgement of sent bytes after which the system gives a connection up.
 const USER_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -117,6 +119,7 @@
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
         let (sender, driver) = http1::Builder::new()
+            .read_buf_exact_size(Some(READ_BUFFER_BYTES))
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|cause| failed(cause.to_string()))?;
