--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -11,8 +11,10 @@
 const APPEND_BYTES: usize = 128 * 1024;
 /// Most messages with entries under way to one member.
 const WINDOW: usize = 8;
-/// Time after which an unanswered probe counts as lost, in milliseconds; a snapshot takes long.
+/// Time after which an unanswered probe counts as lost, in milliseconds.
 const LOST_MS: Millis = 2_000;
+/// The same for a state, which is large.
+const INSTALL_LOST_MS: Millis = 3_000;
 
 /// How two sets of voters differ.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +40,8 @@
     probing: bool,
     /// Last entry of each message with entries that is not answered, and when the newest was sent.
     under_way: VecDeque<Index>,
+    /// Whether the state itself is under way.
+    installing: bool,
     sent_at: Millis,
     /// Leader's clock when it sent the newest message that was answered.
     acknowledged_at: Option<Millis>,
@@ -54,6 +58,7 @@
             self.under_way.pop_front();
         }
         if self.probing && self.matched + 1 >= self.next {
+            self.installing = false;
             self.probing = false;
         }
         self.next = self.next.max(self.matched + 1);
@@ -68,14 +73,17 @@
             return;
         }
         self.probing = true;
+        self.installing = false;
         self.under_way.clear();
         self.next = (hint + 1).max(self.matched + 1);
     }
 
     /// Forgets a message that was not answered for so long that it must be lost.
     fn give_up_lost(&mut self, now: Millis) {
-        if self.probing && !self.under_way.is_empty() && now >= self.sent_at + LOST_MS {
+        let patience = if self.installing { INSTALL_LOST_MS } else { LOST_MS };
+        if self.probing && !self.under_way.is_empty() && now >= self.sent_at + patience {
             self.under_way.clear();
+            self.installing = false;
             self.next = self.matched + 1;
         }
     }
@@ -168,6 +176,7 @@
                 next,
                 probing: true,
                 under_way: VecDeque::new(),
+                installing: false,
                 sent_at: now,
                 acknowledged_at: None,
                 heard_at: now,
@@ -234,7 +243,8 @@
                 break;
             }
             if progress.next <= self.log.snapshot().index {
-                if !self.effects.installs.contains(member) {
+                // One at a time: the state is large, and each is a copy of it under way.
+                if self.effects.installs.is_empty() && !self.is_installing() {
                     self.effects.installs.push(member.clone());
                 }
                 break;
@@ -248,6 +258,11 @@
         sent
     }
 
+    /// Whether a state is under way to a member that may still take it.
+    fn is_installing(&self) -> bool {
+        self.progress.values().any(|progress| progress.installing && !progress.under_way.is_empty())
+    }
+
     /// Sends a member the state after the last applied entry, which `state` must be: the log no
     /// longer has what the member lacks.
     pub fn install(&mut self, now: Millis, member: &MemberId, state: Arc<[u8]>) {
@@ -257,6 +272,7 @@
         progress.sent_at = now;
         progress.next = index + 1;
         progress.under_way.push_back(index);
+        progress.installing = true;
         let members = self.members_at(index);
         let snapshot = Snapshot { index, term, members, state };
         self.send(member.clone(), self.term, Body::Install { snapshot, sent_at: now });
--- a/crates/jobstore/src/connections.rs
+++ b/crates/jobstore/src/connections.rs
@@ -7,12 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::SinkExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{channel, Receiver, Sender};
 use yokefall_serving::FleetCell;
 
-use crate::protocol::{encode, framed, Frame, FramedStream};
+use crate::protocol::{encode, framed, send_frame, Frame, FramedStream};
 
 /// Frames that may wait for one member.
 const QUEUE_FRAMES: usize = 128;
@@ -71,7 +70,7 @@
             tokio::time::sleep(RECONNECT_PAUSE).await;
             continue;
         };
-        if open.send(frame).await.is_err() {
+        if send_frame(open, frame).await.is_err() {
             stream = None;
         }
     }
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -19,7 +19,7 @@
 
 use crate::connections::Links;
 use crate::disk::{Disk, Synced};
-use crate::runner::Runner;
+use crate::runner::{Runner, RunnerOptions};
 use crate::state::Applied;
 use crate::store::{Store, StoreLimits, StoreObserver};
 use crate::wal::Wal;
@@ -53,6 +53,8 @@
     pub log_bytes: usize,
     /// Bytes of jobs above which no further one is taken.
     pub job_bytes: usize,
+    /// Items that run at once at most.
+    pub most_runs: usize,
 }
 
 /// A job store whose ports are open.
@@ -174,7 +176,7 @@
             platform.dialect(),
             options.zone,
             rand::random(),
-            options.retention,
+            RunnerOptions { retention: options.retention, most_runs: options.most_runs },
         ));
         tokio::task::spawn_local(runner.run());
         tokio::task::spawn_local(server::serve(listener, store.clone()));
@@ -258,6 +260,14 @@
             .write();
     }
 
+    fn state_sent(&self, member: &MemberId, bytes: usize) {
+        Line::new(EventName::StateSent).id(member).field("bytes", bytes).write();
+    }
+
+    fn state_taken(&self, index: Index, bytes: usize) {
+        Line::new(EventName::StateTaken).field("position", index).field("bytes", bytes).write();
+    }
+
     fn applied(&self, index: Index, applied: &Applied) {
         metrics::gauge!("job_store_log_position").set(index as f64);
         let (id, event) = match applied {
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -2,13 +2,18 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use bytes::Bytes;
+use futures::SinkExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
-use yokefall_consensus::{MemberId, Message};
+use yokefall_consensus::message::Body;
+use yokefall_consensus::{Entry, MemberId, Message};
 use yokefall_serving::{JobItem, ResultPage};
 
 /// Largest frame, in bytes; a snapshot is one frame.
 const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
+/// Bytes from which a frame is written without being copied first.
+const LARGE_FRAME_BYTES: usize = 64 * 1024;
 
 /// A job as a gateway takes it from its caller.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -137,8 +142,36 @@
 
 /// Encodes a frame.
 pub fn encode(frame: &Frame) -> Bytes {
+    let mut bytes = Vec::with_capacity(size_hint(frame));
     // Encoding into memory fails for no value of these types.
-    borsh::to_vec(frame).unwrap_or_default().into()
+    let _ = borsh::to_writer(&mut bytes, frame);
+    bytes.into()
+}
+
+/// Bytes of a frame beside what it carries.
+const FRAME_OVERHEAD_BYTES: usize = 512;
+
+/// About the bytes of a frame: a large one must not grow by doubling.
+fn size_hint(frame: &Frame) -> usize {
+    let Frame::Consensus(message) = frame else { return FRAME_OVERHEAD_BYTES };
+    let carried = match &message.body {
+        Body::Append { entries, .. } => entries.iter().map(Entry::bytes).sum(),
+        Body::Install { snapshot, .. } => snapshot.state.len(),
+        _ => 0,
+    };
+    carried + FRAME_OVERHEAD_BYTES
+}
+
+/// Sends an encoded frame; a large one goes out of its own buffer, without another copy. Every send
+/// flushes, so nothing waits in the codec.
+pub async fn send_frame(stream: &mut FramedStream, frame: Bytes) -> std::io::Result<()> {
+    if frame.len() < LARGE_FRAME_BYTES {
+        return stream.send(frame).await;
+    }
+    let head = (frame.len() as u32).to_be_bytes();
+    let socket = stream.get_mut();
+    socket.write_all(&head).await?;
+    socket.write_all(&frame).await
 }
 
 /// Decodes a frame.
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -67,6 +67,15 @@
     },
 }
 
+/// The body of an item, shared with the state.
+struct SharedBody(Arc<JobItem>);
+
+impl AsRef<[u8]> for SharedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.0.body
+    }
+}
+
 /// Runs items at back ends.
 pub struct ItemRunner {
     /// Connections.
@@ -85,7 +94,7 @@
         &self,
         place: &mut Place,
         host: &str,
-        item: &JobItem,
+        item: &Arc<JobItem>,
         progress: &Rc<RefCell<Progress>>,
     ) -> RunEnd {
         let backend = place.backend.clone();
@@ -155,7 +164,7 @@
     fn request(
         &self,
         host: &str,
-        item: &JobItem,
+        item: &Arc<JobItem>,
         backend: &Backend,
         after_event: u64,
     ) -> Option<Request<Full<Bytes>>> {
@@ -172,7 +181,7 @@
         if after_event > 0 {
             headers.insert(&names.resume_after, HeaderValue::from(after_event));
         }
-        request.body(Full::new(Bytes::from(item.body.clone()))).ok()
+        request.body(Full::new(Bytes::from_owner(SharedBody(item.clone())))).ok()
     }
 
     async fn read_events(
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -31,6 +31,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the output of running items is made durable.
 const KEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Least pause between two looks at what waits.
+const LEAST_LOOK_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest pause between two looks at what waits.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between looks for jobs that are over.
@@ -58,8 +60,16 @@
     places: Rc<Places>,
     waiting: RefCell<VecDeque<ItemKey>>,
     running: RefCell<HashMap<ItemKey, Running>>,
+    options: RunnerOptions,
+}
+
+/// What a runner is told.
+#[derive(Clone, Copy, Debug)]
+pub struct RunnerOptions {
     /// Time for which jobs that are over are kept.
-    retention: Duration,
+    pub retention: Duration,
+    /// Items that run at once at most; each takes memory for its connection and its output.
+    pub most_runs: usize,
 }
 
 impl Runner {
@@ -70,7 +80,7 @@
         dialect: Arc<dyn Dialect>,
         zone: String,
         seed: u64,
-        retention: Duration,
+        options: RunnerOptions,
     ) -> Self {
         Self {
             store,
@@ -79,7 +89,7 @@
             places: Places::new(Balancer::new(zone, seed)),
             waiting: RefCell::default(),
             running: RefCell::default(),
-            retention,
+            options,
         }
     }
 
@@ -129,6 +139,8 @@
     }
 
     async fn rest(&self, keep_at: Instant) {
+        // Gateways tell their loads many times a second; one look serves what came meanwhile.
+        tokio::time::sleep(LEAST_LOOK_INTERVAL).await;
         let woken = self.store.work_changed.notified();
         let busy = !self.running.borrow().is_empty() || !self.waiting.borrow().is_empty();
         let until = if busy { keep_at } else { Instant::now() + FORGET_INTERVAL };
@@ -169,6 +181,9 @@
                 self.give_up(key);
                 continue;
             }
+            if self.running.borrow().len() >= self.options.most_runs {
+                continue;
+            }
             // An item whose route is unknown must not hold up the items of others.
             let service = self.service_of(&key).filter(|service| !full.contains(service));
             let Some(service) = service else { continue };
@@ -295,7 +310,7 @@
         self: Rc<Self>,
         key: ItemKey,
         host: String,
-        item: JobItem,
+        item: Arc<JobItem>,
         progress: Rc<RefCell<Progress>>,
         mut place: Place,
         give_way: Rc<Notify>,
@@ -408,7 +423,7 @@
     fn forget_jobs(&self) {
         let mut over = Vec::new();
         self.store.each_job(|id, job, age| {
-            if age > self.retention && !job.is_open() {
+            if age > self.options.retention && !job.is_open() {
                 over.push(Command::Forget { job: id.clone() });
             }
         });
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -2,6 +2,7 @@
 //! commands in the same order and holds the same state.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use yokefall_serving::{ItemState, JobItem, PositionedResult, ResultPage};
@@ -110,8 +111,8 @@
 /// An item without a result.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct OpenItem {
-    /// What to run.
-    pub item: JobItem,
+    /// What to run; runs share it.
+    pub item: Arc<JobItem>,
     /// Runs that failed by the item's own fault.
     pub failures: u32,
     /// Output so far.
@@ -258,7 +259,11 @@
         if self.jobs.contains_key(&id) {
             return Applied::Accepted { job: id };
         }
-        let open_item = |item: JobItem| OpenItem { item, failures: 0, partial: Partial::default() };
+        let open_item = |item: JobItem| OpenItem {
+            item: Arc::new(item),
+            failures: 0,
+            partial: Partial::default(),
+        };
         let open: BTreeMap<u32, OpenItem> =
             (0..).zip(submission.items.into_iter().map(open_item)).collect();
         let job = Job {
@@ -304,7 +309,7 @@
             }
         }
         let text = PackedText::pack(whole);
-        job.results.push(HeldResult { id: open.item.id, state, text });
+        job.results.push(HeldResult { id: open.item.id.clone(), state, text });
         Applied::Finished { job: id, item }
     }
 
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -73,6 +73,10 @@
     fn members(&self, voters: usize, learners: usize, index: Index);
     /// The state took the place of log entries; bytes of the state, the log and the jobs.
     fn compacted(&self, state: usize, log: usize, jobs: usize);
+    /// The whole state goes to a member; its bytes.
+    fn state_sent(&self, member: &MemberId, bytes: usize);
+    /// The whole state after a position was taken; its bytes.
+    fn state_taken(&self, index: Index, bytes: usize);
     /// A command was applied.
     fn applied(&self, index: Index, applied: &Applied);
 }
@@ -256,6 +260,7 @@
         let state = encode_state(&inner.jobs);
         let now = self.now();
         for member in members {
+            self.observer.state_sent(member, state.len());
             inner.core.install(now, member, state.clone());
         }
     }
@@ -289,6 +294,7 @@
     }
 
     fn install(&self, inner: &mut Inner, snapshot: &Snapshot) {
+        self.observer.state_taken(snapshot.index, snapshot.state.len());
         inner.jobs = decode_state(&snapshot.state);
         let now = Instant::now();
         let accepted = inner.jobs.iter().map(|(id, _)| (id.clone(), now));
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -115,6 +115,10 @@
     MembersChanged = "members-changed", Info, FAILURE_BUDGET;
     /// The state took the place of the log's entries.
     LogCompacted = "log-compacted", Info, FAILURE_BUDGET;
+    /// The whole state was sent to a member that lacks entries.
+    StateSent = "state-sent", Info, FAILURE_BUDGET;
+    /// The whole state was taken from the leader.
+    StateTaken = "state-taken", Info, FAILURE_BUDGET;
     /// Something was decided about the group from outside of its log.
     GroupDecision = "group-decision", Info, FAILURE_BUDGET;
     /// The disk refused a step, which is tried again.
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -21,7 +21,7 @@
 /// crosses the close may or may not have run.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
 /// Bytes read at once from a back end. There are hundreds of connections, and events are short.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
+const READ_BUFFER_BYTES: usize = 4 * 1024;
 /// Time without acknowledgement of sent bytes after which the system gives a connection up.
 const USER_TIMEOUT: Duration = Duration::from_secs(8);
 
