Pages of results are short and a bounded number is on its way; frames go out without copies

Change: 256 KB a page; room for a page is taken before it is made and given back when it is sent; a frame is encoded into its exact size and written from there.

--- a/crates/app/src/commands/serving.rs
+++ b/crates/app/src/commands/serving.rs
@@ -30,6 +30,8 @@
 /// Part of the memory that the newest entries of the log may take, and its bounds in MB.
 const LOG_MEMORY_SHARE: f64 = 0.05;
 const LOG_MB: std::ops::RangeInclusive<f64> = 1.0..=16.0;
+/// Part of the memory that results on their way to readers may take.
+const PAGE_MEMORY_SHARE: f64 = 0.06;
 /// Part of the memory that running items may take, and about the bytes of one: buffers of its
 /// connection and its output of a second.
 const RUN_MEMORY_SHARE: f64 = 0.25;
@@ -250,6 +252,7 @@
         retention: Duration::from_secs_f64(data.retention_seconds),
         log_bytes: (log_mb * BYTES_PER_MB) as usize,
         job_bytes: (job_mb * BYTES_PER_MB) as usize,
+        page_bytes: (memory_mb * BYTES_PER_MB * PAGE_MEMORY_SHARE) as usize,
         most_runs: (memory_mb * BYTES_PER_MB * RUN_MEMORY_SHARE / RUN_BYTES) as usize + 1,
     }
 }
--- a/crates/jobstore/src/connections.rs
+++ b/crates/jobstore/src/connections.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{channel, Receiver, Sender};
 use yokefall_serving::FleetCell;
 
-use crate::protocol::{encode, framed, send_frame, Frame, FramedStream};
+use crate::protocol::{encode, send_frame, Frame};
 
 /// Frames that may wait for one member.
 const QUEUE_FRAMES: usize = 128;
@@ -55,7 +56,7 @@
 
 async fn serve(name: String, fleet: FleetCell, mut frames: Receiver<Bytes>) {
     let mut address = None;
-    let mut stream: Option<FramedStream> = None;
+    let mut stream: Option<OwnedWriteHalf> = None;
     while let Some(frame) = frames.recv().await {
         let current = address_of(&fleet, &name).or(address);
         if current != address {
@@ -76,9 +77,11 @@
     }
 }
 
-async fn connect(peer: SocketAddr) -> Option<FramedStream> {
+async fn connect(peer: SocketAddr) -> Option<OwnedWriteHalf> {
     let stream =
         tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await.ok()?.ok()?;
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-    Some(framed(stream))
+    let _ = stream.set_nodelay(true);
+    // Members answer on connections of their own: nothing is read here.
+    Some(stream.into_split().1)
 }
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -53,6 +53,8 @@
     pub log_bytes: usize,
     /// Bytes of jobs above which no further one is taken.
     pub job_bytes: usize,
+    /// Bytes of results that may be on their way to readers.
+    pub page_bytes: usize,
     /// Items that run at once at most.
     pub most_runs: usize,
 }
@@ -179,7 +181,7 @@
             RunnerOptions { retention: options.retention, most_runs: options.most_runs },
         ));
         tokio::task::spawn_local(runner.run());
-        tokio::task::spawn_local(server::serve(listener, store.clone()));
+        tokio::task::spawn_local(server::serve(listener, store.clone(), options.page_bytes));
 
         while !*stop.borrow() {
             if stop.changed().await.is_err() {
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -2,10 +2,10 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use bytes::Bytes;
-use futures::SinkExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedRead, LengthDelimitedCodec};
 use yokefall_consensus::message::Body;
 use yokefall_consensus::{Entry, MemberId, Message};
 use yokefall_serving::{JobItem, ResultPage};
@@ -133,11 +133,17 @@
 /// A connection that carries frames.
 pub type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
 
+/// Frames that arrive on a connection.
+pub type IncomingFrames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+
 /// Wraps a connected socket.
 pub fn framed(stream: TcpStream) -> FramedStream {
     let _ = stream.set_nodelay(true);
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-    Framed::new(stream, codec)
+    Framed::new(stream, codec())
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
 /// Encodes a frame.
@@ -148,32 +154,48 @@
     bytes.into()
 }
 
+/// Bytes of a result in a frame beside its text.
+const RESULT_OVERHEAD_BYTES: usize = 64;
 /// Bytes of a frame beside what it carries.
 const FRAME_OVERHEAD_BYTES: usize = 512;
 
 /// About the bytes of a frame: a large one must not grow by doubling.
 fn size_hint(frame: &Frame) -> usize {
-    let Frame::Consensus(message) = frame else { return FRAME_OVERHEAD_BYTES };
-    let carried = match &message.body {
-        Body::Append { entries, .. } => entries.iter().map(Entry::bytes).sum(),
-        Body::Install { snapshot, .. } => snapshot.state.len(),
+    let carried = match frame {
+        Frame::Consensus(message) => message_bytes(&message.body),
+        Frame::Reply { reply: Reply::Page(page), .. } => {
+            page.results.iter().map(|result| result.text.len() + RESULT_OVERHEAD_BYTES).sum()
+        }
         _ => 0,
     };
     carried + FRAME_OVERHEAD_BYTES
 }
 
-/// Sends an encoded frame; a large one goes out of its own buffer, without another copy. Every send
-/// flushes, so nothing waits in the codec.
-pub async fn send_frame(stream: &mut FramedStream, frame: Bytes) -> std::io::Result<()> {
-    if frame.len() < LARGE_FRAME_BYTES {
-        return stream.send(frame).await;
+fn message_bytes(body: &Body) -> usize {
+    match body {
+        Body::Append { entries, .. } => entries.iter().map(Entry::bytes).sum(),
+        Body::Install { snapshot, .. } => snapshot.state.len(),
+        _ => 0,
     }
+}
+
+/// Sends an encoded frame; a large one goes out of its own buffer, without another copy.
+pub async fn send_frame(socket: &mut OwnedWriteHalf, frame: Bytes) -> std::io::Result<()> {
     let head = (frame.len() as u32).to_be_bytes();
-    let socket = stream.get_mut();
+    if frame.len() < LARGE_FRAME_BYTES {
+        return socket.write_all(&[&head, frame.as_ref()].concat()).await;
+    }
     socket.write_all(&head).await?;
     socket.write_all(&frame).await
 }
 
+/// Splits a connected socket into frames that arrive and the end that `send_frame` writes to.
+pub fn split(stream: TcpStream) -> (IncomingFrames, OwnedWriteHalf) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    (FramedRead::new(reader, codec()), writer)
+}
+
 /// Decodes a frame.
 pub fn decode(bytes: &[u8]) -> Result<Frame, std::io::Error> {
     borsh::from_slice(bytes)
--- a/crates/jobstore/src/server.rs
+++ b/crates/jobstore/src/server.rs
@@ -1,16 +1,18 @@
 //! Answers gateways and takes messages of other members.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use futures::{SinkExt, StreamExt};
+use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use yokefall_consensus::MemberId;
 
-use crate::protocol::{decode, encode, framed, BackendCount, Frame, Reply, Request};
-use crate::state::Command;
+use crate::protocol::{decode, encode, send_frame, split, BackendCount, Frame, Reply, Request};
+use crate::state::{Command, PAGE_BYTES};
 use crate::store::{Found, ProposeError, Store};
 
 /// Longest time for which a read is held, whatever its caller asks.
@@ -18,24 +20,46 @@
 /// Pause after a connection could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves a listener for ever.
-pub async fn serve(listener: TcpListener, store: Rc<Store>) {
+/// Memory that a page takes while it is on its way, in parts of its text: as results, and encoded.
+const PAGE_COPIES: usize = 2;
+
+/// A frame to send, with the room that it takes until it is sent.
+struct Outgoing {
+    frame: Frame,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+/// What the tasks of a server share.
+#[derive(Clone)]
+struct Server {
+    store: Rc<Store>,
+    /// Pages that may be on their way at once.
+    pages: Arc<Semaphore>,
+}
+
+/// Serves a listener for ever. Pages of results that are on their way take `page_bytes` at most.
+pub async fn serve(listener: TcpListener, store: Rc<Store>, page_bytes: usize) {
+    let pages = (page_bytes / (PAGE_BYTES * PAGE_COPIES)).max(1);
+    let server = Server { store, pages: Arc::new(Semaphore::new(pages)) };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(stream, store.clone()));
+                tokio::task::spawn_local(serve_connection(stream, server.clone()));
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve_connection(stream: TcpStream, store: Rc<Store>) {
-    let (mut sink, mut frames) = framed(stream).split();
-    let (replies, mut queued) = unbounded_channel::<Frame>();
+async fn serve_connection(stream: TcpStream, server: Server) {
+    let store = &server.store;
+    let (mut frames, mut socket) = split(stream);
+    let (replies, mut queued) = unbounded_channel::<Outgoing>();
     let writer = tokio::task::spawn_local(async move {
-        while let Some(frame) = queued.recv().await {
-            if sink.send(encode(&frame)).await.is_err() {
+        while let Some(Outgoing { frame, _room }) = queued.recv().await {
+            let bytes = encode(&frame);
+            drop(frame);
+            if send_frame(&mut socket, bytes).await.is_err() {
                 return;
             }
         }
@@ -44,11 +68,11 @@
         let Ok(frame) = decode(&bytes) else { break };
         match frame {
             Frame::Consensus(message) => store.receive(message),
-            Frame::Join(member) => take_join(&store, member),
+            Frame::Join(member) => take_join(store, member),
             Frame::Leader(name) => store.note_leader(name),
             Frame::Request { call, request } => {
-                let (store, replies) = (store.clone(), replies.clone());
-                tokio::task::spawn_local(answer(store, call, request, replies));
+                let answering = answer(server.clone(), call, request, replies.clone());
+                tokio::task::spawn_local(answering);
             }
             Frame::Reply { .. } => break,
         }
@@ -65,9 +89,16 @@
     store.note_joining(member);
 }
 
-async fn answer(store: Rc<Store>, call: u64, request: Request, replies: UnboundedSender<Frame>) {
+async fn answer(server: Server, call: u64, request: Request, replies: UnboundedSender<Outgoing>) {
+    let Server { store, pages } = server;
+    let mut room = None;
+    if let Request::Results { job, from, wait_ms } = &request {
+        let wait = Duration::from_millis(*wait_ms).min(MAX_READ_WAIT);
+        until_readable(&store, job, *from, Instant::now() + wait).await;
+        room = pages.acquire_owned().await.ok();
+    }
     let reply = carry_out(&store, request).await;
-    let _ = replies.send(Frame::Reply { call, reply });
+    let _ = replies.send(Outgoing { frame: Frame::Reply { call, reply }, _room: room });
 }
 
 async fn carry_out(store: &Store, request: Request) -> Reply {
@@ -100,10 +131,7 @@
             found(store, body, Reply::Body)
         }
         Request::Load { .. } => Reply::Unsure,
-        Request::Results { job, from, wait_ms } => {
-            let wait = Duration::from_millis(wait_ms).min(MAX_READ_WAIT);
-            read_results(store, &job, from, Instant::now() + wait).await
-        }
+        Request::Results { job, from, .. } => found(store, store.page(&job, from), Reply::Page),
     }
 }
 
@@ -136,18 +164,14 @@
     }
 }
 
-/// Results from a position on, held until one exists or nothing more will come.
-async fn read_results(store: &Store, job: &str, from: u64, until: Instant) -> Reply {
+/// Waits until a result exists from a position on, or nothing more will come, or until a time.
+async fn until_readable(store: &Store, job: &str, from: u64, until: Instant) {
     loop {
         let reader = store.reader(job);
         let woken = reader.notified();
-        let page = match store.page(job, from) {
-            Found::Yes(page) => page,
-            other => return found(store, other, Reply::Page),
-        };
-        let over = store.with_job(job, |job| !job.is_open()).unwrap_or(true);
-        if !page.results.is_empty() || over || Instant::now() >= until {
-            return Reply::Page(page);
+        let is_ready = store.with_job(job, |job| job.results.len() as u64 > from || !job.is_open());
+        if !store.serves() || is_ready.unwrap_or(true) || Instant::now() >= until {
+            return;
         }
         let _ = tokio::time::timeout_at(until, woken).await;
     }
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -11,7 +11,7 @@
 use crate::protocol::Submission;
 
 /// Most bytes of results in one page.
-const PAGE_BYTES: usize = 900 * 1024;
+pub const PAGE_BYTES: usize = 256 * 1024;
 
 /// Bytes of a result beside its text.
 const RECORD_BYTES: usize = 96;
