States go out one at a time, once, to members that are heard; they are written without copies

After a change of the leader, a voter that is gone for good was sent the state, given up after 3 s and sent it again, and as states go one at a time the member that was to take its place never had any; two lost disks later there was no quorum.

Change: a state goes only to members heard within a second, is given up after 3 s whatever the state of its receiver, and refusals count for nothing meanwhile. Jobs may take 32% of the memory.

--- a/crates/app/src/commands/serving.rs
+++ b/crates/app/src/commands/serving.rs
@@ -25,7 +25,7 @@
 /// Part of the memory that bodies of requests may take.
 const BODY_MEMORY_SHARE: f64 = 0.4;
 /// Parts of memory and disk that jobs may take: encoding and rewriting need as much again.
-const JOB_MEMORY_SHARE: f64 = 0.38;
+const JOB_MEMORY_SHARE: f64 = 0.32;
 const JOB_DISK_SHARE: f64 = 0.35;
 /// Part of the memory that the newest entries of the log may take, and its bounds in MB.
 const LOG_MEMORY_SHARE: f64 = 0.05;
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
+use bytes::Bytes;
 
 use crate::message::Members;
 
@@ -57,14 +58,14 @@
     /// The members after it.
     pub members: Members,
     /// The state machine.
-    pub state: Arc<[u8]>,
+    pub state: Bytes,
 }
 
 impl Snapshot {
     /// The same position without the state, which the log does not need to hold.
     pub fn position(&self) -> Self {
         let (index, term, members) = (self.index, self.term, self.members.clone());
-        Self { index, term, members, state: Arc::default() }
+        Self { index, term, members, state: Bytes::new() }
     }
 }
 
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -2,8 +2,8 @@
 //! `replication`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
 
+use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -508,7 +508,7 @@
     }
 
     /// Puts the state after the last applied entry in the place of the entries up to it.
-    pub fn compact(&mut self, state: Arc<[u8]>) {
+    pub fn compact(&mut self, state: Bytes) {
         let index = self.applied;
         let Some(term) = self.log.term_at(index) else { return };
         if index <= self.log.snapshot().index {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,7 +1,8 @@
 //! What a leader does: sends entries, counts who has them, holds its lease, changes members.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
+
+use bytes::Bytes;
 
 use crate::log::{Entry, Index, Payload, Snapshot};
 use crate::message::{Body, MemberId, Members};
@@ -13,7 +14,9 @@
 const WINDOW: usize = 8;
 /// Time after which an unanswered probe counts as lost, in milliseconds.
 const LOST_MS: Millis = 2_000;
-/// The same for a state, which is large.
+/// Time within which a member must have been heard to be sent a state, in milliseconds.
+const INSTALL_HEARD_MS: Millis = 1_000;
+/// Time after which an unanswered state counts as lost, in milliseconds.
 const INSTALL_LOST_MS: Millis = 3_000;
 
 /// How two sets of voters differ.
@@ -68,6 +71,10 @@
     /// only for the message that it answers. Each of the others under way is refused as well; if
     /// they counted, each would have the whole window sent again.
     fn refuse(&mut self, refused: Index, hint: Index) {
+        if self.installing {
+            // The answer to a heartbeat: the state that it asks for is under way.
+            return;
+        }
         let stale = if self.probing { refused + 1 > self.next } else { refused <= self.matched };
         if stale {
             return;
@@ -81,7 +88,9 @@
     /// Forgets a message that was not answered for so long that it must be lost.
     fn give_up_lost(&mut self, now: Millis) {
         let patience = if self.installing { INSTALL_LOST_MS } else { LOST_MS };
-        if self.probing && !self.under_way.is_empty() && now >= self.sent_at + patience {
+        let waits = self.probing || self.installing;
+        if waits && !self.under_way.is_empty() && now >= self.sent_at + patience {
+            self.probing = true;
             self.under_way.clear();
             self.installing = false;
             self.next = self.matched + 1;
@@ -243,8 +252,10 @@
                 break;
             }
             if progress.next <= self.log.snapshot().index {
-                // One at a time: the state is large, and each is a copy of it under way.
-                if self.effects.installs.is_empty() && !self.is_installing() {
+                // One at a time: the state is large, and each is a copy of it under way. One that is
+                // not heard would keep it from the others.
+                let is_heard = now < progress.heard_at + INSTALL_HEARD_MS;
+                if is_heard && self.effects.installs.is_empty() && !self.is_installing() {
                     self.effects.installs.push(member.clone());
                 }
                 break;
@@ -265,7 +276,7 @@
 
     /// Sends a member the state after the last applied entry, which `state` must be: the log no
     /// longer has what the member lacks.
-    pub fn install(&mut self, now: Millis, member: &MemberId, state: Arc<[u8]>) {
+    pub fn install(&mut self, now: Millis, member: &MemberId, state: Bytes) {
         let index = self.applied;
         let Some(term) = self.log.term_at(index) else { return };
         let Some(progress) = self.progress.get_mut(member) else { return };
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -4,8 +4,8 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
-use std::sync::Arc;
 
+use bytes::Bytes;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 use yokefall_consensus::{
@@ -123,7 +123,7 @@
     /// A replica; `core` is not ticked yet.
     pub fn new(
         core: Consensus,
-        state: Arc<[u8]>,
+        state: Bytes,
         disk: Disk,
         links: Links,
         observer: Box<dyn StoreObserver>,
@@ -444,6 +444,10 @@
     /// What to wait on for further results of a job.
     pub fn reader(&self, job: &str) -> Rc<Notify> {
         let mut inner = self.inner.borrow_mut();
+        if inner.jobs.get(job).is_none() {
+            // Nobody would ever forget it again.
+            return Rc::default();
+        }
         inner.readers.entry(job.to_owned()).or_default().clone()
     }
 
@@ -508,7 +512,7 @@
     }
 }
 
-fn encode_state(jobs: &Jobs) -> Arc<[u8]> {
+fn encode_state(jobs: &Jobs) -> Bytes {
     let mut bytes = Vec::with_capacity(jobs.held_bytes());
     // Encoding into memory fails for no value of this type.
     let _ = borsh::to_writer(&mut bytes, jobs);
--- a/crates/jobstore/src/wal.rs
+++ b/crates/jobstore/src/wal.rs
@@ -16,8 +16,8 @@
 
 /// Bytes of a record's length and checksum.
 const HEAD_BYTES: usize = 8;
-/// Most bytes of a snapshot's record beside the state.
-const SNAPSHOT_OVERHEAD_BYTES: usize = 4 * 1024;
+/// Bytes of the length that stands before a snapshot's state, which ends its record.
+const LENGTH_BYTES: usize = 4;
 /// Largest record believed, in bytes.
 const MAX_RECORD_BYTES: u32 = 512 * 1024 * 1024;
 
@@ -161,12 +161,9 @@
         let options = options.read(true).write(true).create(true).truncate(true);
         let mut file = options.open(&path).map_err(at("create"))?;
         let mut synced = 0;
-        // Record by record: a snapshot is large, and a copy of it in memory is enough.
+        // Record by record: a snapshot is large, and no copy of it is made.
         for record in start {
-            let mut bytes = Vec::new();
-            encode(record, &mut bytes);
-            file.write_all(&bytes).map_err(at("write"))?;
-            synced += bytes.len() as u64;
+            synced += write_record(&mut file, record).map_err(at("write"))?;
         }
         file.sync_all().map_err(at("sync"))?;
         sync_folder(folder).map_err(at("sync folder of"))?;
@@ -282,10 +279,6 @@
 
 fn encode(record: &Record, bytes: &mut Vec<u8>) {
     let head = bytes.len();
-    if let Record::Snapshot(snapshot) = record {
-        // Exactly, and not by doubling: a state is large.
-        bytes.reserve_exact(snapshot.state.len() + SNAPSHOT_OVERHEAD_BYTES);
-    }
     bytes.extend_from_slice(&[0; HEAD_BYTES]);
     // Encoding into memory fails for no value of this type.
     let _ = borsh::to_writer(&mut *bytes, record);
@@ -295,6 +288,30 @@
     bytes[head + 4..head + HEAD_BYTES].copy_from_slice(&checksum.to_le_bytes());
 }
 
+/// Writes one record; the state of a snapshot goes out as it lies in memory.
+fn write_record(file: &mut File, record: &Record) -> std::io::Result<u64> {
+    let Record::Snapshot(snapshot) = record else {
+        let mut bytes = Vec::new();
+        encode(record, &mut bytes);
+        file.write_all(&bytes)?;
+        return Ok(bytes.len() as u64);
+    };
+    let state = &snapshot.state;
+    // The same record with an empty state, whose length is then put right.
+    let mut content = borsh::to_vec(&Record::Snapshot(snapshot.position()))?;
+    content.truncate(content.len() - LENGTH_BYTES);
+    content.extend_from_slice(&(state.len() as u32).to_le_bytes());
+    let mut checksum = crc32fast::Hasher::new();
+    checksum.update(&content);
+    checksum.update(state);
+    let length = content.len() + state.len();
+    file.write_all(&(length as u32).to_le_bytes())?;
+    file.write_all(&checksum.finalize().to_le_bytes())?;
+    file.write_all(&content)?;
+    file.write_all(state)?;
+    Ok((HEAD_BYTES + length) as u64)
+}
+
 struct Scan {
     incarnation: u64,
     recovered: Recovered,
