--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -20,6 +20,9 @@
 
 /// Longest time for which one watch waits.
 pub const WATCH_WAIT: Duration = Duration::from_millis(12_000);
+/// Pause after a watch that told changes before the next one: changes come together, as when a service
+/// starts or is replaced, and each call is paid for by every process.
+const GATHER_PAUSE: Duration = Duration::from_millis(200);
 /// Time beyond the wait after which an unanswered watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Time after which an unanswered list counts as lost.
@@ -278,7 +281,11 @@
         match watched? {
             Watched::Changes { changes, revision: next } => {
                 revision = revision.max(next);
+                let changed = !changes.is_empty();
                 sink.apply(changes, revision);
+                if changed {
+                    tokio::time::sleep(GATHER_PAUSE).await;
+                }
             }
             Watched::HistoryLost => return Ok(()),
         }
