--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -57,6 +57,8 @@
     pub term: Term,
     /// The members after it.
     pub members: Members,
+    /// Position of the entry that told them.
+    pub members_index: Index,
     /// The state machine.
     pub state: Bytes,
 }
@@ -64,8 +66,13 @@
 impl Snapshot {
     /// The same position without the state, which the log does not need to hold.
     pub fn position(&self) -> Self {
-        let (index, term, members) = (self.index, self.term, self.members.clone());
-        Self { index, term, members, state: Bytes::new() }
+        Self {
+            index: self.index,
+            term: self.term,
+            members: self.members.clone(),
+            members_index: self.members_index,
+            state: Bytes::new(),
+        }
     }
 }
 
@@ -179,6 +186,6 @@
                 return (entry.index, members);
             }
         }
-        (self.snapshot.index, &self.snapshot.members)
+        (self.snapshot.members_index, &self.snapshot.members)
     }
 }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -514,8 +514,8 @@
         if index <= self.log.snapshot().index {
             return;
         }
-        let members = self.members_at(index);
-        let snapshot = Snapshot { index, term, members, state };
+        let (members_index, members) = self.members_told_at(index);
+        let snapshot = Snapshot { index, term, members, members_index, state };
         self.log.compact(&snapshot);
         self.effects.writes.push(Write::Snapshot { snapshot, keep_rest: true });
     }
@@ -526,13 +526,19 @@
     }
 
     pub(crate) fn members_at(&self, index: Index) -> Members {
+        self.members_told_at(index).1
+    }
+
+    /// The members after a position, and the position of the entry that told them.
+    pub(crate) fn members_told_at(&self, index: Index) -> (Index, Members) {
         let mut at = index;
         while at > self.log.snapshot().index {
             if let Some(Entry { payload: Payload::Members(members), .. }) = self.log.get(at) {
-                return members.clone();
+                return (at, members.clone());
             }
             at -= 1;
         }
-        self.log.snapshot().members.clone()
+        let snapshot = self.log.snapshot();
+        (snapshot.members_index, snapshot.members.clone())
     }
 }
--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -176,8 +176,8 @@
         .voters
         .iter()
         .filter(|voter| *voter != leaving && !wishes.leaving.contains(&voter.name))
-        .filter(|voter| node.silent_ms(now, voter) < SILENCE_MS)
-        .filter(|voter| node.matched(voter) >= node.commit_index())
+        // The removal commits only once a quorum of them has every entry before it.
+        .filter(|voter| is_caught_up(node, now, voter))
         .collect();
     let can_fill = |member: &&MemberId| !wishes.leaving.contains(&member.name);
     let learners = members.learners.iter().filter(can_fill);
@@ -192,7 +192,9 @@
         return None;
     }
     if leaving == node.id() {
-        return others.first().map(|other| Step::HandOver((*other).clone()));
+        // The lead can go only to one that has everything.
+        let nearest = others.iter().max_by_key(|other| node.matched(other));
+        return nearest.map(|other| Step::HandOver((*other).clone()));
     }
     Some(Step::Change(without(members, leaving)))
 }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -284,8 +284,8 @@
         progress.next = index + 1;
         progress.under_way.push_back(index);
         progress.installing = true;
-        let members = self.members_at(index);
-        let snapshot = Snapshot { index, term, members, state };
+        let (members_index, members) = self.members_told_at(index);
+        let snapshot = Snapshot { index, term, members, members_index, state };
         self.send(member.clone(), self.term, Body::Install { snapshot, sent_at: now });
     }
 
--- a/crates/consensus/tests/simulation.rs
+++ b/crates/consensus/tests/simulation.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use support::{play, play_pair, Mutation, ALL_FAULTS};
+use support::{play, play_pair, play_standby, Mutation, ALL_FAULTS};
 
 /// Histories in CI.
 const HISTORIES: u64 = 400;
@@ -48,6 +48,16 @@
     assert!(is_found(Mutation::ReadWithoutLease));
 }
 
+/// Histories with machines that stand by in CI.
+const STANDBY_HISTORIES: u64 = 60;
+
+#[test]
+fn a_group_with_machines_that_stand_by_is_filled_from_them() {
+    for seed in 0..STANDBY_HISTORIES {
+        play_standby(seed).unwrap_or_else(|violation| panic!("{violation}"));
+    }
+}
+
 /// Histories of a pair in CI.
 const PAIR_HISTORIES: u64 = 60;
 
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -150,6 +150,15 @@
         addresses.into_iter().map(|to| self.outgoing(to, DatagramKind::Members)).collect()
     }
 
+    /// Datagrams that tell a few members, drawn by chance, what this daemon knows now.
+    pub fn tell_some(&mut self, count: usize) -> Vec<Outgoing> {
+        let addresses: Vec<String> =
+            self.live().map(|entry| entry.record.address.clone()).collect();
+        let drawn: Vec<String> =
+            addresses.choose_multiple(&mut self.generator, count).cloned().collect();
+        drawn.into_iter().map(|to| self.outgoing(to, DatagramKind::Members)).collect()
+    }
+
     fn live(&self) -> impl Iterator<Item = &Entry> {
         self.members.values().filter(|entry| entry.record.state != MemberState::Dead)
     }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -36,6 +36,11 @@
     tokio::task::spawn_local(run_membership(socket, identity, options.seeds, fleet, news, stop));
     let knowledge =
         SharedKnowledge { knowledge: known, observer: Rc::new(LineObserver::new(|| {})) };
-    tokio::task::spawn_local(follow(platform.configurations(), knowledge.clone(), configuration));
-    follow(platform.backends(), knowledge, backends).await;
+    tokio::task::spawn_local(follow(
+        platform.configurations(),
+        knowledge.clone(),
+        configuration.clone(),
+        backends.clone(),
+    ));
+    follow(platform.backends(), knowledge, backends, configuration).await;
 }
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -161,9 +161,10 @@
         tokio::task::spawn_local(follow(
             platform.configurations(),
             knowledge.clone(),
-            configuration,
+            configuration.clone(),
+            backends.clone(),
         ));
-        tokio::task::spawn_local(follow(platform.backends(), knowledge, backends));
+        tokio::task::spawn_local(follow(platform.backends(), knowledge, backends, configuration));
 
         if options.bootstrap && opened.was_empty {
             tokio::task::spawn_local(group::found(platform.clone(), store.clone(), me.clone()));
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -155,8 +155,12 @@
         }
         if watch.is_none() {
             let sink = LeavingSink { leaving: leaving.clone(), store: store.clone() };
-            watch =
-                Some(tokio::task::spawn_local(follow(platform.retirements(), sink, Rc::default())));
+            watch = Some(tokio::task::spawn_local(follow(
+                platform.retirements(),
+                sink,
+                Rc::default(),
+                Rc::default(),
+            )));
         }
         let busy = change_members(&platform, &store, &fleet, &leaving, voters).await;
         report_emptied(&platform, &store, &leaving).await;
--- a/crates/jobstore/tests/state.rs
+++ b/crates/jobstore/tests/state.rs
@@ -166,3 +166,18 @@
     let bytes = borsh::to_vec(&jobs).expect("bytes");
     assert_eq!(borsh::from_slice::<Jobs>(&bytes).expect("the state"), jobs);
 }
+
+#[test]
+fn long_results_are_held_in_less_room_and_read_back_whole() {
+    let text: String =
+        (0..400).map(|n| format!("{n:x}.{:x} north then left\n", n * 7_919)).collect();
+    let mut jobs = Jobs::default();
+    jobs.apply(submit(&["a"]));
+    let before = jobs.held_bytes();
+    jobs.apply(finish(0, 0, Some(&text)));
+    assert_eq!(texts(&jobs), [format!("a={text}")]);
+    assert!(jobs.held_bytes() < before + text.len() / 2);
+    let bytes = borsh::to_vec(&jobs).expect("a state");
+    let again: Jobs = borsh::from_slice(&bytes).expect("a state");
+    assert_eq!(again, jobs);
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -14,6 +14,8 @@
 
 use crate::news::{Known, News};
 
+/// Members that are told at once of what this process has learnt.
+const NEWS_FANOUT: usize = 4;
 /// Largest datagram read, in bytes.
 const DATAGRAM_BYTES: usize = 16_384;
 
@@ -115,12 +117,22 @@
     let mut may_change = true;
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut told_leaving = false;
+    let mut told = Known::default();
     loop {
         let now = Timestamp(origin.elapsed().as_millis() as u64);
-        tell(&mut membership, news.own());
+        let own = news.own();
+        tell(&mut membership, own);
+        news.tick(now);
+        if own.is_news_after(told) {
+            // Whoever watches in vain hears of it from a few, who tell others when they know it.
+            send(&socket, membership.tell_some(NEWS_FANOUT)).await;
+            told = own;
+        }
         send(&socket, membership.tick(now)).await;
         publish(&mut membership, &cell);
-        let wait = membership.next_deadline().millis_since(now).max(1);
+        let deadline = membership.next_deadline();
+        let deadline = news.next_look().map_or(deadline, |look| look.min(deadline));
+        let wait = deadline.millis_since(now).max(1);
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, source)) = received {
@@ -132,6 +144,7 @@
                 }
             }
             () = tokio::time::sleep(Duration::from_millis(wait)) => {}
+            () = news.changed() => {}
             changed = seeds.changed(), if may_change => {
                 may_change = changed.is_ok();
                 if may_change {
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -105,12 +105,20 @@
     /// Digest of the back ends and their states.
     digest: u64,
     cell: CatalogCell,
+    /// Woken when what is known has changed.
+    changed: Rc<Notify>,
 }
 
 impl Knowledge {
     /// Nothing known yet.
     pub fn new(cell: CatalogCell) -> Self {
-        Self { configuration: None, backends: Objects::default(), digest: 0, cell }
+        Self {
+            configuration: None,
+            backends: Objects::default(),
+            digest: 0,
+            cell,
+            changed: Rc::default(),
+        }
     }
 
     /// Takes a configuration; returns whether it is newer than the one in force.
@@ -134,6 +142,11 @@
         &self.backends
     }
 
+    /// Woken when what is known has changed.
+    pub fn changed(&self) -> Rc<Notify> {
+        self.changed.clone()
+    }
+
     /// What is known, to be told to peers.
     pub fn known(&self) -> Known {
         Known {
@@ -151,6 +164,7 @@
         self.digest = self.backends.values().map(hash).fold(0, u64::wrapping_add);
         let catalog = Catalog::new(self.configuration.clone(), self.backends.values());
         self.cell.store(Arc::new(catalog));
+        self.changed.notify_one();
     }
 }
 
@@ -237,13 +251,26 @@
 }
 
 /// Lists, then watches, for ever. A watch that fails, has lost its history or is ended by `refresh`
-/// lists again.
-pub async fn follow<T, S: Source<T>>(mut source: S, sink: impl Sink<T>, refresh: Rc<Notify>) {
+/// lists again. When the store answers after a failure, `other` ends the watch of another kind: a
+/// connection on which an answer was lost says nothing more, and nobody would know before its wait ends.
+pub async fn follow<T, S: Source<T>>(
+    mut source: S,
+    sink: impl Sink<T>,
+    refresh: Rc<Notify>,
+    other: Rc<Notify>,
+) {
     let mut pause = FIRST_PAUSE;
+    let mut failed = false;
     loop {
-        match follow_once(&mut source, &sink, &mut pause, &refresh).await {
+        let listed = || {
+            if std::mem::take(&mut failed) {
+                other.notify_one();
+            }
+        };
+        match follow_once(&mut source, &sink, listed, &mut pause, &refresh).await {
             Ok(()) => {}
             Err(error) => {
+                failed = true;
                 sink.ended(Some(&error));
                 source.reset();
                 tokio::time::sleep(pause).await;
@@ -256,6 +283,7 @@
 async fn follow_once<T, S: Source<T>>(
     source: &mut S,
     sink: &impl Sink<T>,
+    listed: impl FnOnce(),
     pause: &mut Duration,
     refresh: &Notify,
 ) -> Result<(), SourceError> {
@@ -265,6 +293,7 @@
     let mut revision = listing.revision;
     sink.replace(listing);
     sink.ended(None);
+    listed();
     *pause = FIRST_PAUSE;
     loop {
         let watched = tokio::select! {
--- /dev/null
+++ b/crates/serving/tests/spread.rs
@@ -0,0 +1,89 @@
+//! Draws of back ends by many processes that know the same, somewhat old loads.
+
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use yokefall_core::Timestamp;
+use yokefall_serving::spread::{draw, Level};
+use yokefall_serving::{Backend, BackendState, Balancer};
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+const BACK_ENDS: usize = 72;
+const GATEWAYS: u64 = 76;
+const SLOTS: u32 = 9;
+
+fn level(load: f64) -> Level {
+    Level { load, slots: 10.0 }
+}
+
+#[test]
+fn one_request_goes_to_the_emptiest() {
+    let mut generator = SmallRng::seed_from_u64(1);
+    let levels = [level(0.5), level(0.1), level(0.5)];
+    for _ in 0..50 {
+        assert_eq!(draw(&mut generator, &levels, 1.0), Some(1));
+    }
+    assert_eq!(draw(&mut generator, &[], 1.0), None);
+}
+
+#[test]
+fn many_requests_go_where_there_is_room_in_proportion() {
+    let mut generator = SmallRng::seed_from_u64(2);
+    // 4 slots are free at the first and 2 at the second below the third: six requests fill them.
+    let levels = [level(0.0), level(0.2), level(0.4)];
+    let mut drawn = [0; 3];
+    for _ in 0..6_000 {
+        drawn[draw(&mut generator, &levels, 6.0).expect("a back end")] += 1;
+    }
+    assert_eq!(drawn[2], 0);
+    assert!((3_700..4_300).contains(&drawn[0]), "{drawn:?}");
+}
+
+fn back_ends() -> Vec<Arc<Backend>> {
+    let back_end = |index: usize| Backend {
+        id: format!("i-{index}"),
+        service: "models".into(),
+        address: format!("127.0.0.1:{}", 1_000 + index).parse().expect("an address"),
+        zone: "hall-1".into(),
+        slots: SLOTS,
+        state: BackendState::Ready,
+        cold_remaining_ms: 0,
+    };
+    (0..BACK_ENDS).map(|index| Arc::new(back_end(index))).collect()
+}
+
+/// Found on the grown deployments: gateways took what everybody has in flight only for back ends that
+/// they had used themselves, and all of them chose the one that looked emptiest.
+#[test]
+fn gateways_that_know_the_same_do_not_choose_the_same() {
+    let all = back_ends();
+    let mut balancers: Vec<Balancer> =
+        (0..GATEWAYS).map(|seed| Balancer::new("hall-1".into(), seed)).collect();
+    // Back end i-0 is the emptiest, i-1 to i-35 have room, the others are full.
+    let load = |index: usize| match index {
+        0 => 2,
+        1..=35 => 4,
+        _ => SLOTS,
+    };
+    let totals: Vec<(String, u32)> =
+        (0..BACK_ENDS).map(|index| (format!("i-{index}"), load(index))).collect();
+    let mut chosen: HashMap<String, u32> = HashMap::new();
+    for round in 0..40 {
+        let now = Timestamp(10_000 + round * 250);
+        for balancer in &mut balancers {
+            balancer.set_choosers(GATEWAYS as usize);
+            balancer.heard_totals(now, totals.iter().map(|(id, count)| (id.as_str(), *count)));
+            let back_end = balancer.choose(now, &all, &[], None).expect("a back end");
+            if round >= 20 {
+                *chosen.entry(back_end.id.clone()).or_default() += 1;
+            }
+        }
+    }
+    let all_chosen: u32 = chosen.values().sum();
+    let most = chosen.values().max().copied().unwrap_or_default();
+    assert!(most * 8 < all_chosen, "{most} of {all_chosen} went to one back end");
+    let full = chosen.iter().filter(|(id, _)| id[2..].parse::<usize>().expect("a number") > 35);
+    let to_full: u32 = full.map(|(_, count)| *count).sum();
+    assert!(to_full * 20 < all_chosen, "{to_full} of {all_chosen} went to full back ends");
+}
