Gateways forget back ends that are gone

Records of load and kept connections of back ends that left were held for ever: a slow leak where back ends are replaced. Every 256 tellings both are compared with the catalog, as the runner does.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -13,12 +13,15 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Longest pause while requests are in flight.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(500);
+/// Tellings after which back ends that are gone are forgotten.
+const TELLINGS_TO_FORGET: u32 = 256;
 /// Time for one telling.
 const CALL_TIME: Duration = Duration::from_millis(300);
 
 /// Tells for ever.
 pub async fn tell(shared: Rc<Shared>, gateway: String) {
     let mut told_anything = false;
+    let mut tellings: u32 = 0;
     loop {
         if told_anything {
             let changed = shared.places.changed.notified();
@@ -34,9 +37,20 @@
         if let CallOutcome::Answered(Reply::Totals(totals)) = outcome {
             hear(&shared, &totals);
         }
+        tellings += 1;
+        if tellings % TELLINGS_TO_FORGET == 0 {
+            forget_gone(&shared);
+        }
     }
 }
 
+/// Drops what is held of back ends that nobody knows any more.
+fn forget_gone(shared: &Shared) {
+    let catalog = shared.catalog.load();
+    shared.pool.retain(|id| catalog.is_ready(id));
+    shared.places.with(|balancer, _| balancer.retain(|id| catalog.is_ready(id)));
+}
+
 fn counts(shared: &Shared) -> Vec<BackendCount> {
     shared.places.with(|balancer, _| {
         let count = |(backend, requests): (&str, u32)| BackendCount {
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -431,9 +431,8 @@
             self.store.propose_only(&Command::Several(over));
         }
         let catalog = self.catalog.load();
-        let known = |id: &str| catalog.ready.values().flatten().any(|backend| backend.id == id);
-        self.items.pool.retain(known);
-        self.places.with(|balancer, _| balancer.retain(known));
+        self.items.pool.retain(|id| catalog.is_ready(id));
+        self.places.with(|balancer, _| balancer.retain(|id| catalog.is_ready(id)));
     }
 }
 
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -38,6 +38,11 @@
         self.ready.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether a back end takes work.
+    pub fn is_ready(&self, id: &str) -> bool {
+        self.ready.values().flatten().any(|backend| backend.id == id)
+    }
+
     /// Version of the configuration; 0 when none is known.
     pub fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |configuration| configuration.version)
