A back end is silent only where nothing comes from it on any request

Cause, by lines of mix: in a wave, 12 back ends a few seconds were left out as silent while streams from them went on; the request was waiting there for a slot. Each one left out put its load on the others. Change: silence counts from the last byte on any request.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -279,6 +279,7 @@
             }
         };
         connection.note_keep_alive(answer.headers());
+        place.heard();
         note_load(shared, &place, answer.headers());
         let taken = Taken { answer, connection, place };
         match judge(shared, order, taken) {
@@ -329,7 +330,9 @@
 
 /// Notes that a back end has said nothing for a while.
 pub fn tell_silent(place: &Place) {
-    place.fell_silent();
+    if !place.fell_silent(SILENCE) {
+        return;
+    }
     Line::new(EventName::BackendSilent)
         .id(&place.backend.id)
         .text("address", place.backend.address)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -223,6 +223,7 @@
         };
         match frame {
             Some(Ok(frame)) => {
+                source.place.heard();
                 if let Ok(data) = frame.into_data() {
                     return Next::Data(data);
                 }
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -77,6 +77,8 @@
     /// The items among them.
     items: f64,
     told_at: Option<Timestamp>,
+    /// When anything last came from it, on any request.
+    heard_at: Option<Timestamp>,
     failures: u32,
     ejections: u32,
     ejected_until: Option<Timestamp>,
@@ -301,12 +303,24 @@
         busy.map(|(id, record)| (id.as_str(), record.in_flight))
     }
 
-    /// A back end says nothing on a request that it has; it may be dark.
-    pub fn fell_silent(&mut self, now: Timestamp, id: &str) {
+    /// Something came from a back end.
+    pub fn heard(&mut self, now: Timestamp, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
-            let until = now.plus_millis(SILENT_EJECTION_MS);
-            record.ejected_until = Some(record.ejected_until.map_or(until, |held| held.max(until)));
+            record.heard_at = Some(now);
+        }
+    }
+
+    /// A back end has said nothing for `silence_ms` on a request that it has. It may be dark, unless
+    /// something came on another request: then the request waits there for a slot. Returns whether
+    /// it is left out.
+    pub fn fell_silent(&mut self, now: Timestamp, id: &str, silence_ms: u64) -> bool {
+        let Some(record) = self.records.get_mut(id) else { return false };
+        if record.heard_at.is_some_and(|at| now.millis_since(at) < silence_ms) {
+            return false;
         }
+        let until = now.plus_millis(SILENT_EJECTION_MS);
+        record.ejected_until = Some(record.ejected_until.map_or(until, |held| held.max(until)));
+        true
     }
 
     /// Everybody's requests became known; back ends that `totals` does not name have none.
--- a/crates/upstream/src/place.rs
+++ b/crates/upstream/src/place.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -59,9 +60,15 @@
 }
 
 impl Place {
-    /// The back end has said nothing for a while.
-    pub fn fell_silent(&self) {
-        self.places.with(|balancer, now| balancer.fell_silent(now, &self.backend.id));
+    /// Something came from the back end.
+    pub fn heard(&self) {
+        self.places.with(|balancer, now| balancer.heard(now, &self.backend.id));
+    }
+
+    /// The back end has said nothing on this request for a while. Returns whether it is left out.
+    pub fn fell_silent(&self, silence: Duration) -> bool {
+        let silence_ms = silence.as_millis() as u64;
+        self.places.with(|balancer, now| balancer.fell_silent(now, &self.backend.id, silence_ms))
     }
 
     /// The back end told its load.
