The reserve of free slots is the service's, not each back end's

Hypothesis: a slot in eight that items never use is missed between waves. Change: items start while a service keeps 0.06 of its slots free, and give way at once below half of that. Kept: back ends with few slots lose less by it.

--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -23,9 +23,12 @@
 
 /// The same where no gateway tells its load.
 const BLIND_SLOT_SHARE: f64 = 0.3;
-/// Part of a back end's slots that stays free when an item starts, one slot at least: it takes the
+/// Part of a service's slots that stays free when an item starts, one slot at least: it takes the
 /// online requests that come before items have given way.
-const RESERVED_SHARE: f64 = 0.1;
+const RESERVED_SHARE: f64 = 0.06;
+/// Part of that reserve below which items give way. It is well below the whole, so that an item does
+/// not give way for the next one to start.
+const LEAST_RESERVE_SHARE: f64 = 0.5;
 /// Pause before an item that could not run is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the output of running items is made durable.
@@ -187,6 +190,7 @@
     /// Starts what waits, in its order, as far as there is room at back ends.
     fn start_items(self: &Rc<Self>) {
         let mut full: HashSet<String> = HashSet::new();
+        let mut rooms: HashMap<String, Room> = HashMap::new();
         let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
         for key in waiting {
             if self.is_too_old(&key) {
@@ -199,8 +203,13 @@
             // An item whose route is unknown must not hold up the items of others.
             let service = self.service_of(&key).filter(|service| !full.contains(service));
             let Some(service) = service else { continue };
-            match self.place(&service) {
-                Some(backend) => self.start(key, backend),
+            let room = rooms.entry(service.clone()).or_insert_with(|| self.room(&service));
+            let place = if room.items() > 0 { self.place(&service) } else { None };
+            match place {
+                Some(backend) => {
+                    room.free -= 1;
+                    self.start(key, backend);
+                }
                 None => {
                     full.insert(service);
                 }
@@ -248,6 +257,24 @@
         (route.kind == RouteKind::Batch).then(|| part.service.clone())
     }
 
+    /// The free slots of a service.
+    fn room(&self, service: &str) -> Room {
+        let catalog = self.catalog.load();
+        self.places.with(|balancer, now| {
+            let mut room = Room::default();
+            for backend in catalog.ready(service) {
+                if balancer.is_ejected(now, &backend.id) {
+                    continue;
+                }
+                let online = self.store.loads.online(&backend.id).unwrap_or(0);
+                let taken = online + balancer.in_flight(&backend.id);
+                room.slots += backend.slots;
+                room.free += backend.slots.saturating_sub(taken);
+            }
+            room
+        })
+    }
+
     /// A back end of a service with room for an item.
     fn place(&self, service: &str) -> Option<Arc<Backend>> {
         let catalog = self.catalog.load();
@@ -267,7 +294,7 @@
         let Some(online) = self.store.loads.online(&backend.id) else {
             return f64::from(items) < (f64::from(backend.slots) * BLIND_SLOT_SHARE).max(1.0);
         };
-        online + items + reserve(backend.slots) < backend.slots
+        online + items < backend.slots
     }
 
     /// Where online requests need the slots of items, the newest items give way.
@@ -279,13 +306,20 @@
                 by_backend.entry(&backend.id).or_default().push(run);
             }
         }
+        let mut kept: HashMap<&str, Vec<&Running>> = HashMap::new();
         for (id, mut runs) in by_backend {
             let Some(online) = self.store.loads.online(id) else { continue };
-            let slots = runs[0].backend.as_ref().map_or(0, |backend| backend.slots);
-            let over = (runs.len() as u32 + online).saturating_sub(slots) as usize;
-            // A run without any output would have to begin anew.
-            runs.sort_by_key(|run| (run.progress.borrow().last_event == 0, Reverse(run.started)));
-            runs.iter().take(over).for_each(|run| run.give_way.notify_one());
+            let Some(backend) = runs[0].backend.as_ref() else { continue };
+            let over = (runs.len() as u32 + online).saturating_sub(backend.slots) as usize;
+            sort_for_giving_way(&mut runs);
+            let rest = runs.split_off(over.min(runs.len()));
+            runs.iter().for_each(|run| run.give_way.notify_one());
+            kept.entry(&backend.service).or_default().extend(rest);
+        }
+        for (service, mut runs) in kept {
+            let lacking = self.room(service).lacking() as usize;
+            sort_for_giving_way(&mut runs);
+            runs.iter().take(lacking).for_each(|run| run.give_way.notify_one());
         }
     }
 
@@ -457,9 +491,34 @@
     Urgency { age, due, left: pace.left(item.item.tokens, item.partial.last_event) }
 }
 
-/// Slots of a back end that stay free when an item starts.
-fn reserve(slots: u32) -> u32 {
-    (f64::from(slots) * RESERVED_SHARE).ceil() as u32
+/// The run that gives way first is the newest one with output: one without any would begin anew.
+fn sort_for_giving_way(runs: &mut [&Running]) {
+    runs.sort_by_key(|run| (run.progress.borrow().last_event == 0, Reverse(run.started)));
+}
+
+/// Slots of a service's back ends.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
+    slots: u32,
+    free: u32,
+}
+
+impl Room {
+    /// Slots that stay free when an item starts.
+    fn reserve(&self) -> u32 {
+        (f64::from(self.slots) * RESERVED_SHARE).ceil() as u32
+    }
+
+    /// Items that may start.
+    fn items(&self) -> u32 {
+        self.free.saturating_sub(self.reserve())
+    }
+
+    /// Slots that items should give back.
+    fn lacking(&self) -> u32 {
+        let least = (f64::from(self.reserve()) * LEAST_RESERVE_SHARE).floor() as u32;
+        least.saturating_sub(self.free)
+    }
 }
 
 /// An item that counts at its back end, until it is dropped.
