Own requests in the totals are those that were told; zone cost fades; switches of the policies

Cause: a gateway took its requests of now out of totals that hold those it had told; and back ends of its own zone were filled past their slots while others had free ones.

Each decision under load has a switch in the settings ([policy], all on), for the ablation.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -68,7 +68,7 @@
     let admission = &shared.admission;
     let target = Duration::from_millis(order.route.target_latency_ms);
     let is_first = admission.is_empty(&order.service);
-    if !shared.policy.hold
+    if !shared.policy.hold_requests
         || target.is_zero()
         || (is_first && has_room(shared, &order.service, target))
     {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 use yokefall_jobstore::JobClient;
 use yokefall_serving::table::Splitter;
-use yokefall_serving::{empty_catalog, empty_fleet, Balancer, Platform};
+use yokefall_serving::{empty_catalog, empty_fleet, Balancer, Platform, Policy};
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{Places, Pool};
 
@@ -19,7 +19,7 @@
 use crate::control;
 use crate::ingress::{accept, Port};
 use crate::load;
-use crate::shared::{GatewayPolicy, Shared};
+use crate::shared::Shared;
 
 /// Part of the time for a stop in which new requests are still served: clients keep addresses for a
 /// while. What comes later may not be done in time, and is refused.
@@ -52,6 +52,8 @@
     pub held_body_bytes: usize,
     /// Time from the request to stop until the process is ended.
     pub stop_time: Duration,
+    /// Decisions that are switched on.
+    pub policy: Policy,
 }
 
 /// A gateway whose ports are open.
@@ -159,9 +161,9 @@
         catalog: empty_catalog(),
         fleet: fleet.clone(),
         dialect: platform.dialect(),
-        places: Places::new(Balancer::new(options.zone.clone(), rand::random())),
+        places: Places::new(Balancer::new(options.zone.clone(), rand::random(), options.policy)),
         admission: Admission::default(),
-        policy: GatewayPolicy { hold: true },
+        policy: options.policy,
         splitter: RefCell::new(Splitter::default()),
         pool: Pool::default(),
         jobs: JobClient::new(fleet),
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -38,10 +38,10 @@
         tokio::time::sleep(interval(shared.fleet.load().gateways().count())).await;
         let counts = counts(&shared);
         told_anything = !counts.is_empty();
-        let request = Request::Load { gateway: gateway.clone(), counts };
+        let request = Request::Load { gateway: gateway.clone(), counts: counts.clone() };
         let outcome = shared.jobs.call(request, Instant::now() + CALL_TIME).await;
         if let CallOutcome::Answered(Reply::Totals(totals)) = outcome {
-            hear(&shared, &totals);
+            hear(&shared, &totals, &counts);
         }
         tellings += 1;
         if tellings % TELLINGS_TO_FORGET == 0 {
@@ -73,14 +73,17 @@
     })
 }
 
-fn hear(shared: &Shared, totals: &[BackendTotal]) {
+/// Takes what everybody has in flight, `told` by this gateway included.
+fn hear(shared: &Shared, totals: &[BackendTotal], told: &[BackendCount]) {
+    let own =
+        |id: &str| told.iter().find(|count| count.backend == id).map_or(0, |count| count.requests);
     let gateways = shared.fleet.load().gateways().count();
     let totals = totals.iter().map(|total| {
         (total.backend.as_str(), InFlight { online: total.online, items: total.items })
     });
     shared.places.with(|balancer, now| {
         balancer.set_choosers(gateways, interval(gateways).as_millis() as u64);
-        balancer.heard_totals(now, totals);
+        balancer.heard_totals(now, totals, own);
     });
     shared.places.room.notify_one();
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,18 +7,11 @@
 
 use yokefall_jobstore::JobClient;
 use yokefall_serving::table::Splitter;
-use yokefall_serving::{CatalogCell, Dialect, FleetCell};
+use yokefall_serving::{CatalogCell, Dialect, FleetCell, Policy};
 use yokefall_upstream::{Places, Pool};
 
 use crate::admission::Admission;
 
-/// Decisions of a gateway that an operator may switch off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct GatewayPolicy {
-    /// Whether requests are held while back ends have no room.
-    pub hold: bool,
-}
-
 /// State of the traffic thread.
 pub struct Shared {
     /// Routes and back ends.
@@ -32,7 +25,7 @@
     /// Requests that are held until back ends have room.
     pub admission: Admission,
     /// Decisions that are switched on.
-    pub policy: GatewayPolicy,
+    pub policy: Policy,
     /// Shares of split routes.
     pub splitter: RefCell<Splitter>,
     /// Connections to back ends.
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -14,7 +14,7 @@
 use yokefall_serving::news::News;
 use yokefall_serving::observer::LineObserver;
 use yokefall_serving::watch::{follow, Knowledge, SharedKnowledge};
-use yokefall_serving::{empty_catalog, empty_fleet, Platform};
+use yokefall_serving::{empty_catalog, empty_fleet, Platform, Policy};
 use yokefall_telemetry::{EventName, Line};
 
 use crate::connections::Links;
@@ -57,6 +57,8 @@
     pub page_bytes: usize,
     /// Items that run at once at most.
     pub most_runs: usize,
+    /// Decisions that are switched on.
+    pub policy: Policy,
 }
 
 /// A job store whose ports are open.
@@ -179,7 +181,11 @@
             platform.dialect(),
             options.zone,
             rand::random(),
-            RunnerOptions { retention: options.retention, most_runs: options.most_runs },
+            RunnerOptions {
+                retention: options.retention,
+                most_runs: options.most_runs,
+                policy: options.policy,
+            },
         ));
         tokio::task::spawn_local(runner.run());
         tokio::task::spawn_local(server::serve(listener, store.clone(), options.page_bytes));
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -11,13 +11,13 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use yokefall_serving::{
-    Backend, Balancer, CatalogCell, Dialect, InFlight, ItemState, JobItem, RouteKind,
+    Backend, Balancer, CatalogCell, Dialect, InFlight, ItemState, JobItem, Policy, RouteKind,
 };
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{Place, Places};
 
 use crate::run::{ItemRunner, Progress, RunEnd};
-use crate::state::{Command, Job, OpenItem, Run};
+use crate::state::{Command, Job, Run};
 use crate::store::Store;
 use crate::urgency::{Pace, Urgency};
 
@@ -74,6 +74,8 @@
     pub retention: Duration,
     /// Items that run at once at most; each takes memory for its connection and its output.
     pub most_runs: usize,
+    /// Decisions that are switched on.
+    pub policy: Policy,
 }
 
 impl Runner {
@@ -90,7 +92,7 @@
             store,
             catalog,
             items: ItemRunner::new(dialect),
-            places: Places::new(Balancer::new(zone, seed)),
+            places: Places::new(Balancer::new(zone, seed, options.policy)),
             waiting: RefCell::default(),
             running: RefCell::default(),
             pace: Cell::default(),
@@ -163,7 +165,8 @@
         self.store.each_job(|id, job, age| {
             for (index, item) in &job.open {
                 open.insert((id.clone(), *index));
-                found.push((urgency(job, item, age, &pace), (id.clone(), *index)));
+                let left = pace.left(item.item.tokens, item.partial.last_event);
+                found.push((self.urgency(job, age, left), (id.clone(), *index)));
             }
         });
         running.retain(|key, running| {
@@ -184,7 +187,14 @@
         let totals = totals.iter().map(|total| {
             (total.backend.as_str(), InFlight { online: total.online, items: total.items })
         });
-        self.places.with(|balancer, now| balancer.heard_totals(now, totals));
+        let items = |id: &str| self.store.loads.items(id);
+        self.places.with(|balancer, now| balancer.heard_totals(now, totals, items));
+    }
+
+    fn urgency(&self, job: &Job, age: Duration, left: Duration) -> Urgency {
+        let has_due_time = self.options.policy.due_order && job.completion_target_ms > 0;
+        let due = has_due_time.then(|| Duration::from_millis(job.completion_target_ms));
+        Urgency { age, due, left }
     }
 
     /// Starts what waits, in its order, as far as there is room at back ends.
@@ -299,6 +309,9 @@
 
     /// Where online requests need the slots of items, the newest items give way.
     fn give_way(&self) {
+        if !self.options.policy.give_way {
+            return;
+        }
         let running = self.running.borrow();
         let mut by_backend: HashMap<&str, Vec<&Running>> = HashMap::new();
         for run in running.values() {
@@ -485,12 +498,6 @@
     }
 }
 
-fn urgency(job: &Job, item: &OpenItem, age: Duration, pace: &Pace) -> Urgency {
-    let due =
-        (job.completion_target_ms > 0).then(|| Duration::from_millis(job.completion_target_ms));
-    Urgency { age, due, left: pace.left(item.item.tokens, item.partial.last_event) }
-}
-
 /// The run that gives way first is the newest one with output: one without any would begin anew.
 fn sort_for_giving_way(runs: &mut [&Running]) {
     runs.sort_by_key(|run| (run.progress.borrow().last_event == 0, Reverse(run.started)));
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -10,6 +10,7 @@
 
 use crate::dialect::BackendLoad;
 use crate::model::Backend;
+use crate::policy::Policy;
 use crate::spread::{draw, surface, Level};
 
 /// Time for which a told load counts, in milliseconds; its weight falls to zero over it.
@@ -88,6 +89,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     generator: SmallRng,
+    policy: Policy,
     zone: String,
     records: HashMap<String, BackendRecord>,
     /// Processes that choose as this one does, itself included.
@@ -118,8 +120,9 @@
 
 impl Balancer {
     /// A balancer for a process in `zone`, whose draws follow from `seed`.
-    pub fn new(zone: String, seed: u64) -> Self {
+    pub fn new(zone: String, seed: u64, policy: Policy) -> Self {
         Self {
+            policy,
             generator: SmallRng::seed_from_u64(seed),
             zone,
             records: HashMap::new(),
@@ -152,6 +155,7 @@
                 Some(_) => {}
             }
         }
+        let affinity = affinity.filter(|_| self.policy.prefix_affinity);
         if let Some(backend) = affinity.and_then(|key| preferred(&open, key)) {
             return Some(backend.clone());
         }
@@ -193,7 +197,7 @@
     ) -> Option<&'a Arc<Backend>> {
         let service = &open.first()?.1.service;
         self.note_arrival(now, service);
-        let unseen = self.unseen_arrivals(now, service);
+        let unseen = if self.policy.poured_draw { self.unseen_arrivals(now, service) } else { 0.0 };
         let level = |(cost, backend): &(f64, &Arc<Backend>)| Level {
             load: *cost,
             slots: f64::from(backend.slots.max(1)),
@@ -243,7 +247,7 @@
     }
 
     fn ejected_until(&self, now: Timestamp, id: &str) -> Option<Timestamp> {
-        let until = self.records.get(id)?.ejected_until?;
+        let until = self.records.get(id)?.ejected_until.filter(|_| self.policy.ejection)?;
         (until > now).then_some(until)
     }
 
@@ -255,8 +259,12 @@
     }
 
     fn cost(&self, now: Timestamp, backend: &Backend) -> f64 {
-        let zone = if backend.zone == self.zone { 0.0 } else { OTHER_ZONE_COST };
-        self.load(now, backend) + zone
+        let load = self.load(now, backend);
+        if backend.zone == self.zone || !self.policy.zone_cost {
+            return load;
+        }
+        // A free slot elsewhere is better than none here: the cost fades as slots fill.
+        load + OTHER_ZONE_COST * (1.0 - load).clamp(0.0, 1.0)
     }
 
     /// Requests that this process has at a back end.
@@ -314,7 +322,9 @@
     /// something came on another request: then the request waits there for a slot. Returns whether
     /// it is left out.
     pub fn fell_silent(&mut self, now: Timestamp, id: &str, silence_ms: u64) -> bool {
-        let Some(record) = self.records.get_mut(id) else { return false };
+        let Some(record) = self.records.get_mut(id).filter(|_| self.policy.silence) else {
+            return false;
+        };
         if record.heard_at.is_some_and(|at| now.millis_since(at) < silence_ms) {
             return false;
         }
@@ -323,12 +333,17 @@
         true
     }
 
-    /// Everybody's requests became known; back ends that `totals` does not name have none.
+    /// Everybody's requests became known; back ends that `totals` does not name have none. `own` is
+    /// what this process had in them when they were added up.
     pub fn heard_totals<'a>(
         &mut self,
         now: Timestamp,
         totals: impl Iterator<Item = (&'a str, InFlight)>,
+        own: impl Fn(&str) -> u32,
     ) {
+        if !self.policy.peer_loads {
+            return;
+        }
         self.heard_at = Some(now);
         for record in self.records.values_mut() {
             record.foreign = 0.0;
@@ -342,7 +357,7 @@
             }
             let Some(record) = self.records.get_mut(id) else { continue };
             let all = f64::from(total.online) + f64::from(total.items);
-            record.foreign = (all - f64::from(record.in_flight)).max(0.0);
+            record.foreign = (all - f64::from(own(id))).max(0.0);
             record.items = f64::from(total.items).min(record.foreign);
             record.told_at = Some(now);
         }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod model;
 pub mod news;
 pub mod observer;
+pub mod policy;
 pub mod source;
 pub mod spread;
 pub mod table;
@@ -24,6 +25,7 @@
     Backend, BackendState, BatchPolicy, Configuration, RequestLimits, Route, RouteKind, Service,
     SplitPart,
 };
+pub use policy::Policy;
 pub use source::{
     Change, Claim, Listing, Platform, Registry, Retirement, Source, SourceError, Watched,
 };
--- a/crates/serving/tests/balance.rs
+++ b/crates/serving/tests/balance.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use yokefall_core::Timestamp;
-use yokefall_serving::{Backend, BackendState, Balancer, InFlight, Outcome};
+use yokefall_serving::{Backend, BackendState, Balancer, InFlight, Outcome, Policy};
 
 const NOW: Timestamp = Timestamp(10_000);
 
@@ -25,7 +25,7 @@
 }
 
 fn balancer() -> Balancer {
-    Balancer::new("hall-1".into(), 1)
+    Balancer::new("hall-1".into(), 1, Policy::default())
 }
 
 fn choose(balancer: &mut Balancer, now: Timestamp, all: &[Arc<Backend>]) -> String {
@@ -50,7 +50,7 @@
     for backend in &all {
         balancer.started(&backend.id);
     }
-    balancer.heard_totals(NOW, [("i-0", online(9)), ("i-1", online(1))].into_iter());
+    balancer.heard_totals(NOW, [("i-0", online(9)), ("i-1", online(1))].into_iter(), |_| 0);
     for _ in 0..5 {
         assert_eq!(choose(&mut balancer, NOW, &all), "i-1");
     }
@@ -84,7 +84,7 @@
 fn a_silent_back_end_gets_nothing_until_it_speaks() {
     let (mut balancer, all) = (balancer(), backends(2));
     balancer.started("i-0");
-    balancer.fell_silent(NOW, "i-0");
+    assert!(balancer.fell_silent(NOW, "i-0", 450));
     assert_eq!(choose(&mut balancer, NOW, &all), "i-1");
     balancer.ended(NOW, "i-0", Outcome::Answered);
     assert!(!balancer.is_ejected(NOW, "i-0"));
--- a/crates/serving/tests/spread.rs
+++ b/crates/serving/tests/spread.rs
@@ -4,7 +4,7 @@
 use rand::SeedableRng;
 use yokefall_core::Timestamp;
 use yokefall_serving::spread::{draw, Level};
-use yokefall_serving::{Backend, BackendState, Balancer, InFlight};
+use yokefall_serving::{Backend, BackendState, Balancer, InFlight, Policy};
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -64,7 +64,7 @@
 fn gateways_that_know_the_same_do_not_choose_the_same() {
     let all = back_ends();
     let mut balancers: Vec<Balancer> =
-        (0..GATEWAYS).map(|seed| Balancer::new("hall-1".into(), seed)).collect();
+        (0..GATEWAYS).map(|seed| Balancer::new("hall-1".into(), seed, Policy::default())).collect();
     // Back end i-0 is the emptiest, i-1 to i-35 have room, the others are full.
     let load = |index: usize| match index {
         0 => 2,
@@ -78,8 +78,11 @@
         let now = Timestamp(10_000 + round * 250);
         for balancer in &mut balancers {
             balancer.set_choosers(GATEWAYS as usize, TELLING_INTERVAL_MS);
-            balancer
-                .heard_totals(now, totals.iter().map(|(id, count)| (id.as_str(), online(*count))));
+            balancer.heard_totals(
+                now,
+                totals.iter().map(|(id, count)| (id.as_str(), online(*count))),
+                |_| 0,
+            );
             let back_end = balancer.choose(now, &all, &[], None).expect("a back end");
             if round >= 20 {
                 *chosen.entry(back_end.id.clone()).or_default() += 1;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,5 +13,5 @@
 };
 pub use serving::{
     ServingData, ServingFleet, ServingLimits, ServingListen, ServingLog, ServingPlatform,
-    ServingRole, ServingSettings, ServingStop,
+    ServingPolicy, ServingRole, ServingSettings, ServingStop,
 };
