Jobs beyond the tokens that may wait are refused with 429; tests of the policies

Change: the leader counts the tokens of items without a result on the route, with those of submissions on their way into the log (`intake`); a job that comes again while its first sending is under way is neither taken nor refused. The bound of memory counts those under way as well.

--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -23,6 +23,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
 /// When a caller may come back that got no sure answer.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// When a caller may come back whose job did not fit the tokens that may wait: items take seconds.
+const QUOTA_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Time after which an item of a route without limits may be given up, in milliseconds.
 const DEFAULT_MAX_QUEUE_MS: u64 = 3_600_000;
 
@@ -50,6 +52,8 @@
         max_attempts: route.max_attempts.max(1),
         max_queue_ms: route.batch.map_or(DEFAULT_MAX_QUEUE_MS, |batch| batch.max_queue_ms),
         completion_target_ms: route.batch.map_or(0, |batch| batch.completion_target_ms),
+        queue: format!("{}{}", route.host, route.path_prefix),
+        most_queued_tokens: route.batch.and_then(|batch| batch.most_queued_tokens),
         items,
     };
     let request = Request::Submit { job: job.to_owned(), submission };
@@ -65,6 +69,12 @@
         CallOutcome::Answered(Reply::Full) => {
             refusal(&names.retry_after, RETRY_AFTER, "no room for the job now")
         }
+        CallOutcome::Answered(Reply::OverQuota) => {
+            let text = "more tokens would wait on the route than may";
+            let mut answer = refusal(&names.retry_after, QUOTA_RETRY_AFTER, text);
+            *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
+            answer
+        }
         CallOutcome::NotDone => {
             refusal(&names.retry_after, RETRY_AFTER, "no job store answers now")
         }
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod disk;
 pub mod group;
+pub mod intake;
 pub mod loads;
 pub mod packed;
 pub mod protocol;
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -26,10 +26,21 @@
     pub max_queue_ms: u64,
     /// Time after which its results are due, in milliseconds; 0 where the route tells none.
     pub completion_target_ms: u64,
+    /// Queue of the route that took it: its host and path prefix.
+    pub queue: String,
+    /// Most tokens of items that may wait in the queue; `None` for no limit.
+    pub most_queued_tokens: Option<u64>,
     /// The items.
     pub items: Vec<JobItem>,
 }
 
+impl Submission {
+    /// Tokens of all its items.
+    pub fn tokens(&self) -> u64 {
+        self.items.iter().map(|item| item.tokens).sum()
+    }
+}
+
 /// Requests at a back end.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct BackendCount {
@@ -107,6 +118,8 @@
     NotFound,
     /// The job cannot be taken for want of room; nothing of it was kept.
     Full,
+    /// More tokens would wait in its queue than may; nothing of it was kept.
+    OverQuota,
     /// This member does not lead; the one that does, as far as known. Nothing was done.
     NotLeader {
         /// Name of the leader.
--- a/crates/jobstore/src/server.rs
+++ b/crates/jobstore/src/server.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use yokefall_consensus::MemberId;
 
+use crate::intake::NotTaken;
 use crate::protocol::{decode, encode, send_frame, split, BackendCount, Frame, Reply, Request};
 use crate::state::{Command, PAGE_BYTES};
 use crate::store::{Found, ProposeError, Store};
@@ -115,9 +116,12 @@
             if store.with_job(&job, |_| ()).is_some() {
                 return Reply::Accepted;
             }
-            if store.is_full_for(&submission) {
-                return Reply::Full;
-            }
+            let _room = match store.reserve(&job, &submission) {
+                Ok(room) => room,
+                Err(NotTaken::UnderWay) => return Reply::Unknown,
+                Err(NotTaken::Full) => return Reply::Full,
+                Err(NotTaken::OverQuota) => return Reply::OverQuota,
+            };
             changed(store, Command::Submit { job, submission }, Reply::Accepted).await
         }
         Request::End { job } => {
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -147,6 +147,8 @@
     pub max_queue_ms: u64,
     /// Time after which its results are due, in milliseconds; 0 where the route tells none.
     pub completion_target_ms: u64,
+    /// Queue of the route that took it: its host and path prefix.
+    pub queue: String,
     /// Number of items.
     pub total: u32,
     /// Items without a result, by index.
@@ -273,6 +275,7 @@
             max_attempts: submission.max_attempts,
             max_queue_ms: submission.max_queue_ms,
             completion_target_ms: submission.completion_target_ms,
+            queue: submission.queue,
             total: open.len() as u32,
             open,
             results: Vec::new(),
@@ -354,6 +357,12 @@
         self.jobs.values().map(Job::held_bytes).sum()
     }
 
+    /// Tokens of the items without a result in a queue.
+    pub fn queued_tokens(&self, queue: &str) -> u64 {
+        let jobs = self.jobs.values().filter(|job| job.queue == queue);
+        jobs.flat_map(|job| job.open.values()).map(|open| open.item.tokens).sum()
+    }
+
     /// Body of an item without a result.
     pub fn body(&self, id: &str, item: &str) -> Option<&[u8]> {
         let open = self.jobs.get(id)?.open.values().find(|open| open.item.id == item)?;
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -12,10 +12,11 @@
     Consensus, Effects, Entry, Index, MemberId, Message, Millis, Payload, Role, Snapshot, Term,
     Write,
 };
-use yokefall_serving::{ItemState, JobItem, ResultPage};
+use yokefall_serving::{ItemState, ResultPage};
 
 use crate::connections::Links;
 use crate::disk::{Disk, DiskOrder};
+use crate::intake::{Intake, NotTaken, Occupied, Reservation};
 use crate::loads::Loads;
 use crate::protocol::{Frame, Submission};
 use crate::state::{Applied, Command, Job, Jobs, Run};
@@ -89,6 +90,7 @@
     origin: Instant,
     observer: Box<dyn StoreObserver>,
     limits: StoreLimits,
+    intake: Intake,
     /// What is in flight at back ends.
     pub loads: Loads,
     /// Woken when the role or a deadline changed.
@@ -147,6 +149,7 @@
             origin: Instant::now(),
             observer,
             limits,
+            intake: Intake::default(),
             loads: Loads::default(),
             deadline_changed: Notify::new(),
             work_changed: Notify::new(),
@@ -394,10 +397,16 @@
         self.inner.borrow_mut().leader_hint = Some((name, Instant::now()));
     }
 
-    /// Whether a submission would hold more than this replica may.
-    pub fn is_full_for(&self, submission: &Submission) -> bool {
-        let items = submission.items.iter().map(JobItem::held_bytes).sum::<usize>();
-        self.inner.borrow().jobs.held_bytes() + items > self.limits.job_bytes
+    /// Reserves room for a submission while it is on its way into the log.
+    pub fn reserve(&self, job: &str, submission: &Submission) -> Result<Reservation<'_>, NotTaken> {
+        let inner = self.inner.borrow();
+        let limited = submission.most_queued_tokens.is_some();
+        let occupied = Occupied {
+            bytes: inner.jobs.held_bytes(),
+            most_bytes: self.limits.job_bytes,
+            queued_tokens: if limited { inner.jobs.queued_tokens(&submission.queue) } else { 0 },
+        };
+        self.intake.reserve(job, submission, occupied)
     }
 
     /// Proposes a command and waits until it is in force.
--- a/crates/jobstore/tests/state.rs
+++ b/crates/jobstore/tests/state.rs
@@ -24,6 +24,8 @@
         max_attempts: 2,
         max_queue_ms: 1_000,
         completion_target_ms: 500,
+        queue: "h/".into(),
+        most_queued_tokens: None,
         items,
     };
     Command::Submit { job: JOB.into(), submission }
--- /dev/null
+++ b/crates/jobstore/tests/urgency.rs
@@ -0,0 +1,55 @@
+//! In which order items wait.
+
+use std::time::Duration;
+
+use yokefall_jobstore::urgency::{Pace, Urgency};
+
+fn urgency(age: u64, due: Option<u64>, left: u64) -> Urgency {
+    Urgency {
+        age: Duration::from_secs(age),
+        due: due.map(Duration::from_secs),
+        left: Duration::from_secs(left),
+    }
+}
+
+fn sorted(mut items: Vec<Urgency>) -> Vec<Urgency> {
+    items.sort_by(Urgency::order);
+    items
+}
+
+#[test]
+fn what_is_due_first_goes_first() {
+    let (soon, later, never) =
+        (urgency(10, Some(18), 4), urgency(2, Some(18), 4), urgency(30, None, 4));
+    assert_eq!(sorted(vec![never, later, soon]), [soon, later, never]);
+}
+
+/// Found on Qalhat: with more items than room the oldest first has every item done just after it was
+/// due.
+#[test]
+fn what_cannot_be_in_time_goes_after_what_can() {
+    let (late, in_time) = (urgency(15, Some(18), 4), urgency(3, Some(18), 4));
+    assert!(late.is_late());
+    assert!(!in_time.is_late());
+    assert_eq!(sorted(vec![late, in_time]), [in_time, late]);
+}
+
+#[test]
+fn of_one_job_the_item_that_is_done_first_goes_first() {
+    let (long, short) = (urgency(5, Some(18), 6), urgency(5, Some(18), 1));
+    assert_eq!(sorted(vec![long, short]), [short, long]);
+}
+
+#[test]
+fn the_pace_is_learnt_from_finished_items() {
+    let mut pace = Pace::default();
+    assert_eq!(pace.left(1_000, 0), Duration::ZERO);
+    // 100 events of 20 ms for 1,000 tokens; one without tokens or output teaches nothing.
+    pace.finished(1_000, 100, 100, Duration::from_secs(2));
+    pace.finished(0, 100, 100, Duration::from_secs(9));
+    pace.finished(1_000, 100, 0, Duration::from_secs(9));
+    assert_eq!(pace.left(1_000, 0), Duration::from_secs(2));
+    assert_eq!(pace.left(1_000, 50), Duration::from_secs(1));
+    // One that makes more than expected is taken to have a tenth left.
+    assert_eq!(pace.left(1_000, 120), Duration::from_millis(200));
+}
--- a/crates/serving/src/model.rs
+++ b/crates/serving/src/model.rs
@@ -31,6 +31,8 @@
     pub completion_target_ms: u64,
     /// Time after the first submission at which an item may be given up, in milliseconds.
     pub max_queue_ms: u64,
+    /// Most tokens of items that may wait on the route; `None` for no limit.
+    pub most_queued_tokens: Option<u64>,
 }
 
 /// Where requests of a host and path go.
--- a/crates/serving/tests/balance.rs
+++ b/crates/serving/tests/balance.rs
@@ -90,6 +90,68 @@
     assert!(!balancer.is_ejected(NOW, "i-0"));
 }
 
+/// Found on Qalhat: requests that waited for a slot had their back ends left out as silent, while
+/// streams from them went on.
+#[test]
+fn a_back_end_that_speaks_on_another_request_is_not_silent() {
+    let mut balancer = balancer();
+    balancer.started("i-0");
+    balancer.heard(NOW.plus_millis(100), "i-0");
+    assert!(!balancer.fell_silent(NOW.plus_millis(500), "i-0", 450));
+    assert!(!balancer.is_ejected(NOW.plus_millis(500), "i-0"));
+    assert!(balancer.fell_silent(NOW.plus_millis(550), "i-0", 450));
+}
+
+#[test]
+fn items_do_not_count_as_online_load() {
+    let (mut balancer, all) = (balancer(), backends(1));
+    let totals = InFlight { online: 4, items: 6 };
+    balancer.heard_totals(NOW, [("i-0", totals)].into_iter(), |_| 0);
+    assert!((balancer.load(NOW, &all[0]) - 1.0).abs() < 1e-9);
+    let level = balancer.online_level(NOW, &all).expect("a back end");
+    assert!((level - 0.5).abs() < 1e-9, "4 of 10 slots and one more: {level}");
+}
+
+#[test]
+fn own_requests_are_taken_out_of_totals_as_they_were_told() {
+    let (mut balancer, all) = (balancer(), backends(1));
+    // Told with one request; a second one started before the answer came.
+    balancer.started("i-0");
+    balancer.started("i-0");
+    balancer.heard_totals(NOW, [("i-0", online(3))].into_iter(), |_| 1);
+    assert!((balancer.load(NOW, &all[0]) - 0.4).abs() < 1e-9);
+}
+
+#[test]
+fn the_cost_of_another_zone_fades_as_slots_fill() {
+    let mut all = backends(1);
+    let mut far = (*all[0]).clone();
+    (far.id, far.zone) = ("far".into(), "hall-2".into());
+    all.push(Arc::new(far));
+    let mut balancer = balancer();
+    // One slot of ten is free at home, two in the other zone.
+    let totals = [("i-0", online(9)), ("far", online(8))];
+    balancer.heard_totals(NOW, totals.into_iter(), |_| 0);
+    assert_eq!(choose(&mut balancer, NOW, &all), "far");
+    // With much room on both sides, home is preferred.
+    let totals = [("i-0", online(2)), ("far", online(2))];
+    balancer.heard_totals(NOW, totals.into_iter(), |_| 0);
+    assert_eq!(choose(&mut balancer, NOW, &all), "i-0");
+}
+
+#[test]
+fn a_policy_that_is_switched_off_decides_nothing() {
+    let policy = Policy { ejection: false, silence: false, peer_loads: false, ..Policy::default() };
+    let mut balancer = Balancer::new("hall-1".into(), 1, policy);
+    let all = backends(1);
+    balancer.started("i-0");
+    assert!(!balancer.fell_silent(NOW, "i-0", 450));
+    balancer.ended(NOW, "i-0", Outcome::Unreachable);
+    assert!(!balancer.is_ejected(NOW, "i-0"));
+    balancer.heard_totals(NOW, [("i-0", online(9))].into_iter(), |_| 0);
+    assert_eq!(balancer.load(NOW, &all[0]), 0.0);
+}
+
 #[test]
 fn the_same_prefix_goes_to_the_same_back_end_while_it_has_room() {
     let (mut balancer, all) = (balancer(), backends(6));
--- a/crates/standalone/src/catalog.rs
+++ b/crates/standalone/src/catalog.rs
@@ -137,7 +137,11 @@
         KindEntry::Stream => RouteKind::Stream,
         KindEntry::Batch => RouteKind::Batch,
     };
-    let policy = BatchPolicy { completion_target_ms: MAX_QUEUE_MS, max_queue_ms: MAX_QUEUE_MS };
+    let policy = BatchPolicy {
+        completion_target_ms: MAX_QUEUE_MS,
+        max_queue_ms: MAX_QUEUE_MS,
+        most_queued_tokens: None,
+    };
     Route {
         name: entry.name.clone(),
         host: entry.host.to_ascii_lowercase(),
