Requests that end before they are told count no more; the reserve follows from the reaction time

Change: none counts for longer than a request takes.

Cause of the rest: a fixed reserve of 0.06 is used up in the 170 ms until items give way there.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -5,18 +5,12 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use yokefall_jobstore::loads::telling_interval;
 use yokefall_jobstore::{BackendCount, BackendTotal, CallOutcome, Reply, Request};
 use yokefall_serving::InFlight;
 
 use crate::shared::Shared;
 
-/// Share of the job store's time for which one gateway asks: what is told is younger where there are
-/// few gateways, and one job store hears 250 of them a second at most.
-const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(4);
-/// Shortest pause between two tellings; the way there and back takes about a tenth of it.
-const SHORTEST_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest pause between two tellings while requests come and go.
-const LONGEST_BUSY_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest pause while requests are in flight.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(500);
 /// Tellings after which back ends that are gone are forgotten.
@@ -35,7 +29,7 @@
         } else {
             shared.places.changed.notified().await;
         }
-        tokio::time::sleep(interval(shared.fleet.load().gateways().count())).await;
+        tokio::time::sleep(telling_interval(shared.fleet.load().gateways().count())).await;
         let counts = counts(&shared);
         told_anything = !counts.is_empty();
         let request = Request::Load { gateway: gateway.clone(), counts: counts.clone() };
@@ -50,12 +44,6 @@
     }
 }
 
-/// Pause between two tellings of one of so many gateways.
-fn interval(gateways: usize) -> Duration {
-    let shared = INTERVAL_PER_GATEWAY * u32::try_from(gateways).unwrap_or(u32::MAX);
-    shared.clamp(SHORTEST_INTERVAL, LONGEST_BUSY_INTERVAL)
-}
-
 /// Drops what is held of back ends that nobody knows any more.
 fn forget_gone(shared: &Shared) {
     let catalog = shared.catalog.load();
@@ -82,7 +70,7 @@
         (total.backend.as_str(), InFlight { online: total.online, items: total.items })
     });
     shared.places.with(|balancer, now| {
-        balancer.set_choosers(gateways, interval(gateways).as_millis() as u64);
+        balancer.set_choosers(gateways, telling_interval(gateways).as_millis() as u64);
         balancer.heard_totals(now, totals, own);
     });
     shared.places.room.notify_one();
--- a/crates/jobstore/src/loads.rs
+++ b/crates/jobstore/src/loads.rs
@@ -11,6 +11,20 @@
 /// Time for which what a gateway told counts; gateways tell again before.
 const LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Share of the job store's time for which one gateway asks: what is told is younger where there are
+/// few gateways, and one job store hears 250 of them a second at most.
+const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(4);
+/// Shortest pause between two tellings; the way there and back takes about a tenth of it.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest pause between two tellings while requests come and go.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Pause between two tellings of one of so many gateways.
+pub fn telling_interval(gateways: usize) -> Duration {
+    let shared = INTERVAL_PER_GATEWAY * u32::try_from(gateways).unwrap_or(u32::MAX);
+    shared.clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL)
+}
+
 #[derive(Debug)]
 struct Told {
     at: Instant,
@@ -63,6 +77,11 @@
         Some(gateways.values().filter_map(|told| told.counts.get(backend)).sum())
     }
 
+    /// Pause between two tellings of a gateway, as many as tell.
+    pub fn telling_interval(&self) -> Duration {
+        telling_interval(self.gateways.borrow().len())
+    }
+
     /// Everything in flight, by back end.
     pub fn totals(&self) -> Vec<BackendTotal> {
         let mut totals: BTreeMap<String, BackendTotal> = BTreeMap::new();
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -23,9 +23,11 @@
 
 /// The same where no gateway tells its load.
 const BLIND_SLOT_SHARE: f64 = 0.3;
-/// Part of a service's slots that stays free when an item starts, one slot at least: it takes the
-/// online requests that come before items have given way.
-const RESERVED_SHARE: f64 = 0.06;
+/// Time in which a burst of online requests is taken to fill all slots of a service. As many slots
+/// stay free as it fills before items have given way, one at least.
+const FILL_TIME: Duration = Duration::from_millis(1_200);
+/// Time from when a gateway tells its requests until items have given way to them.
+const GIVE_WAY_TIME: Duration = Duration::from_millis(70);
 /// Part of that reserve below which items give way. It is well below the whole, so that an item does
 /// not give way for the next one to start.
 const LEAST_RESERVE_SHARE: f64 = 0.5;
@@ -271,7 +273,9 @@
     fn room(&self, service: &str) -> Room {
         let catalog = self.catalog.load();
         self.places.with(|balancer, now| {
-            let mut room = Room::default();
+            let reaction = self.store.loads.telling_interval() + GIVE_WAY_TIME;
+            let reserved_share = reaction.div_duration_f64(FILL_TIME);
+            let mut room = Room { reserved_share, ..Room::default() };
             for backend in catalog.ready(service) {
                 if balancer.is_ejected(now, &backend.id) {
                     continue;
@@ -508,12 +512,14 @@
 struct Room {
     slots: u32,
     free: u32,
+    /// Part of the slots that stays free when an item starts.
+    reserved_share: f64,
 }
 
 impl Room {
     /// Slots that stay free when an item starts.
     fn reserve(&self) -> u32 {
-        (f64::from(self.slots) * RESERVED_SHARE).ceil() as u32
+        (f64::from(self.slots) * self.reserved_share).ceil() as u32
     }
 
     /// Items that may start.
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -182,11 +182,20 @@
 
     /// Requests that other processes probably place at a service without this one knowing it yet.
     fn unseen_arrivals(&self, now: Timestamp, service: &str) -> f64 {
-        let Some(arrivals) = self.arrivals.get(service) else { return 0.0 };
+        self.others_per_ms(service) * self.blind_ms(now)
+    }
+
+    /// Requests to a service of other processes in a millisecond, which take about as many each.
+    fn others_per_ms(&self, service: &str) -> f64 {
+        let others = self.choosers - 1;
+        self.arrivals.get(service).map_or(0.0, |arrivals| arrivals.per_ms * others as f64)
+    }
+
+    /// Time over which the requests of others are not known, in milliseconds.
+    fn blind_ms(&self, now: Timestamp) -> f64 {
         let telling = self.telling_interval_ms + TELLING_MS;
         let age = self.heard_at.map_or(LONGEST_BLIND_MS, |at| now.millis_since(at) + telling);
-        let others = self.choosers - 1;
-        arrivals.per_ms * others as f64 * age.min(LONGEST_BLIND_MS) as f64
+        age.min(LONGEST_BLIND_MS) as f64
     }
 
     /// One of the cheapest: the more others choose meanwhile, the more are drawn from.
@@ -211,18 +220,24 @@
     /// `None` where all are left out. Items do not count, since they give way.
     pub fn online_level(&self, now: Timestamp, candidates: &[Arc<Backend>]) -> Option<f64> {
         let service = &candidates.first()?.service;
+        let age = self.blind_ms(now);
+        // What is older than a request takes has ended, whether it was seen or not.
+        let service_ms = self.service_ms(service).unwrap_or(age).max(1.0);
+        let remaining = (1.0 - age / service_ms).max(0.0);
         let open = candidates.iter().filter(|backend| !self.is_ejected(now, &backend.id));
         let level = |backend: &Arc<Backend>| Level {
-            load: self.online_load(now, backend),
+            load: self.online_load(now, backend, remaining),
             slots: f64::from(backend.slots.max(1)),
         };
         let levels: Vec<Level> = open.map(level).collect();
-        surface(&levels, self.unseen_arrivals(now, service) + 1.0)
+        let unseen = self.others_per_ms(service) * age.min(service_ms);
+        surface(&levels, unseen + 1.0)
     }
 
-    fn online_load(&self, now: Timestamp, backend: &Backend) -> f64 {
+    /// `remaining` is the part of others' requests that has not ended since they were told.
+    fn online_load(&self, now: Timestamp, backend: &Backend, remaining: f64) -> f64 {
         let Some(record) = self.records.get(&backend.id) else { return 0.0 };
-        let foreign = (record.foreign - record.items) * record.weight(now);
+        let foreign = (record.foreign - record.items) * remaining * record.weight(now);
         (f64::from(record.in_flight) + foreign) / f64::from(backend.slots.max(1))
     }
 
