--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -2,7 +2,6 @@
 //! place only at a back end with room to spare.
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,21 +15,15 @@
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{Place, Places};
 
+use crate::room::Room;
 use crate::run::{ItemRunner, Progress, RunEnd};
+use crate::running::{sort_for_giving_way, take_output, CountedItem, ItemKey, Running};
 use crate::state::{Command, Job, Run};
 use crate::store::Store;
 use crate::urgency::{Pace, Urgency};
 
 /// The same where no gateway tells its load.
 const BLIND_SLOT_SHARE: f64 = 0.3;
-/// Time in which a burst of online requests is taken to fill all slots of a service. As many slots
-/// stay free as it fills before items have given way, one at least.
-const FILL_TIME: Duration = Duration::from_millis(1_200);
-/// Time from when a gateway tells its requests until items have given way to them.
-const GIVE_WAY_TIME: Duration = Duration::from_millis(70);
-/// Part of that reserve below which items give way. It is well below the whole, so that an item does
-/// not give way for the next one to start.
-const LEAST_RESERVE_SHARE: f64 = 0.5;
 /// Pause before an item that could not run is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the output of running items is made durable.
@@ -42,20 +35,6 @@
 /// Interval between looks for jobs that are over.
 const FORGET_INTERVAL: Duration = Duration::from_millis(5_000);
 
-/// An item by its job and index.
-type ItemKey = (String, u32);
-
-struct Running {
-    task: tokio::task::JoinHandle<()>,
-    progress: Rc<RefCell<Progress>>,
-    /// Back end at which it runs; none for an item that is being given up.
-    backend: Option<Arc<Backend>>,
-    /// When it started: among those with output, the newest gives way first.
-    started: Instant,
-    /// Tells it to give way to online requests.
-    give_way: Rc<Notify>,
-}
-
 /// The runner's state, shared between its tasks.
 pub struct Runner {
     store: Rc<Store>,
@@ -273,17 +252,13 @@
     fn room(&self, service: &str) -> Room {
         let catalog = self.catalog.load();
         self.places.with(|balancer, now| {
-            let reaction = self.store.loads.telling_interval() + GIVE_WAY_TIME;
-            let reserved_share = reaction.div_duration_f64(FILL_TIME);
-            let mut room = Room { reserved_share, ..Room::default() };
+            let mut room = Room::new(self.store.loads.telling_interval());
             for backend in catalog.ready(service) {
                 if balancer.is_ejected(now, &backend.id) {
                     continue;
                 }
                 let online = self.store.loads.online(&backend.id).unwrap_or(0);
-                let taken = online + balancer.in_flight(&backend.id);
-                room.slots += backend.slots;
-                room.free += backend.slots.saturating_sub(taken);
+                room.add(backend.slots, online + balancer.in_flight(&backend.id));
             }
             room
         })
@@ -501,71 +476,3 @@
         self.places.with(|balancer, _| balancer.retain(|id| catalog.is_ready(id)));
     }
 }
-
-/// The run that gives way first is the newest one with output: one without any would begin anew.
-fn sort_for_giving_way(runs: &mut [&Running]) {
-    runs.sort_by_key(|run| (run.progress.borrow().last_event == 0, Reverse(run.started)));
-}
-
-/// Slots of a service's back ends.
-#[derive(Clone, Copy, Debug, Default)]
-struct Room {
-    slots: u32,
-    free: u32,
-    /// Part of the slots that stays free when an item starts.
-    reserved_share: f64,
-}
-
-impl Room {
-    /// Slots that stay free when an item starts.
-    fn reserve(&self) -> u32 {
-        (f64::from(self.slots) * self.reserved_share).ceil() as u32
-    }
-
-    /// Items that may start.
-    fn items(&self) -> u32 {
-        self.free.saturating_sub(self.reserve())
-    }
-
-    /// Slots that items should give back.
-    fn lacking(&self) -> u32 {
-        let least = (f64::from(self.reserve()) * LEAST_RESERVE_SHARE).floor() as u32;
-        least.saturating_sub(self.free)
-    }
-}
-
-/// An item that counts at its back end, until it is dropped.
-struct CountedItem {
-    store: Rc<Store>,
-    backend: String,
-}
-
-impl CountedItem {
-    fn new(store: Rc<Store>, backend: &str) -> Self {
-        store.loads.item_started(backend);
-        Self { store, backend: backend.to_owned() }
-    }
-}
-
-impl Drop for CountedItem {
-    fn drop(&mut self) {
-        self.store.loads.item_ended(&self.backend);
-    }
-}
-
-/// The command that makes the output since the last one durable. The log keeps the order of what
-/// this leader proposes, so a later end of the item follows on it.
-fn take_output(key: &ItemKey, progress: &Rc<RefCell<Progress>>) -> Option<Command> {
-    let mut progress = progress.borrow_mut();
-    let text = progress.text.take()?;
-    let after_event = progress.kept_event;
-    progress.kept_event = progress.last_event;
-    Some(Command::Keep {
-        job: key.0.clone(),
-        item: key.1,
-        run: progress.run,
-        after_event,
-        last_event: progress.last_event,
-        text,
-    })
-}
--- /dev/null
+++ b/crates/jobstore/src/running.rs
@@ -0,0 +1,73 @@
+//! Items that run, and what the runner does with their output.
+
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use yokefall_serving::Backend;
+
+use crate::run::Progress;
+use crate::state::Command;
+use crate::store::Store;
+
+/// An item by its job and index.
+pub type ItemKey = (String, u32);
+
+/// An item that runs.
+pub struct Running {
+    /// Its task.
+    pub task: tokio::task::JoinHandle<()>,
+    /// Its output so far.
+    pub progress: Rc<RefCell<Progress>>,
+    /// Back end at which it runs; none for an item that is being given up.
+    pub backend: Option<Arc<Backend>>,
+    /// When it started: among those with output, the newest gives way first.
+    pub started: Instant,
+    /// Tells it to give way to online requests.
+    pub give_way: Rc<Notify>,
+}
+
+/// The run that gives way first is the newest one with output: one without any would begin anew.
+pub fn sort_for_giving_way(runs: &mut [&Running]) {
+    runs.sort_by_key(|run| (run.progress.borrow().last_event == 0, Reverse(run.started)));
+}
+
+/// An item that counts at its back end, until it is dropped.
+pub struct CountedItem {
+    store: Rc<Store>,
+    backend: String,
+}
+
+impl CountedItem {
+    /// Counts an item from now on.
+    pub fn new(store: Rc<Store>, backend: &str) -> Self {
+        store.loads.item_started(backend);
+        Self { store, backend: backend.to_owned() }
+    }
+}
+
+impl Drop for CountedItem {
+    fn drop(&mut self) {
+        self.store.loads.item_ended(&self.backend);
+    }
+}
+
+/// The command that makes the output since the last one durable. The log keeps the order of what
+/// this leader proposes, so a later end of the item follows on it.
+pub fn take_output(key: &ItemKey, progress: &Rc<RefCell<Progress>>) -> Option<Command> {
+    let mut progress = progress.borrow_mut();
+    let text = progress.text.take()?;
+    let after_event = progress.kept_event;
+    progress.kept_event = progress.last_event;
+    Some(Command::Keep {
+        job: key.0.clone(),
+        item: key.1,
+        run: progress.run,
+        after_event,
+        last_event: progress.last_event,
+        text,
+    })
+}
