--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GivenUp;
 
-/// What the answer to a held request is waited for with.
+/// Where a held request hears of its place, and what its choice needs.
 struct Waiter {
     grant: oneshot::Sender<Result<Place, GivenUp>>,
     affinity: Option<u64>,
