--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -72,7 +72,7 @@
         || target.is_zero()
         || (is_first && has_room(shared, &order.service, target))
     {
-        return Ok(choose(shared, &order.service, affinity));
+        return Ok(choose(shared, &order.service, &[], affinity));
     }
     let ticket = admission.next_ticket.get();
     admission.next_ticket.set(ticket + 1);
@@ -129,11 +129,17 @@
     })
 }
 
-fn choose(shared: &Shared, service: &str, affinity: Option<u64>) -> Option<Place> {
+/// A place at a back end of a service that is not in `tried`; `None` where there is none.
+pub fn choose(
+    shared: &Shared,
+    service: &str,
+    tried: &[String],
+    affinity: Option<u64>,
+) -> Option<Place> {
     let catalog = shared.catalog.load_full();
     let candidates = catalog.ready(service);
     let backend =
-        shared.places.with(|balancer, now| balancer.choose(now, candidates, &[], affinity))?;
+        shared.places.with(|balancer, now| balancer.choose(now, candidates, tried, affinity))?;
     Some(shared.places.take(backend))
 }
 
@@ -197,7 +203,7 @@
     };
     // One whose caller has just left has no waiter any more.
     let Some(waiter) = waiter else { return true };
-    let place = choose(shared, name, waiter.affinity).ok_or(GivenUp);
+    let place = choose(shared, name, &[], waiter.affinity).ok_or(GivenUp);
     let _ = waiter.grant.send(place);
     true
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{exchange, ConnectFailure, Connection, Place, SendFailure};
 
-use crate::admission::{admit, GivenUp};
+use crate::admission::{admit, choose, GivenUp};
 use crate::answer::{plain, refusal, Answer};
 use crate::body::HeldBody;
 use crate::relay;
@@ -222,7 +222,8 @@
             return Err(NoAnswer::OutOfTime);
         }
         let catalog = shared.catalog.load_full();
-        let place = admitted.take().or_else(|| next_place(shared, order, affinity));
+        let place =
+            admitted.take().or_else(|| choose(shared, &order.service, &order.tried, affinity));
         let Some(mut place) = place else { break };
         let backend = place.backend.clone();
         order.tried.push(backend.id.clone());
@@ -303,16 +304,6 @@
     Err(NoAnswer::NotRun(last))
 }
 
-/// A place at a back end that was not tried.
-fn next_place(shared: &Shared, order: &Order, affinity: Option<u64>) -> Option<Place> {
-    let catalog = shared.catalog.load_full();
-    let candidates = catalog.ready(&order.service);
-    let chosen = shared
-        .places
-        .with(|balancer, now| balancer.choose(now, candidates, &order.tried, affinity));
-    Some(shared.places.take(chosen?))
-}
-
 fn tell_attempt(order: &Order, backend: &str, cause: &str) {
     order.line(EventName::AttemptFailed).field("backend", backend).field("cause", cause).write();
 }
