--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -48,6 +48,8 @@
     pub backends_digest: u64,
     /// Revision of the platform's store up to which the sender knows them.
     pub backends_revision: u64,
+    /// TCP port at which the sender tells them to peers; 0 where it does not.
+    pub news_port: u16,
     /// Digest of the sender's member list.
     pub digest: u64,
     /// What it says.
@@ -78,6 +80,8 @@
         /// Number of the probe.
         sequence: u64,
     },
+    /// The sender watches the platform's store, and the store answers it.
+    Watching,
     /// Asks to probe a third member.
     PingRequest {
         /// Number of the probe at the sender.
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -82,6 +82,7 @@
     configuration_version: u64,
     backends_digest: u64,
     backends_revision: u64,
+    news_port: u16,
     generator: SmallRng,
     changed: bool,
 }
@@ -104,6 +105,7 @@
             configuration_version: 0,
             backends_digest: 0,
             backends_revision: 0,
+            news_port: 0,
             generator: SmallRng::seed_from_u64(seed),
             changed: true,
         };
@@ -129,6 +131,11 @@
         self.backends_revision = revision;
     }
 
+    /// Notes the TCP port at which this daemon tells peers what it knows.
+    pub fn set_news_port(&mut self, port: u16) {
+        self.news_port = port;
+    }
+
     /// Whether the list of usable members changed since the last call.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
@@ -150,15 +157,29 @@
         addresses.into_iter().map(|to| self.outgoing(to, DatagramKind::Members)).collect()
     }
 
-    /// Datagrams that tell a few members, drawn by chance, what this daemon knows now.
-    pub fn tell_some(&mut self, count: usize) -> Vec<Outgoing> {
-        let addresses: Vec<String> =
-            self.live().map(|entry| entry.record.address.clone()).collect();
-        let drawn: Vec<String> =
-            addresses.choose_multiple(&mut self.generator, count).cloned().collect();
+    /// Datagrams that tell a few members, drawn by chance, what this daemon knows now: `near` of its
+    /// own zone, between which bytes are not paid for, and `far` of the others.
+    pub fn tell_some(&mut self, near: usize, far: usize) -> Vec<Outgoing> {
+        let is_near = |entry: &&Entry| entry.record.zone == self.me.zone;
+        let (near_by, others): (Vec<&Entry>, Vec<&Entry>) = self.live().partition(is_near);
+        let addresses = |entries: Vec<&Entry>| -> Vec<String> {
+            entries.into_iter().map(|entry| entry.record.address.clone()).collect()
+        };
+        let (near_by, others) = (addresses(near_by), addresses(others));
+        let mut drawn: Vec<String> =
+            near_by.choose_multiple(&mut self.generator, near).cloned().collect();
+        drawn.extend(others.choose_multiple(&mut self.generator, far).cloned());
         drawn.into_iter().map(|to| self.outgoing(to, DatagramKind::Members)).collect()
     }
 
+    /// Datagrams that tell some members that this daemon watches the platform's store.
+    pub fn tell_watching(&mut self, names: &[String]) -> Vec<Outgoing> {
+        let named = |entry: &&Entry| names.iter().any(|name| name == entry.record.node.as_str());
+        let addresses: Vec<String> =
+            self.live().filter(named).map(|entry| entry.record.address.clone()).collect();
+        addresses.into_iter().map(|to| self.outgoing(to, DatagramKind::Watching)).collect()
+    }
+
     fn live(&self) -> impl Iterator<Item = &Entry> {
         self.members.values().filter(|entry| entry.record.state != MemberState::Dead)
     }
@@ -360,7 +381,7 @@
         match kind {
             DatagramKind::Join => self.list(source, self.all_records().cloned().collect()),
             DatagramKind::Repair { buckets } => self.list(source, self.differing(&buckets)),
-            DatagramKind::Members => Vec::new(),
+            DatagramKind::Members | DatagramKind::Watching => Vec::new(),
             DatagramKind::Ping { sequence } => {
                 vec![self.outgoing(source.to_owned(), DatagramKind::Ack { sequence })]
             }
@@ -373,6 +394,7 @@
 
     /// A list in as many datagrams as it takes.
     fn list(&self, to: &str, records: Vec<MemberRecord>) -> Vec<Outgoing> {
+        let digest = self.digest();
         let part = |updates: &[MemberRecord]| Outgoing {
             to: to.to_owned(),
             datagram: Datagram {
@@ -380,7 +402,8 @@
                 configuration_version: self.configuration_version,
                 backends_digest: self.backends_digest,
                 backends_revision: self.backends_revision,
-                digest: self.digest(),
+                news_port: self.news_port,
+                digest,
                 kind: DatagramKind::Members,
                 updates: updates.to_vec(),
             },
@@ -477,6 +500,7 @@
             configuration_version: self.configuration_version,
             backends_digest: self.backends_digest,
             backends_revision: self.backends_revision,
+            news_port: self.news_port,
             digest: self.digest(),
             kind,
             updates,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -10,6 +10,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use yokefall_jobstore::JobClient;
+use yokefall_serving::discovery::PeerPorts;
 use yokefall_serving::table::Splitter;
 use yokefall_serving::{empty_catalog, empty_fleet, Balancer, Platform, Policy};
 use yokefall_telemetry::{EventName, Line};
@@ -46,6 +47,10 @@
     pub directory: SocketAddr,
     /// Address for other processes, UDP.
     pub peer: SocketAddr,
+    /// Address at which other processes ask for configuration and back ends.
+    pub news: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
     /// Peer addresses of some processes; they change when settings are read again.
     pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Most bytes of request bodies that are held.
@@ -62,7 +67,7 @@
     ingress: TcpListener,
     readiness: TcpListener,
     directory: TcpListener,
-    datagrams: UdpSocket,
+    ports: PeerPorts,
 }
 
 /// Why a gateway did not start.
@@ -107,11 +112,13 @@
         let readiness = listen("listen for readiness", options.readiness).await?;
         let directory = listen("listen for queries", options.directory).await?;
         let datagrams = open_datagrams(options.peer).await?;
+        let news = listen("listen for news", options.news).await?;
         options.ingress = ingress.local_addr().unwrap_or(options.ingress);
         options.readiness = readiness.local_addr().unwrap_or(options.readiness);
         options.directory = directory.local_addr().unwrap_or(options.directory);
         options.peer = datagrams.local_addr().unwrap_or(options.peer);
-        Ok(Self { options, ingress, readiness, directory, datagrams })
+        let ports = PeerPorts { datagrams, news };
+        Ok(Self { options, ingress, readiness, directory, ports })
     }
 
     /// What it was told, with the ports that are open.
@@ -126,7 +133,7 @@
         platform: P,
         mut stop: watch::Receiver<bool>,
     ) -> Result<(), StartError> {
-        let Self { options, ingress, readiness, directory, datagrams } = self;
+        let Self { options, ingress, readiness, directory, ports } = self;
         Line::new(EventName::Started)
             .id(&options.name)
             .text("ingress", options.ingress)
@@ -134,7 +141,7 @@
             .text("zone", &options.zone)
             .write();
         let shared = Rc::new(shared_state(&options, &platform));
-        start_control(&options, platform, datagrams, &shared, stop.clone())?;
+        start_control(&options, platform, ports, &shared, stop.clone())?;
 
         let (close, closing) = watch::channel(false);
         let ports =
@@ -144,7 +151,7 @@
             tokio::task::spawn_local(accepting);
         }
         tokio::task::spawn_local(admission::run(shared.clone()));
-        tokio::task::spawn_local(load::tell(shared.clone(), options.name.clone()));
+        tokio::task::spawn_local(load::report(shared.clone(), options.name.clone()));
         while !*stop.borrow() {
             if stop.changed().await.is_err() {
                 break;
@@ -180,7 +187,7 @@
 fn start_control<P: Platform>(
     options: &GatewayOptions,
     platform: P,
-    datagrams: UdpSocket,
+    ports: PeerPorts,
     shared: &Shared,
     stop: watch::Receiver<bool>,
 ) -> Result<(), StartError> {
@@ -189,11 +196,13 @@
         peer: "control".into(),
         cause: cause.to_string(),
     };
+    let PeerPorts { datagrams, news } = ports;
     let datagrams = datagrams.into_std().map_err(failed)?;
+    let news = news.into_std().map_err(failed)?;
     let (options, catalog, fleet) = (options.clone(), shared.catalog.clone(), shared.fleet.clone());
     std::thread::Builder::new()
         .name("control".into())
-        .spawn(move || run_control(options, platform, datagrams, catalog, fleet, stop))
+        .spawn(move || run_control(options, platform, (datagrams, news), catalog, fleet, stop))
         .map_err(failed)?;
     Ok(())
 }
@@ -201,7 +210,7 @@
 fn run_control<P: Platform>(
     options: GatewayOptions,
     platform: P,
-    socket: std::net::UdpSocket,
+    (datagrams, news): (std::net::UdpSocket, std::net::TcpListener),
     catalog: yokefall_serving::CatalogCell,
     fleet: yokefall_serving::FleetCell,
     stop: watch::Receiver<bool>,
@@ -209,8 +218,12 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let Ok(runtime) = runtime else { return };
     LocalSet::new().block_on(&runtime, async move {
-        let Ok(socket) = UdpSocket::from_std(socket) else { return };
-        control::run(options, platform, socket, catalog, fleet, stop).await;
+        let (Ok(datagrams), Ok(news)) =
+            (UdpSocket::from_std(datagrams), TcpListener::from_std(news))
+        else {
+            return;
+        };
+        control::run(options, platform, PeerPorts { datagrams, news }, catalog, fleet, stop).await;
     });
 }
 
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,49 +1,87 @@
-//! Tells the job store what this gateway has in flight, and hears what everybody has: items of jobs
-//! give way to online requests, and gateways act as one.
+//! Reports to a job store what this gateway has in flight, and learns what all processes have: items
+//! of jobs are preempted by online requests, and gateways act as one.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use yokefall_jobstore::loads::telling_interval;
-use yokefall_jobstore::{BackendCount, BackendTotal, CallOutcome, Reply, Request};
+use yokefall_jobstore::aggregators::aggregator_of;
+use yokefall_jobstore::loads::report_interval;
+use yokefall_jobstore::{BackendCount, LoadAnswer, LoadReport, Reply, Request, ServiceRate};
 use yokefall_serving::InFlight;
 
 use crate::shared::Shared;
 
-/// Longest pause while requests are in flight.
+/// Longest interval between two reports while requests are in flight; a third of the time for which a
+/// report counts.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(500);
-/// Tellings after which back ends that are gone are forgotten.
-const TELLINGS_TO_FORGET: u32 = 256;
-/// Time for one telling.
-const CALL_TIME: Duration = Duration::from_millis(300);
+/// Reports after which back ends that are gone are forgotten, about half a minute.
+const REPORTS_TO_FORGET: u32 = 256;
+/// Longest wait for an answer, three of the longest intervals between reports.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// A rate in requests a millisecond, in the unit of reports.
+const MILLISECONDS_IN_1000_SECONDS: f64 = 1e6;
 
-/// Tells for ever.
-pub async fn tell(shared: Rc<Shared>, gateway: String) {
-    let mut told_anything = false;
-    let mut tellings: u32 = 0;
+/// What this gateway knows from its aggregator.
+#[derive(Default)]
+struct Known {
+    aggregator: String,
+    leader: Option<String>,
+    totals: HashMap<String, InFlight>,
+    /// Whether `totals` followed from every answer so far.
+    is_current: bool,
+}
+
+/// Reports for ever.
+pub async fn report(shared: Rc<Shared>, gateway: String) {
+    let mut known = Known::default();
+    let mut reported_anything = false;
+    let mut reports: u32 = 0;
     loop {
-        if told_anything {
+        if reported_anything {
             let changed = shared.places.changed.notified();
             let _ = tokio::time::timeout(LONGEST_INTERVAL, changed).await;
         } else {
             shared.places.changed.notified().await;
         }
-        tokio::time::sleep(telling_interval(shared.fleet.load().gateways().count())).await;
+        let gateways = shared.fleet.load().gateways().count();
+        tokio::time::sleep(report_interval(gateways)).await;
         let counts = counts(&shared);
-        told_anything = !counts.is_empty();
-        let request = Request::Load { gateway: gateway.clone(), counts: counts.clone() };
-        let outcome = shared.jobs.call(request, Instant::now() + CALL_TIME).await;
-        if let CallOutcome::Answered(Reply::Totals(totals)) = outcome {
-            hear(&shared, &totals, &counts);
-        }
-        tellings += 1;
-        if tellings % TELLINGS_TO_FORGET == 0 {
+        reported_anything = !counts.is_empty();
+        report_once(&shared, &gateway, &mut known, counts).await;
+        reports += 1;
+        if reports % REPORTS_TO_FORGET == 0 {
             forget_gone(&shared);
         }
     }
 }
 
+async fn report_once(shared: &Shared, gateway: &str, known: &mut Known, counts: Vec<BackendCount>) {
+    let fleet = shared.fleet.load_full();
+    let aggregator = aggregator_of(&fleet, known.leader.as_deref(), gateway);
+    let Some(aggregator) = aggregator else { return };
+    if aggregator.name != known.aggregator {
+        known.aggregator = aggregator.name.clone();
+        known.is_current = false;
+    }
+    let report = LoadReport {
+        gateway: gateway.to_owned(),
+        counts: counts.clone(),
+        arrivals: arrivals(shared),
+        answer_all: !known.is_current,
+    };
+    let limit = Instant::now() + ANSWER_TIMEOUT;
+    match shared.jobs.call_member(aggregator.address, Request::Load(report), limit).await {
+        Some(Reply::Load(answer)) => take_answer(shared, known, answer, &counts),
+        // What a lost answer said is asked for again; the aggregator may be gone, or not lead.
+        Some(_) | None => {
+            known.is_current = false;
+            known.leader = None;
+        }
+    }
+}
+
 /// Drops what is held of back ends that nobody knows any more.
 fn forget_gone(shared: &Shared) {
     let catalog = shared.catalog.load();
@@ -61,17 +99,43 @@
     })
 }
 
-/// Takes what everybody has in flight, `told` by this gateway included.
-fn hear(shared: &Shared, totals: &[BackendTotal], told: &[BackendCount]) {
-    let own =
-        |id: &str| told.iter().find(|count| count.backend == id).map_or(0, |count| count.requests);
+fn arrivals(shared: &Shared) -> Vec<ServiceRate> {
+    shared.places.with(|balancer, now| {
+        let rate = |(service, per_ms): (&str, f64)| ServiceRate {
+            service: service.to_owned(),
+            per_1000_seconds: (per_ms * MILLISECONDS_IN_1000_SECONDS) as u64,
+        };
+        balancer.own_arrivals(now).map(rate).collect()
+    })
+}
+
+/// Takes what all processes have in flight, `reported` by this gateway included.
+fn take_answer(shared: &Shared, known: &mut Known, answer: LoadAnswer, reported: &[BackendCount]) {
+    if !known.is_current {
+        known.totals.clear();
+        known.is_current = true;
+    }
+    for change in answer.changes {
+        let total = InFlight { online: change.online, items: change.items };
+        if total == InFlight::default() {
+            known.totals.remove(&change.backend);
+        } else {
+            known.totals.insert(change.backend, total);
+        }
+    }
+    known.leader = answer.leader;
+    let own = |id: &str| {
+        reported.iter().find(|count| count.backend == id).map_or(0, |count| count.requests)
+    };
     let gateways = shared.fleet.load().gateways().count();
-    let totals = totals.iter().map(|total| {
-        (total.backend.as_str(), InFlight { online: total.online, items: total.items })
-    });
+    let totals = known.totals.iter().map(|(id, total)| (id.as_str(), *total));
     shared.places.with(|balancer, now| {
-        balancer.set_choosers(gateways, telling_interval(gateways).as_millis() as u64);
+        balancer.set_choosers(gateways, report_interval(gateways).as_millis() as u64);
         balancer.heard_totals(now, totals, own);
+        for rate in answer.arrivals {
+            let per_ms = rate.per_1000_seconds as f64 / MILLISECONDS_IN_1000_SECONDS;
+            balancer.set_arrivals_of_all(now, rate.service, per_ms);
+        }
     });
     shared.places.room.notify_one();
 }
--- /dev/null
+++ b/crates/jobstore/src/aggregators.rs
@@ -0,0 +1,84 @@
+//! Which job stores add up load reports, and the exchange of their sums.
+
+use std::cmp::Reverse;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+use yokefall_serving::{Fleet, FleetCell, FleetMember};
+
+use crate::loads::report_interval;
+use crate::protocol::{Frame, LoadSums};
+use crate::store::Store;
+
+/// Gateways for each aggregator, from the arithmetic of work: with `g` gateways an aggregator takes
+/// `g / k` reports in an interval and `k - 1` sums, and both stay below 40 up to 500 gateways.
+const GATEWAYS_PER_AGGREGATOR: usize = 32;
+/// Interval at which sums that have not changed are repeated; a third of the time for which they
+/// count.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The job stores that add up load reports, the first in the order of their names' hashes. Where one
+/// is enough, the leader does it, so that the runner of items knows loads without another hop.
+pub fn aggregators<'a>(fleet: &'a Fleet, leader: Option<&str>) -> Vec<&'a FleetMember> {
+    let wanted = fleet.gateways().count().div_ceil(GATEWAYS_PER_AGGREGATOR).max(1);
+    let mut stores: Vec<&FleetMember> =
+        fleet.job_stores().filter(|member| member.accepting).collect();
+    let leads = |member: &FleetMember| wanted == 1 && leader == Some(member.name.as_str());
+    stores.sort_by_cached_key(|member| (Reverse(leads(member)), xxh3_64(member.name.as_bytes())));
+    stores.truncate(wanted);
+    stores
+}
+
+/// The aggregator of a gateway: the one with the highest hash of both names, so that the loss of one
+/// moves only its own gateways.
+pub fn aggregator_of<'a>(
+    fleet: &'a Fleet,
+    leader: Option<&str>,
+    gateway: &str,
+) -> Option<&'a FleetMember> {
+    let score = |member: &&FleetMember| xxh3_64(format!("{gateway}/{}", member.name).as_bytes());
+    aggregators(fleet, leader).into_iter().max_by_key(score)
+}
+
+/// Sends this process's sums to the other aggregators and to the leader, for ever: when they change,
+/// once an interval at most.
+pub async fn exchange(store: Rc<Store>, fleet: FleetCell, me: String) {
+    let mut sent: Option<LoadSums> = None;
+    let mut sent_at = Instant::now();
+    loop {
+        let changed = store.loads_changed.notified();
+        if sent.is_some() {
+            let _ = tokio::time::timeout_at(sent_at + REPEAT_INTERVAL, changed).await;
+        } else {
+            changed.await;
+        }
+        let fleet = fleet.load_full();
+        tokio::time::sleep(report_interval(fleet.gateways().count())).await;
+        let sums = store.loads.own_sums(&me);
+        if sums == sent && sent_at.elapsed() < REPEAT_INTERVAL {
+            continue;
+        }
+        // Where nothing is left, that is told once.
+        let none = LoadSums { from: me.clone(), counts: vec![], arrivals: vec![], gateways: 0 };
+        let frame = Frame::Sums(sums.clone().unwrap_or(none));
+        for name in listeners(&fleet, store.leader(), &me) {
+            store.send_frame(&name, &frame);
+        }
+        sent = sums;
+        sent_at = Instant::now();
+    }
+}
+
+/// Names of the job stores that need this one's sums.
+fn listeners(fleet: &Fleet, leader: Option<String>, me: &str) -> Vec<String> {
+    let aggregators = aggregators(fleet, leader.as_deref());
+    let mut names: Vec<String> =
+        aggregators.into_iter().map(|member| member.name.clone()).collect();
+    names.extend(leader);
+    names.sort_unstable();
+    names.dedup();
+    names.retain(|name| name != me);
+    names
+}
--- a/crates/jobstore/src/client.rs
+++ b/crates/jobstore/src/client.rs
@@ -109,6 +109,19 @@
         CallOutcome::NotDone
     }
 
+    /// Calls one job store, whether it leads or not; `None` where it gave no reply by `limit`.
+    pub async fn call_member(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        limit: Instant,
+    ) -> Option<Reply> {
+        match self.call_one(address, request, limit).await {
+            Try::Reply(reply) => Some(reply),
+            Try::NotSent | Try::NoReply => None,
+        }
+    }
+
     /// The leader as far as known, else each job store in turn.
     fn candidate(&self) -> Option<(String, SocketAddr)> {
         let fleet = self.fleet.load();
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -1,6 +1,5 @@
 //! The job store process: one thread for the group, the jobs and the runs; one for the disk.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -10,20 +9,22 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 use yokefall_consensus::{Consensus, Index, MemberId, Role, Term};
-use yokefall_serving::fleet::{run_membership, start_number, Identity};
-use yokefall_serving::news::News;
-use yokefall_serving::observer::LineObserver;
-use yokefall_serving::watch::{follow, Knowledge, SharedKnowledge};
-use yokefall_serving::{empty_catalog, empty_fleet, Platform, Policy};
+use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
+use yokefall_serving::fleet::{start_number, Identity};
+use yokefall_serving::{empty_catalog, empty_fleet, Balancer, Platform, Policy};
 use yokefall_telemetry::{EventName, Line};
+use yokefall_upstream::Places;
 
 use crate::connections::Links;
+use crate::delegation::Delegation;
 use crate::disk::{Disk, Synced};
+use crate::run::ItemRunner;
 use crate::runner::{Runner, RunnerOptions};
 use crate::state::Applied;
 use crate::store::{Store, StoreLimits, StoreObserver};
 use crate::wal::Wal;
-use crate::{group, server};
+use crate::worker::Worker;
+use crate::{aggregators, group, server};
 
 /// Parts in which replicas differ in when they rewrite their disks.
 const STAGGER_PARTS: u64 = 64;
@@ -39,6 +40,8 @@
     pub region: String,
     /// Address for other processes, TCP and UDP.
     pub peer: SocketAddr,
+    /// Address at which other processes ask for configuration and back ends.
+    pub news: SocketAddr,
     /// Peer addresses of some processes; they change when settings are read again.
     pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Folder for the log.
@@ -65,7 +68,7 @@
 pub struct JobStore {
     options: JobStoreOptions,
     listener: TcpListener,
-    datagrams: UdpSocket,
+    ports: PeerPorts,
 }
 
 /// Why a job store did not start.
@@ -95,7 +98,8 @@
         let listener = TcpListener::bind(options.peer).await.map_err(at("listen for peers"))?;
         options.peer = listener.local_addr().map_err(at("listen for peers"))?;
         let datagrams = UdpSocket::bind(options.peer).await.map_err(at("open datagram port"))?;
-        Ok(Self { options, listener, datagrams })
+        let news = TcpListener::bind(options.news).await.map_err(at("listen for news"))?;
+        Ok(Self { options, listener, ports: PeerPorts { datagrams, news } })
     }
 
     /// What it was told, with the ports that are open.
@@ -109,7 +113,7 @@
         platform: P,
         mut stop: watch::Receiver<bool>,
     ) -> Result<(), StartError> {
-        let Self { options, listener, datagrams } = self;
+        let Self { options, listener, ports } = self;
         let peer = options.peer;
         let opened = Wal::open(&options.folder, rand::random()).map_err(at("open log"))?;
         let me = MemberId { name: options.name.clone(), incarnation: opened.incarnation };
@@ -132,14 +136,6 @@
             incarnation: start_number(),
         };
         let catalog = empty_catalog();
-        let known = Rc::new(RefCell::new(Knowledge::new(catalog.clone())));
-        let news = News::new(known.clone());
-        let (configuration, backends) = (news.refresh.configuration(), news.refresh.backends());
-        let seeds = options.seeds.clone();
-        let membership =
-            run_membership(datagrams, identity, seeds, fleet.clone(), news, stop.clone());
-        tokio::task::spawn_local(membership);
-
         let state = opened.recovered.snapshot.state.clone();
         let core = Consensus::new(me.clone(), opened.recovered, 0, rand::random());
         let links = Links::new(fleet.clone());
@@ -153,42 +149,55 @@
         tokio::task::spawn_local(take_synced(store.clone(), synced));
         tokio::task::spawn_local(tick(store.clone()));
 
-        let knowledge = SharedKnowledge {
-            knowledge: known,
-            observer: Rc::new(LineObserver::new({
-                let store = store.clone();
-                move || store.work_changed.notify_one()
-            })),
+        let discovery = DiscoveryOptions {
+            identity,
+            seeds: options.seeds.clone(),
+            is_first_start: options.bootstrap,
         };
-        tokio::task::spawn_local(follow(
-            platform.configurations(),
-            knowledge.clone(),
-            configuration.clone(),
-            backends.clone(),
-        ));
-        tokio::task::spawn_local(follow(platform.backends(), knowledge, backends, configuration));
+        let changed = {
+            let store = store.clone();
+            move || store.work_changed.notify_one()
+        };
+        discovery::start(
+            &platform,
+            discovery,
+            ports,
+            catalog.clone(),
+            fleet.clone(),
+            changed,
+            stop.clone(),
+        );
 
         if options.bootstrap && opened.was_empty {
             tokio::task::spawn_local(group::found(platform.clone(), store.clone(), me.clone()));
         }
         tokio::task::spawn_local(group::join(store.clone(), fleet.clone(), me));
         tokio::task::spawn_local(group::outlive(platform.clone(), store.clone()));
+        tokio::task::spawn_local(aggregators::exchange(
+            store.clone(),
+            fleet.clone(),
+            options.name.clone(),
+        ));
         let voters = 2 * options.tolerated_losses + 1;
-        tokio::task::spawn_local(group::lead(platform.clone(), store.clone(), fleet, voters));
-        let runner = Rc::new(Runner::new(
+        tokio::task::spawn_local(group::lead(
+            platform.clone(),
             store.clone(),
-            catalog,
-            platform.dialect(),
-            options.zone,
-            rand::random(),
-            RunnerOptions {
-                retention: options.retention,
-                most_runs: options.most_runs,
-                policy: options.policy,
-            },
+            fleet.clone(),
+            voters,
         ));
-        tokio::task::spawn_local(runner.run());
-        tokio::task::spawn_local(server::serve(listener, store.clone(), options.page_bytes));
+        let places = Places::new(Balancer::new(options.zone, rand::random(), options.policy));
+        let items = ItemRunner::new(platform.dialect());
+        let worker = Worker::new(catalog, items, places, options.most_runs);
+        let delegation = Delegation::new(fleet, store.clone());
+        let runner_options = RunnerOptions {
+            retention: options.retention,
+            most_runs: options.most_runs,
+            policy: options.policy,
+        };
+        let runner = Runner::new(store.clone(), worker.clone(), delegation, runner_options);
+        tokio::task::spawn_local(Rc::new(runner).run());
+        let serving = server::serve(listener, store.clone(), worker, options.page_bytes);
+        tokio::task::spawn_local(serving);
 
         while !*stop.borrow() {
             if stop.changed().await.is_err() {
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -8,6 +8,7 @@
 
 use yokefall_consensus::policy::{needs_claim, next_step, should_outlive, Step, Wishes};
 use yokefall_consensus::{MemberId, Pair, Role};
+use yokefall_serving::duty::Duty;
 use yokefall_serving::source::Revision;
 use yokefall_serving::watch::{follow, Sink};
 use yokefall_serving::{
@@ -160,6 +161,7 @@
                 sink,
                 Rc::default(),
                 Rc::default(),
+                Duty::always(),
             )));
         }
         let busy = change_members(&platform, &store, &fleet, &leaving, voters).await;
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -5,9 +5,11 @@
 //! `runner` runs items at back ends while the
 //! process leads, each by `run`.
 
+pub mod aggregators;
 pub mod client;
 pub mod connections;
 pub mod daemon;
+pub mod delegation;
 pub mod disk;
 pub mod group;
 pub mod intake;
@@ -23,7 +25,11 @@
 pub mod store;
 pub mod urgency;
 pub mod wal;
+pub mod worker;
 
 pub use client::{CallOutcome, JobClient};
 pub use daemon::{JobStore, JobStoreOptions};
-pub use protocol::{BackendCount, BackendTotal, Reply, Request, Submission};
+pub use protocol::{
+    BackendCount, BackendTotal, LoadAnswer, LoadReport, LoadSums, Reply, Request, ServiceRate,
+    Submission,
+};
--- a/crates/jobstore/src/loads.rs
+++ b/crates/jobstore/src/loads.rs
@@ -1,109 +1,312 @@
-//! What gateways and the runner have in flight at back ends, as the leader hears it.
+//! Requests in flight at back ends, added up from load reports.
+//!
+//! Each gateway reports to one job store, its aggregator. Aggregators send each other their sums, so
+//! that a report costs work for one job store and not for all. Totals are running sums: a report
+//! changes them by its difference to the one before, and costs as many steps as it has entries.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use tokio::time::Instant;
+use yokefall_serving::InFlight;
 
-use crate::protocol::{BackendCount, BackendTotal};
+use crate::protocol::{BackendTotal, LoadAnswer, LoadReport, LoadSums, ServiceRate};
 
-/// Time for which what a gateway told counts; gateways tell again before.
+/// Time for which a report counts; reporters repeat theirs every 500 ms while anything is in flight,
+/// so that two may be lost.
 const LIFETIME: Duration = Duration::from_millis(1_500);
+/// Interval between two passes that drop expired reports.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Back ends in one answer at most: about 1.5 KB. The largest changes go first, the others with the
+/// next answer, so that an answer costs the same however many back ends there are.
+const MOST_CHANGES: usize = 48;
 
-/// Share of the job store's time for which one gateway asks: what is told is younger where there are
-/// few gateways, and one job store hears 250 of them a second at most.
+/// Share of an aggregator's time for which one gateway asks: an aggregator takes 250 reports a second
+/// at most.
 const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(4);
-/// Shortest pause between two tellings; the way there and back takes about a tenth of it.
+/// Shortest interval between two reports; a round trip takes about a tenth of it.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest pause between two tellings while requests come and go.
+/// Longest interval between two reports while requests come and go.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause between two tellings of one of so many gateways.
-pub fn telling_interval(gateways: usize) -> Duration {
+/// Interval between two load reports of one of so many gateways.
+pub fn report_interval(gateways: usize) -> Duration {
     let shared = INTERVAL_PER_GATEWAY * u32::try_from(gateways).unwrap_or(u32::MAX);
     shared.clamp(SHORTEST_INTERVAL, LONGEST_INTERVAL)
 }
 
+/// The last report of one gateway, or the last sums of one job store.
 #[derive(Debug)]
-struct Told {
+struct Source {
     at: Instant,
-    counts: BTreeMap<String, u32>,
+    counts: Vec<BackendTotal>,
+    arrivals: Vec<ServiceRate>,
+    /// Gateways whose requests are in it.
+    gateways: u32,
 }
 
-/// Requests in flight, by who told of them.
+#[derive(Debug, Default)]
+struct Sums {
+    gateways: HashMap<String, Source>,
+    job_stores: HashMap<String, Source>,
+    /// Items that this process runs, by back end.
+    own_items: HashMap<String, u32>,
+    totals: HashMap<String, InFlight>,
+    /// Requests in 1,000 seconds, by service.
+    arrivals: HashMap<String, u64>,
+    reporters: u32,
+    /// Totals that each gateway was answered with.
+    answered: HashMap<String, HashMap<String, InFlight>>,
+    expired_at: Option<Instant>,
+}
+
+/// Requests and items in flight, by back end.
 #[derive(Debug, Default)]
 pub struct Loads {
-    gateways: RefCell<BTreeMap<String, Told>>,
-    items: RefCell<BTreeMap<String, u32>>,
+    sums: RefCell<Sums>,
+    steps: Cell<u64>,
 }
 
 impl Loads {
-    /// Takes what a gateway told in the place of what it told before.
-    pub fn take(&self, gateway: &str, counts: Vec<BackendCount>) {
-        let counts = counts.into_iter().map(|count| (count.backend, count.requests)).collect();
-        let told = Told { at: Instant::now(), counts };
-        self.gateways.borrow_mut().insert(gateway.to_owned(), told);
+    /// Takes the report of a gateway in the place of the one before, and answers it with the totals
+    /// that changed since its last answer.
+    pub fn report(&self, report: LoadReport, leader: Option<String>) -> LoadAnswer {
+        let LoadReport { gateway, counts, arrivals, answer_all } = report;
+        let sums = &mut *self.sums.borrow_mut();
+        self.expire(sums);
+        let counts = counts.into_iter().map(|count| BackendTotal {
+            backend: count.backend,
+            online: count.requests,
+            items: 0,
+        });
+        let counts: Vec<BackendTotal> = counts.collect();
+        self.count_steps(counts.len());
+        let source = Source { at: Instant::now(), counts, arrivals, gateways: 1 };
+        sums.add(&source);
+        if let Some(before) = sums.gateways.insert(gateway.clone(), source) {
+            sums.subtract(&before);
+        }
+        if answer_all {
+            sums.answered.remove(&gateway);
+        }
+        let arrivals = sums.arrivals.iter();
+        let rate = |(service, rate): (&String, &u64)| ServiceRate {
+            service: service.clone(),
+            per_1000_seconds: *rate,
+        };
+        let arrivals = arrivals.map(rate).collect();
+        let changes = self.changes(sums, gateway);
+        LoadAnswer { changes, arrivals, leader }
+    }
+
+    /// Totals that differ from what a gateway was answered, the largest differences first.
+    fn changes(&self, sums: &mut Sums, gateway: String) -> Vec<BackendTotal> {
+        let Sums { totals, answered, .. } = sums;
+        let answered = answered.entry(gateway).or_default();
+        self.count_steps(totals.len() + answered.len());
+        let mut changes: Vec<(u32, BackendTotal)> = Vec::new();
+        let mut note = |backend: &str, total: InFlight, before: InFlight| {
+            let difference =
+                total.online.abs_diff(before.online) + total.items.abs_diff(before.items);
+            if difference > 0 {
+                changes.push((difference, total_of(backend, total)));
+            }
+        };
+        for (backend, total) in totals.iter() {
+            note(backend, *total, answered.get(backend).copied().unwrap_or_default());
+        }
+        for (backend, before) in answered.iter().filter(|(id, _)| !totals.contains_key(*id)) {
+            note(backend, InFlight::default(), *before);
+        }
+        changes.sort_unstable_by(|left, right| {
+            right.0.cmp(&left.0).then_with(|| left.1.backend.cmp(&right.1.backend))
+        });
+        changes.truncate(MOST_CHANGES);
+        let changes: Vec<BackendTotal> = changes.into_iter().map(|(_, total)| total).collect();
+        for BackendTotal { backend, online, items } in &changes {
+            if *online == 0 && *items == 0 {
+                answered.remove(backend);
+            } else {
+                answered.insert(backend.clone(), InFlight { online: *online, items: *items });
+            }
+        }
+        changes
+    }
+
+    /// Takes the sums of another job store in the place of those before.
+    pub fn take_sums(&self, sent: LoadSums) {
+        let LoadSums { from, counts, arrivals, gateways } = sent;
+        let sums = &mut *self.sums.borrow_mut();
+        self.expire(sums);
+        self.count_steps(counts.len());
+        let source = Source { at: Instant::now(), counts, arrivals, gateways };
+        sums.add(&source);
+        if let Some(before) = sums.job_stores.insert(from, source) {
+            sums.subtract(&before);
+        }
+    }
+
+    /// What was reported to this process, with the items that it runs, for other job stores; `None`
+    /// where there is nothing.
+    pub fn own_sums(&self, from: &str) -> Option<LoadSums> {
+        let sums = &mut *self.sums.borrow_mut();
+        self.expire(sums);
+        if sums.gateways.is_empty() && sums.own_items.is_empty() {
+            return None;
+        }
+        let mut counts: BTreeMap<&str, InFlight> = BTreeMap::new();
+        let mut arrivals: BTreeMap<&str, u64> = BTreeMap::new();
+        for source in sums.gateways.values() {
+            for count in &source.counts {
+                counts.entry(&count.backend).or_default().online += count.online;
+            }
+            for rate in &source.arrivals {
+                *arrivals.entry(&rate.service).or_default() += rate.per_1000_seconds;
+            }
+        }
+        for (backend, items) in &sums.own_items {
+            counts.entry(backend).or_default().items += items;
+        }
+        self.count_steps(counts.len());
+        let rate = |(service, rate): (&str, u64)| ServiceRate {
+            service: service.to_owned(),
+            per_1000_seconds: rate,
+        };
+        Some(LoadSums {
+            from: from.to_owned(),
+            counts: counts.into_iter().map(|(id, total)| total_of(id, total)).collect(),
+            arrivals: arrivals.into_iter().map(rate).collect(),
+            gateways: sums.gateways.len() as u32,
+        })
     }
 
     /// Notes an item that starts at a back end.
     pub fn item_started(&self, backend: &str) {
-        *self.items.borrow_mut().entry(backend.to_owned()).or_default() += 1;
+        let sums = &mut *self.sums.borrow_mut();
+        *sums.own_items.entry(backend.to_owned()).or_default() += 1;
+        sums.totals.entry(backend.to_owned()).or_default().items += 1;
     }
 
     /// Notes an item that no longer runs at a back end.
     pub fn item_ended(&self, backend: &str) {
-        let mut items = self.items.borrow_mut();
-        if let Some(count) = items.get_mut(backend) {
+        let sums = &mut *self.sums.borrow_mut();
+        if let Some(count) = sums.own_items.get_mut(backend) {
             *count -= 1;
             if *count == 0 {
-                items.remove(backend);
+                sums.own_items.remove(backend);
             }
+            sums.remove_from_total(backend, InFlight { online: 0, items: 1 });
         }
     }
 
     /// Items at a back end.
     pub fn items(&self, backend: &str) -> u32 {
-        self.items.borrow().get(backend).copied().unwrap_or(0)
+        self.sums.borrow().totals.get(backend).map_or(0, |total| total.items)
     }
 
-    /// Online requests at a back end; `None` where no gateway told anything lately.
+    /// Online requests at a back end; `None` where no gateway reported lately.
     pub fn online(&self, backend: &str) -> Option<u32> {
-        let mut gateways = self.gateways.borrow_mut();
-        gateways.retain(|_, told| told.at.elapsed() < LIFETIME);
-        if gateways.is_empty() {
-            return None;
-        }
-        Some(gateways.values().filter_map(|told| told.counts.get(backend)).sum())
+        let sums = &mut *self.sums.borrow_mut();
+        self.expire(sums);
+        (sums.reporters > 0).then(|| sums.totals.get(backend).map_or(0, |total| total.online))
     }
 
-    /// Pause between two tellings of a gateway, as many as tell.
-    pub fn telling_interval(&self) -> Duration {
-        telling_interval(self.gateways.borrow().len())
+    /// Interval between two reports of a gateway, as many as report.
+    pub fn report_interval(&self) -> Duration {
+        report_interval(self.sums.borrow().reporters as usize)
     }
 
     /// Everything in flight, by back end.
     pub fn totals(&self) -> Vec<BackendTotal> {
-        let mut totals: BTreeMap<String, BackendTotal> = BTreeMap::new();
-        for (backend, items) in self.items.borrow().iter() {
-            total_of(&mut totals, backend).items = *items;
+        let sums = self.sums.borrow();
+        sums.totals.iter().map(|(id, total)| total_of(id, *total)).collect()
+    }
+
+    /// Gateways whose reports count now.
+    pub fn reporters(&self) -> u32 {
+        self.sums.borrow().reporters
+    }
+
+    /// Entries that were looked at so far: what the work grows with.
+    pub fn steps(&self) -> u64 {
+        self.steps.get()
+    }
+
+    fn count_steps(&self, steps: usize) {
+        self.steps.set(self.steps.get() + steps as u64);
+    }
+
+    fn expire(&self, sums: &mut Sums) {
+        let now = Instant::now();
+        if sums.expired_at.is_some_and(|at| now.duration_since(at) < EXPIRY_INTERVAL) {
+            return;
+        }
+        sums.expired_at = Some(now);
+        self.count_steps(sums.gateways.len() + sums.job_stores.len());
+        let gateways = take_expired(&mut sums.gateways, now);
+        let job_stores = take_expired(&mut sums.job_stores, now);
+        for (name, source) in gateways {
+            sums.answered.remove(&name);
+            sums.subtract(&source);
+        }
+        for (_, source) in job_stores {
+            sums.subtract(&source);
+        }
+    }
+}
+
+/// Removes the sources whose reports no longer count.
+fn take_expired(sources: &mut HashMap<String, Source>, now: Instant) -> Vec<(String, Source)> {
+    let is_expired = |source: &Source| now.duration_since(source.at) >= LIFETIME;
+    let names: Vec<String> = sources
+        .iter()
+        .filter(|(_, source)| is_expired(source))
+        .map(|(name, _)| name.clone())
+        .collect();
+    names.into_iter().filter_map(|name| sources.remove_entry(&name)).collect()
+}
+
+impl Sums {
+    fn add(&mut self, source: &Source) {
+        for count in &source.counts {
+            let total = self.totals.entry(count.backend.clone()).or_default();
+            total.online += count.online;
+            total.items += count.items;
+        }
+        for rate in &source.arrivals {
+            *self.arrivals.entry(rate.service.clone()).or_default() += rate.per_1000_seconds;
         }
-        for told in self.gateways.borrow().values().filter(|told| told.at.elapsed() < LIFETIME) {
-            for (backend, requests) in &told.counts {
-                total_of(&mut totals, backend).online += requests;
+        self.reporters += source.gateways;
+    }
+
+    /// Takes out what a source added before.
+    fn subtract(&mut self, source: &Source) {
+        for count in &source.counts {
+            let part = InFlight { online: count.online, items: count.items };
+            self.remove_from_total(&count.backend, part);
+        }
+        for rate in &source.arrivals {
+            if let Some(sum) = self.arrivals.get_mut(&rate.service) {
+                *sum -= rate.per_1000_seconds;
+                if *sum == 0 {
+                    self.arrivals.remove(&rate.service);
+                }
             }
         }
-        totals.into_values().collect()
+        self.reporters -= source.gateways;
+    }
+
+    fn remove_from_total(&mut self, backend: &str, part: InFlight) {
+        let Some(total) = self.totals.get_mut(backend) else { return };
+        total.online -= part.online;
+        total.items -= part.items;
+        if *total == InFlight::default() {
+            self.totals.remove(backend);
+        }
     }
 }
 
-fn total_of<'a>(
-    totals: &'a mut BTreeMap<String, BackendTotal>,
-    backend: &str,
-) -> &'a mut BackendTotal {
-    totals.entry(backend.to_owned()).or_insert_with(|| BackendTotal {
-        backend: backend.to_owned(),
-        online: 0,
-        items: 0,
-    })
+fn total_of(backend: &str, total: InFlight) -> BackendTotal {
+    BackendTotal { backend: backend.to_owned(), online: total.online, items: total.items }
 }
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -5,10 +5,13 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio_util::codec::{Framed, FramedRead, LengthDelimitedCodec};
 use yokefall_consensus::message::Body;
 use yokefall_consensus::{Entry, MemberId, Message};
-use yokefall_serving::{JobItem, ResultPage};
+use yokefall_serving::{Backend, JobItem, Outcome, ResultPage};
+
+use crate::run::RunEnd;
 
 /// Largest frame, in bytes; a snapshot is one frame.
 const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
@@ -61,7 +64,80 @@
     pub items: u32,
 }
 
-/// What a gateway asks.
+/// Requests that arrive at a service.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ServiceRate {
+    /// Name of the service.
+    pub service: String,
+    /// Requests in 1,000 seconds, averaged over the last half second.
+    pub per_1000_seconds: u64,
+}
+
+/// What a gateway has in flight. It takes the place of the gateway's report before.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct LoadReport {
+    /// Name of the gateway.
+    pub gateway: String,
+    /// Its online requests, by back end; others have none.
+    pub counts: Vec<BackendCount>,
+    /// Its arrivals, by service.
+    pub arrivals: Vec<ServiceRate>,
+    /// Whether every total is wanted, and not only those that changed: the gateway is new to this
+    /// job store, or has missed an answer.
+    pub answer_all: bool,
+}
+
+/// What all processes have in flight, as far as it changed since the gateway's last answer.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct LoadAnswer {
+    /// Totals that changed; zeros for back ends where nothing is left.
+    pub changes: Vec<BackendTotal>,
+    /// Arrivals at all gateways, by service.
+    pub arrivals: Vec<ServiceRate>,
+    /// The job store that leads, as far as known.
+    pub leader: Option<String>,
+}
+
+/// The sums of one job store over the gateways that report to it, with the items that it runs.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct LoadSums {
+    /// Name of the job store.
+    pub from: String,
+    /// Requests and items, by back end.
+    pub counts: Vec<BackendTotal>,
+    /// Arrivals, by service.
+    pub arrivals: Vec<ServiceRate>,
+    /// Gateways whose reports are in the sums.
+    pub gateways: u32,
+}
+
+/// An item to be run at a back end, for the leader.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct RunOrder {
+    /// The back end.
+    pub backend: Backend,
+    /// Host that the item's job was sent to.
+    pub host: String,
+    /// The item.
+    pub item: JobItem,
+    /// The event after which its output goes on; 0 from the beginning.
+    pub after_event: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct RunReport {
+    /// How it ended.
+    pub end: RunEnd,
+    /// What that says of the back end.
+    pub outcome: Outcome,
+    /// The last event of its output.
+    pub last_event: u64,
+    /// Data of the events that were not sent before.
+    pub text: Option<String>,
+}
+
+/// What a process asks of a job store.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Request {
     /// Takes a job; one that is held already is taken once.
@@ -92,13 +168,10 @@
         /// Id of the job.
         job: String,
     },
-    /// Tells what a gateway has in flight, and asks what everybody has.
-    Load {
-        /// Name of the gateway.
-        gateway: String,
-        /// Its online requests, by back end.
-        counts: Vec<BackendCount>,
-    },
+    /// Reports what a gateway has in flight, and asks what all processes have.
+    Load(LoadReport),
+    /// Runs an item for the leader, who asks.
+    Run(RunOrder),
 }
 
 /// What a job store answers.
@@ -112,11 +185,13 @@
     Body(Vec<u8>),
     /// The job is ended.
     Ended,
-    /// Requests of all gateways and items of all jobs, by back end.
-    Totals(Vec<BackendTotal>),
+    /// The answer to a load report.
+    Load(LoadAnswer),
+    /// A run has ended.
+    RunEnded(RunReport),
     /// There is no such job or item, for certain.
     NotFound,
-    /// The job cannot be taken for want of room; nothing of it was kept.
+    /// The job, or the run, cannot be taken for want of memory; nothing of it was kept or sent.
     Full,
     /// More tokens would wait in its queue than may; nothing of it was kept.
     OverQuota,
@@ -140,6 +215,8 @@
     Join(MemberId),
     /// The sender leads; to a process outside of the group, which gets nothing of the log.
     Leader(String),
+    /// The sums of a job store to which gateways report.
+    Sums(LoadSums),
     /// A request with its number on this connection.
     Request {
         /// Number.
@@ -154,6 +231,45 @@
         /// The reply.
         reply: Reply,
     },
+    /// Output of a run that goes on.
+    Output {
+        /// Number of the request for the run.
+        call: u64,
+        /// The last event of the output.
+        last_event: u64,
+        /// Data of the events that were not sent before.
+        text: String,
+    },
+    /// Ends a run.
+    Cancel {
+        /// Number of the request for the run.
+        call: u64,
+    },
+    /// A back end told that an item can never be done, to a process that could not record it: it
+    /// does not lead any more.
+    Impossible {
+        /// Id of the job.
+        job: String,
+        /// Index of the item.
+        item: u32,
+    },
+    /// The leader still wants its runs; the worker answers with the same.
+    Renew,
+}
+
+/// A frame to send, with the room that it takes until it is sent.
+pub struct Outgoing {
+    /// The frame.
+    pub frame: Frame,
+    /// Given back when the frame is sent or dropped.
+    pub room: Option<OwnedSemaphorePermit>,
+}
+
+impl Outgoing {
+    /// A frame that takes no room.
+    pub fn new(frame: Frame) -> Self {
+        Self { frame, room: None }
+    }
 }
 
 /// A connection that carries frames.
--- a/crates/jobstore/src/room.rs
+++ b/crates/jobstore/src/room.rs
@@ -1,7 +1,12 @@
-//! How many items a service has room for, with slots kept free for online requests.
+//! How many items may start at a service, with slots kept free for online requests.
 
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use yokefall_core::Timestamp;
+use yokefall_serving::{Backend, Balancer};
+
 /// Time in which a burst of online requests is taken to fill all slots of a service. As many slots
 /// stay free as it fills before items have given way, one at least.
 const FILL_TIME: Duration = Duration::from_millis(1_200);
@@ -51,3 +56,48 @@
         least.saturating_sub(self.free)
     }
 }
+
+/// Free slots of one service during a scheduling pass.
+#[derive(Debug)]
+pub struct ServiceSlots {
+    room: Room,
+    /// Back ends with a free slot.
+    backends: Vec<Arc<Backend>>,
+}
+
+impl ServiceSlots {
+    /// The slots of a service, of which these back ends have some that are free.
+    pub fn new(room: Room, backends: Vec<Arc<Backend>>) -> Self {
+        Self { room, backends }
+    }
+
+    /// Items that may start.
+    pub fn items(&self) -> u32 {
+        self.room.items()
+    }
+
+    /// A back end for the next item, which takes one of its slots.
+    pub fn choose(&mut self, balancer: &mut Balancer, now: Timestamp) -> Option<Arc<Backend>> {
+        let backend = balancer.choose(now, &self.backends, &[], None)?;
+        self.room.free = self.room.free.saturating_sub(1);
+        Some(backend)
+    }
+
+    /// A back end has no free slot any more.
+    pub fn remove(&mut self, id: &str) {
+        self.backends.retain(|backend| backend.id != id);
+    }
+}
+
+/// Free slots of the services that a scheduling pass has met.
+#[derive(Debug, Default)]
+pub struct FreeSlots {
+    services: HashMap<String, ServiceSlots>,
+}
+
+impl FreeSlots {
+    /// The slots of a service; `find` looks for them the first time.
+    pub fn of(&mut self, service: &str, find: impl FnOnce() -> ServiceSlots) -> &mut ServiceSlots {
+        self.services.entry(service.to_owned()).or_insert_with(find)
+    }
+}
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use borsh::{BorshDeserialize, BorshSerialize};
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures::StreamExt;
@@ -47,10 +48,17 @@
             None => self.text = Some(data.to_owned()),
         }
     }
+
+    /// Adds the data of all events up to one, which another process read.
+    pub fn extend(&mut self, last_event: u64, data: Option<String>) {
+        if let Some(data) = data.filter(|_| last_event > self.last_event) {
+            self.push(last_event, &data);
+        }
+    }
 }
 
 /// How a run ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum RunEnd {
     /// The whole output is there.
     Completed,
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -2,25 +2,26 @@
 //! place only at a back end with room to spare.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use yokefall_serving::{
-    Backend, Balancer, CatalogCell, Dialect, InFlight, ItemState, JobItem, Policy, RouteKind,
-};
+use yokefall_serving::{Backend, InFlight, ItemState, JobItem, Policy, RouteKind};
 use yokefall_telemetry::{EventName, Line};
-use yokefall_upstream::{Place, Places};
+use yokefall_upstream::Place;
 
-use crate::room::Room;
-use crate::run::{ItemRunner, Progress, RunEnd};
-use crate::running::{sort_for_giving_way, take_output, CountedItem, ItemKey, Running};
-use crate::state::{Command, Job, Run};
+use crate::delegation::{preemption, Delegation};
+use crate::protocol::RunOrder;
+use crate::room::{FreeSlots, Room, ServiceSlots};
+use crate::run::{Progress, RunEnd};
+use crate::running::{sort_for_preemption, take_output, CountedItem, ItemKey, Running};
+use crate::state::{Command, OpenItem, Run};
 use crate::store::Store;
-use crate::urgency::{Pace, Urgency};
+use crate::urgency::{Pace, WaitingItem, WaitingJob};
+use crate::worker::Worker;
 
 /// The same where no gateway tells its load.
 const BLIND_SLOT_SHARE: f64 = 0.3;
@@ -28,20 +29,18 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the output of running items is made durable.
 const KEEP_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Least pause between two looks at what waits.
-const LEAST_LOOK_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest pause between two looks at what waits.
-const LOOK_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between looks for jobs that are over.
+/// Least interval between two scheduling passes; load reports come as often where gateways are few.
+const LEAST_PASS_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest interval between two scheduling passes.
+const PASS_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two searches for jobs that are over.
 const FORGET_INTERVAL: Duration = Duration::from_millis(5_000);
 
 /// The runner's state, shared between its tasks.
 pub struct Runner {
     store: Rc<Store>,
-    catalog: CatalogCell,
-    items: ItemRunner,
-    places: Rc<Places>,
-    waiting: RefCell<VecDeque<ItemKey>>,
+    worker: Rc<Worker>,
+    delegation: Delegation,
     running: RefCell<HashMap<ItemKey, Running>>,
     /// How fast items are done.
     pace: Cell<Pace>,
@@ -60,25 +59,15 @@
 }
 
 impl Runner {
-    /// A runner for a replica in `zone`.
+    /// A runner that gives items to `worker`, and through `delegation` to other job stores.
     pub fn new(
         store: Rc<Store>,
-        catalog: CatalogCell,
-        dialect: Arc<dyn Dialect>,
-        zone: String,
-        seed: u64,
+        worker: Rc<Worker>,
+        delegation: Delegation,
         options: RunnerOptions,
     ) -> Self {
-        Self {
-            store,
-            catalog,
-            items: ItemRunner::new(dialect),
-            places: Places::new(Balancer::new(zone, seed, options.policy)),
-            waiting: RefCell::default(),
-            running: RefCell::default(),
-            pace: Cell::default(),
-            options,
-        }
+        let (running, pace) = (RefCell::default(), Cell::default());
+        Self { store, worker, delegation, running, pace, options }
     }
 
     /// Runs for ever: waits for the lead, then runs items until it is lost.
@@ -86,7 +75,7 @@
         loop {
             while !self.store.serves() {
                 let woken = self.store.work_changed.notified();
-                let _ = tokio::time::timeout(LOOK_INTERVAL, woken).await;
+                let _ = tokio::time::timeout(PASS_INTERVAL, woken).await;
                 if self.store.with_core(|core, _| core.role() != yokefall_consensus::Role::Leader) {
                     self.store.work_changed.notified().await;
                 }
@@ -100,7 +89,6 @@
         for (_, running) in self.running.borrow_mut().drain() {
             running.task.abort();
         }
-        self.waiting.borrow_mut().clear();
     }
 
     async fn lead(self: Rc<Self>) {
@@ -108,10 +96,10 @@
         let mut forget_at = Instant::now() + FORGET_INTERVAL;
         // What runs goes on through a moment without a lease; nothing starts in it.
         while self.store.is_leader() {
-            self.collect();
-            self.give_way();
+            self.stop_closed();
+            self.preempt();
             if self.store.serves() {
-                self.hear_loads();
+                self.take_loads();
                 self.start_items();
             }
             let now = Instant::now();
@@ -128,90 +116,125 @@
     }
 
     async fn rest(&self, keep_at: Instant) {
-        // Gateways tell their loads many times a second; one look serves what came meanwhile.
-        tokio::time::sleep(LEAST_LOOK_INTERVAL).await;
+        // Loads are reported many times a second; one pass serves what came meanwhile.
+        tokio::time::sleep(LEAST_PASS_INTERVAL).await;
         let woken = self.store.work_changed.notified();
-        let busy = !self.running.borrow().is_empty() || !self.waiting.borrow().is_empty();
+        let busy = !self.running.borrow().is_empty() || self.store.has_open_jobs();
         let until = if busy { keep_at } else { Instant::now() + FORGET_INTERVAL };
         let _ = tokio::time::timeout_at(until, woken).await;
     }
 
-    /// Finds items that neither wait nor run, and stops those that are over.
-    fn collect(&self) {
-        let pace = self.pace.get();
-        let mut found: Vec<(Urgency, ItemKey)> = Vec::new();
-        let mut running = self.running.borrow_mut();
-        let mut waiting = self.waiting.borrow_mut();
-        let mut open: HashSet<ItemKey> = HashSet::new();
-        self.store.each_job(|id, job, age| {
-            for (index, item) in &job.open {
-                open.insert((id.clone(), *index));
-                let left = pace.left(item.item.tokens, item.partial.last_event);
-                found.push((self.urgency(job, age, left), (id.clone(), *index)));
-            }
-        });
-        running.retain(|key, running| {
-            let keep = open.contains(key);
-            if !keep {
+    /// Stops runs of items that have a result, or whose job was ended.
+    fn stop_closed(&self) {
+        self.running.borrow_mut().retain(|(job, item), running| {
+            let is_open = self.store.with_job(job, |job| job.open.contains_key(item));
+            if is_open != Some(true) {
                 running.task.abort();
             }
-            keep
+            is_open == Some(true)
         });
-        found.sort_by(|left, right| left.0.order(&right.0).then_with(|| left.1.cmp(&right.1)));
-        waiting.clear();
-        waiting.extend(found.into_iter().map(|(_, key)| key).filter(|k| !running.contains_key(k)));
     }
 
-    /// Takes over what gateways told of their requests.
-    fn hear_loads(&self) {
+    /// Takes over what gateways reported of their requests.
+    fn take_loads(&self) {
         let totals = self.store.loads.totals();
         let totals = totals.iter().map(|total| {
             (total.backend.as_str(), InFlight { online: total.online, items: total.items })
         });
         let items = |id: &str| self.store.loads.items(id);
-        self.places.with(|balancer, now| balancer.heard_totals(now, totals, items));
+        self.worker.places.with(|balancer, now| balancer.heard_totals(now, totals, items));
     }
 
-    fn urgency(&self, job: &Job, age: Duration, left: Duration) -> Urgency {
-        let has_due_time = self.options.policy.due_order && job.completion_target_ms > 0;
-        let due = has_due_time.then(|| Duration::from_millis(job.completion_target_ms));
-        Urgency { age, due, left }
+    /// Starts what waits, in its order, as far as there are free slots. The work of a pass grows with
+    /// the jobs that are open and the items that start, not with the items that wait.
+    fn start_items(self: &Rc<Self>) {
+        let jobs = self.waiting_jobs();
+        let mut services = FreeSlots::default();
+        for late in [false, true] {
+            let mut order: Vec<&WaitingJob> = jobs.iter().collect();
+            order.sort_unstable_by(|left, right| left.order(right, late));
+            for job in order {
+                if self.running.borrow().len() >= self.most_runs() {
+                    return;
+                }
+                self.start_items_of(job, late, &mut services);
+            }
+        }
     }
 
-    /// Starts what waits, in its order, as far as there is room at back ends.
-    fn start_items(self: &Rc<Self>) {
-        let mut full: HashSet<String> = HashSet::new();
-        let mut rooms: HashMap<String, Room> = HashMap::new();
-        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
-        for key in waiting {
-            if self.is_too_old(&key) {
-                self.give_up(key);
-                continue;
+    /// Runs at once at most: a run at a worker takes a small part of the memory of one here.
+    fn most_runs(&self) -> usize {
+        self.options.most_runs
+    }
+
+    /// Jobs with items that do not run yet. Items that have waited for longer than their route allows
+    /// are given up.
+    fn waiting_jobs(self: &Rc<Self>) -> Vec<WaitingJob> {
+        let mut jobs = Vec::new();
+        let mut expired = Vec::new();
+        self.store.each_open_job(|id, job, age| {
+            if age.as_millis() as u64 > job.max_queue_ms {
+                expired.extend(job.open.keys().map(|item| (id.clone(), *item)));
+                return;
             }
-            if self.running.borrow().len() >= self.options.most_runs {
-                continue;
+            let has_due_time = self.options.policy.due_order && job.completion_target_ms > 0;
+            let due = has_due_time.then(|| Duration::from_millis(job.completion_target_ms));
+            jobs.push(WaitingJob { id: id.clone(), age, due });
+        });
+        for key in expired {
+            if !self.running.borrow().contains_key(&key) {
+                self.give_up(key);
             }
+        }
+        jobs
+    }
+
+    /// Starts the items of a job that can be done in time, or those that cannot.
+    fn start_items_of(self: &Rc<Self>, job: &WaitingJob, late: bool, services: &mut FreeSlots) {
+        let pace = self.pace.get();
+        let waiting = self.store.with_job(&job.id, |held| {
+            let running = self.running.borrow();
+            let is_waiting =
+                |(index, _): &(&u32, &OpenItem)| !running.contains_key(&(job.id.clone(), **index));
+            let left = |(index, open): (&u32, &OpenItem)| {
+                let left = pace.left(open.item.tokens, open.partial.last_event);
+                WaitingItem { index: *index, left }
+            };
+            held.open.iter().filter(is_waiting).map(left).collect::<Vec<WaitingItem>>()
+        });
+        let mut waiting = waiting.unwrap_or_default();
+        waiting.retain(|item| job.is_late(item.left) == late);
+        waiting.sort_unstable_by_key(|item| (item.left, item.index));
+        for item in waiting {
+            let key = (job.id.clone(), item.index);
             // An item whose route is unknown must not hold up the items of others.
-            let service = self.service_of(&key).filter(|service| !full.contains(service));
-            let Some(service) = service else { continue };
-            let room = rooms.entry(service.clone()).or_insert_with(|| self.room(&service));
-            let place = if room.items() > 0 { self.place(&service) } else { None };
-            match place {
-                Some(backend) => {
-                    room.free -= 1;
-                    self.start(key, backend);
-                }
-                None => {
-                    full.insert(service);
-                }
+            let Some(service) = self.service_of(&key) else { continue };
+            let free = services.of(&service, || self.free_slots(&service));
+            if free.items() == 0 || self.running.borrow().len() >= self.most_runs() {
+                return;
+            }
+            let chosen = self.worker.places.with(|balancer, now| free.choose(balancer, now));
+            let Some(backend) = chosen else { return };
+            self.start(key, backend.clone());
+            let items = self.worker.places.with(|balancer, _| balancer.in_flight(&backend.id));
+            if !self.has_free_slot(&backend, items) {
+                free.remove(&backend.id);
             }
         }
     }
 
-    fn is_too_old(&self, key: &ItemKey) -> bool {
-        let limit = self.store.with_job(&key.0, |job| job.max_queue_ms);
-        let age = self.store.age(&key.0).as_millis() as u64;
-        limit.is_some_and(|limit| age > limit)
+    /// Back ends of a service with a free slot, and how many items may start there.
+    fn free_slots(&self, service: &str) -> ServiceSlots {
+        let catalog = self.worker.catalog.load();
+        let room = self.room(service);
+        let backends = self.worker.places.with(|balancer, now| {
+            let is_free = |backend: &&Arc<Backend>| {
+                let items = balancer.in_flight(&backend.id);
+                self.has_free_slot(backend, items) && !balancer.is_ejected(now, &backend.id)
+            };
+            catalog.ready(service).iter().filter(is_free).cloned().collect()
+        });
+        ServiceSlots::new(room, backends)
     }
 
     /// Gives up an item that waited too long; it counts as running until that is in the log.
@@ -223,7 +246,8 @@
                 .text("job", &item.0)
                 .field("cause", "it waited longer than its route allows")
                 .write();
-            runner.store.abandon(&item.0, item.1).await;
+            // Where the lead is lost, the next leader finds that it waited too long as well.
+            let _ = runner.store.abandon(&item.0, item.1).await;
             runner.running.borrow_mut().remove(&item);
             runner.store.work_changed.notify_one();
         });
@@ -232,14 +256,14 @@
             progress: Rc::default(),
             backend: None,
             started: Instant::now(),
-            give_way: Rc::default(),
+            preempted: Rc::default(),
         };
         self.running.borrow_mut().insert(key, running);
     }
 
     /// The service that the configuration in force gives an item to.
     fn service_of(&self, key: &ItemKey) -> Option<String> {
-        let catalog = self.catalog.load();
+        let catalog = self.worker.catalog.load();
         let (host, path) = self.store.with_job(&key.0, |job| {
             job.open.get(&key.1).map(|open| (job.host.clone(), open.item.path.clone()))
         })??;
@@ -248,11 +272,11 @@
         (route.kind == RouteKind::Batch).then(|| part.service.clone())
     }
 
-    /// The free slots of a service.
+    /// The slots of a service.
     fn room(&self, service: &str) -> Room {
-        let catalog = self.catalog.load();
-        self.places.with(|balancer, now| {
-            let mut room = Room::new(self.store.loads.telling_interval());
+        let catalog = self.worker.catalog.load();
+        self.worker.places.with(|balancer, now| {
+            let mut room = Room::new(self.store.loads.report_interval());
             for backend in catalog.ready(service) {
                 if balancer.is_ejected(now, &backend.id) {
                     continue;
@@ -264,30 +288,16 @@
         })
     }
 
-    /// A back end of a service with room for an item.
-    fn place(&self, service: &str) -> Option<Arc<Backend>> {
-        let catalog = self.catalog.load();
-        self.places.with(|balancer, now| {
-            let has_room = |backend: &&Arc<Backend>| {
-                let items = balancer.in_flight(&backend.id);
-                self.has_room(backend, items) && !balancer.is_ejected(now, &backend.id)
-            };
-            let open: Vec<Arc<Backend>> =
-                catalog.ready(service).iter().filter(has_room).cloned().collect();
-            balancer.choose(now, &open, &[], None)
-        })
-    }
-
-    /// Whether a back end with this many items has room for another one.
-    fn has_room(&self, backend: &Backend, items: u32) -> bool {
+    /// Whether a back end with this many items has a free slot.
+    fn has_free_slot(&self, backend: &Backend, items: u32) -> bool {
         let Some(online) = self.store.loads.online(&backend.id) else {
             return f64::from(items) < (f64::from(backend.slots) * BLIND_SLOT_SHARE).max(1.0);
         };
         online + items < backend.slots
     }
 
-    /// Where online requests need the slots of items, the newest items give way.
-    fn give_way(&self) {
+    /// Where online requests need the slots of items, the newest items are preempted.
+    fn preempt(&self) {
         if !self.options.policy.give_way {
             return;
         }
@@ -303,15 +313,15 @@
             let Some(online) = self.store.loads.online(id) else { continue };
             let Some(backend) = runs[0].backend.as_ref() else { continue };
             let over = (runs.len() as u32 + online).saturating_sub(backend.slots) as usize;
-            sort_for_giving_way(&mut runs);
+            sort_for_preemption(&mut runs);
             let rest = runs.split_off(over.min(runs.len()));
-            runs.iter().for_each(|run| run.give_way.notify_one());
+            runs.iter().for_each(|run| run.preempted.notify_one());
             kept.entry(&backend.service).or_default().extend(rest);
         }
         for (service, mut runs) in kept {
             let lacking = self.room(service).lacking() as usize;
-            sort_for_giving_way(&mut runs);
-            runs.iter().take(lacking).for_each(|run| run.give_way.notify_one());
+            sort_for_preemption(&mut runs);
+            runs.iter().take(lacking).for_each(|run| run.preempted.notify_one());
         }
     }
 
@@ -325,18 +335,18 @@
         let run = Run { number: rand::random(), asked_after: partial };
         let progress = Progress { run, kept_event: partial, last_event: partial, text: None };
         let progress = Rc::new(RefCell::new(progress));
-        let place = self.places.take(backend.clone());
-        let give_way = Rc::new(Notify::new());
+        let place = self.worker.places.take(backend.clone());
+        let preempted = Rc::new(Notify::new());
         let task = tokio::task::spawn_local(self.clone().run_item(
             key.clone(),
             host,
             item,
             progress.clone(),
             place,
-            give_way.clone(),
+            preempted.clone(),
         ));
         let started = Instant::now();
-        let running = Running { task, progress, backend: Some(backend), started, give_way };
+        let running = Running { task, progress, backend: Some(backend), started, preempted };
         self.running.borrow_mut().insert(key, running);
     }
 
@@ -347,23 +357,34 @@
         item: Arc<JobItem>,
         progress: Rc<RefCell<Progress>>,
         mut place: Place,
-        give_way: Rc<Notify>,
+        preempted: Rc<Notify>,
     ) {
+        let worker = self.delegation.worker_for(&place.backend);
         Line::new(EventName::ItemStarted)
             .id(&item.id)
             .text("job", &key.0)
             .text("backend", &place.backend.id)
+            .field("worker", worker.as_ref().map(|(name, _)| name.clone()))
             .field("online", self.store.loads.online(&place.backend.id))
             .field("items", self.store.loads.items(&place.backend.id))
             .field("after_event", progress.borrow().last_event)
             .write();
         let counted = CountedItem::new(self.store.clone(), &place.backend.id);
         let (began, events_before) = (Instant::now(), progress.borrow().last_event);
-        let end = tokio::select! {
-            end = self.items.run_at(&mut place, &host, &item, &progress) => end,
-            () = give_way.notified() => {
-                RunEnd::Again { cause: "gave way to online requests".into(), pause: true }
+        let end = match worker {
+            Some(worker) => {
+                let order = RunOrder {
+                    backend: Backend::clone(&place.backend),
+                    host,
+                    item: JobItem::clone(&item),
+                    after_event: events_before,
+                };
+                self.delegation.run(worker, order, &mut place, &progress, &preempted).await
             }
+            None => tokio::select! {
+                end = self.worker.items.run_at(&mut place, &host, &item, &progress) => end,
+                () = preempted.notified() => preemption(),
+            },
         };
         drop(place);
         drop(counted);
@@ -406,7 +427,12 @@
             }
             RunEnd::Impossible => {
                 self.tell_abandoned(item, &job, "a back end told that it can never be done");
-                self.store.abandon(&job, index).await;
+                // In a task of its own: those of a leader end with its lead.
+                let store = self.store.clone();
+                let recording = tokio::task::spawn_local(async move {
+                    store.abandon_impossible(&job, index).await;
+                });
+                let _ = recording.await;
             }
             RunEnd::ItemFailed => self.count_failure(job, index, item).await,
             RunEnd::Again { cause, pause } => {
@@ -445,7 +471,8 @@
         });
         if spent == Some(true) {
             self.tell_abandoned(item, &job, "every attempt failed");
-            self.store.abandon(&job, index).await;
+            // Where the lead is lost, the failures are in the log, and the next leader gives it up.
+            let _ = self.store.abandon(&job, index).await;
             return;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -471,8 +498,8 @@
         if !over.is_empty() {
             self.store.propose_only(&Command::Several(over));
         }
-        let catalog = self.catalog.load();
-        self.items.pool.retain(|id| catalog.is_ready(id));
-        self.places.with(|balancer, _| balancer.retain(|id| catalog.is_ready(id)));
+        let catalog = self.worker.catalog.load();
+        self.worker.items.pool.retain(|id| catalog.is_ready(id));
+        self.worker.places.with(|balancer, _| balancer.retain(|id| catalog.is_ready(id)));
     }
 }
--- a/crates/jobstore/src/running.rs
+++ b/crates/jobstore/src/running.rs
@@ -24,14 +24,14 @@
     pub progress: Rc<RefCell<Progress>>,
     /// Back end at which it runs; none for an item that is being given up.
     pub backend: Option<Arc<Backend>>,
-    /// When it started: among those with output, the newest gives way first.
+    /// When it started: among those with output, the newest is preempted first.
     pub started: Instant,
-    /// Tells it to give way to online requests.
-    pub give_way: Rc<Notify>,
+    /// Tells it to give its slot to an online request.
+    pub preempted: Rc<Notify>,
 }
 
-/// The run that gives way first is the newest one with output: one without any would begin anew.
-pub fn sort_for_giving_way(runs: &mut [&Running]) {
+/// The run that is preempted first is the newest one with output: one without any would begin anew.
+pub fn sort_for_preemption(runs: &mut [&Running]) {
     runs.sort_by_key(|run| (run.progress.borrow().last_event == 0, Reverse(run.started)));
 }
 
@@ -45,6 +45,7 @@
     /// Counts an item from now on.
     pub fn new(store: Rc<Store>, backend: &str) -> Self {
         store.loads.item_started(backend);
+        store.loads_changed.notify_one();
         Self { store, backend: backend.to_owned() }
     }
 }
@@ -52,6 +53,7 @@
 impl Drop for CountedItem {
     fn drop(&mut self) {
         self.store.loads.item_ended(&self.backend);
+        self.store.loads_changed.notify_one();
     }
 }
 
--- a/crates/jobstore/src/server.rs
+++ b/crates/jobstore/src/server.rs
@@ -4,17 +4,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use futures::StreamExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use yokefall_consensus::MemberId;
 
+use crate::delegation::RUN_LEASE;
 use crate::intake::NotTaken;
-use crate::protocol::{decode, encode, send_frame, split, BackendCount, Frame, Reply, Request};
+use crate::protocol::{
+    decode, encode, send_frame, split, Frame, IncomingFrames, Outgoing, Reply, Request,
+};
 use crate::state::{Command, PAGE_BYTES};
 use crate::store::{Found, ProposeError, Store};
+use crate::worker::{ConnectionRuns, Worker};
 
 /// Longest time for which a read is held, whatever its caller asks.
 const MAX_READ_WAIT: Duration = Duration::from_millis(2_000);
@@ -24,24 +29,19 @@
 /// Memory that a page takes while it is on its way, in parts of its text: as results, and encoded.
 const PAGE_COPIES: usize = 2;
 
-/// A frame to send, with the room that it takes until it is sent.
-struct Outgoing {
-    frame: Frame,
-    _room: Option<OwnedSemaphorePermit>,
-}
-
 /// What the tasks of a server share.
 #[derive(Clone)]
 struct Server {
     store: Rc<Store>,
+    worker: Rc<Worker>,
     /// Pages that may be on their way at once.
     pages: Arc<Semaphore>,
 }
 
 /// Serves a listener for ever. Pages of results that are on their way take `page_bytes` at most.
-pub async fn serve(listener: TcpListener, store: Rc<Store>, page_bytes: usize) {
+pub async fn serve(listener: TcpListener, store: Rc<Store>, worker: Rc<Worker>, page_bytes: usize) {
     let pages = (page_bytes / (PAGE_BYTES * PAGE_COPIES)).max(1);
-    let server = Server { store, pages: Arc::new(Semaphore::new(pages)) };
+    let server = Server { store, worker, pages: Arc::new(Semaphore::new(pages)) };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -57,7 +57,7 @@
     let (mut frames, mut socket) = split(stream);
     let (replies, mut queued) = unbounded_channel::<Outgoing>();
     let writer = tokio::task::spawn_local(async move {
-        while let Some(Outgoing { frame, _room }) = queued.recv().await {
+        while let Some(Outgoing { frame, room: _room }) = queued.recv().await {
             let bytes = encode(&frame);
             drop(frame);
             if send_frame(&mut socket, bytes).await.is_err() {
@@ -65,22 +65,46 @@
             }
         }
     });
-    while let Some(Ok(bytes)) = frames.next().await {
+    let runs = ConnectionRuns::default();
+    while let Some(bytes) = next_frame(&mut frames, &runs).await {
         let Ok(frame) = decode(&bytes) else { break };
         match frame {
             Frame::Consensus(message) => store.receive(message),
             Frame::Join(member) => take_join(store, member),
             Frame::Leader(name) => store.note_leader(name),
+            Frame::Impossible { job, item } => store.abandon_only(&job, item),
+            Frame::Sums(sums) => {
+                store.loads.take_sums(sums);
+                store.work_changed.notify_one();
+            }
+            Frame::Request { call, request: Request::Run(order) } => {
+                runs.start(&server.worker, call, order, replies.clone());
+            }
+            Frame::Cancel { call } => runs.cancel(call),
+            Frame::Renew => {
+                // A writer that has ended ends the connection as well.
+                let _ = replies.send(Outgoing::new(Frame::Renew));
+            }
             Frame::Request { call, request } => {
                 let answering = answer(server.clone(), call, request, replies.clone());
                 tokio::task::spawn_local(answering);
             }
-            Frame::Reply { .. } => break,
+            Frame::Reply { .. } | Frame::Output { .. } => break,
         }
     }
     writer.abort();
 }
 
+/// The next frame; `None` where the connection has ended, or where the leader of runs on it has not
+/// renewed them.
+async fn next_frame(frames: &mut IncomingFrames, runs: &ConnectionRuns) -> Option<BytesMut> {
+    let frame = match runs.is_empty() {
+        true => frames.next().await,
+        false => tokio::time::timeout(RUN_LEASE, frames.next()).await.ok()?,
+    };
+    frame?.ok()
+}
+
 /// A member asks to join; the leader tells it who leads, whether it is admitted or not.
 fn take_join(store: &Store, member: MemberId) {
     if store.is_leader() {
@@ -91,7 +115,7 @@
 }
 
 async fn answer(server: Server, call: u64, request: Request, replies: UnboundedSender<Outgoing>) {
-    let Server { store, pages } = server;
+    let Server { store, pages, .. } = server;
     let mut room = None;
     if let Request::Results { job, from, wait_ms } = &request {
         let wait = Duration::from_millis(*wait_ms).min(MAX_READ_WAIT);
@@ -99,14 +123,17 @@
         room = pages.acquire_owned().await.ok();
     }
     let reply = carry_out(&store, request).await;
-    let _ = replies.send(Outgoing { frame: Frame::Reply { call, reply }, _room: room });
+    let _ = replies.send(Outgoing { frame: Frame::Reply { call, reply }, room });
 }
 
 async fn carry_out(store: &Store, request: Request) -> Reply {
     // Loads are no part of the log: any job store adds them up, so that they stay known while
     // nobody leads.
-    if let Request::Load { gateway, counts } = request {
-        return take_loads(store, &gateway, counts);
+    if let Request::Load(report) = request {
+        let answer = store.loads.report(report, store.leader());
+        store.loads_changed.notify_one();
+        store.work_changed.notify_one();
+        return Reply::Load(answer);
     }
     if !store.serves() {
         return not_sure(store);
@@ -134,17 +161,11 @@
             let body = store.read(|jobs| jobs.body(&job, &item).map(<[u8]>::to_vec));
             found(store, body, Reply::Body)
         }
-        Request::Load { .. } => Reply::Unsure,
+        Request::Load(_) | Request::Run(_) => Reply::Unsure,
         Request::Results { job, from, .. } => found(store, store.page(&job, from), Reply::Page),
     }
 }
 
-fn take_loads(store: &Store, gateway: &str, counts: Vec<BackendCount>) -> Reply {
-    store.loads.take(gateway, counts);
-    store.work_changed.notify_one();
-    Reply::Totals(store.loads.totals())
-}
-
 fn not_sure(store: &Store) -> Reply {
     if store.is_leader() {
         return Reply::Unsure;
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -36,6 +36,11 @@
     pub job_bytes: usize,
 }
 
+/// Frames to the next leader about an item that can never be done, and the pause between two: together
+/// longer than an election takes.
+const TELLINGS_OF_IMPOSSIBLE: u32 = 10;
+const IMPOSSIBLE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(200);
+
 /// Looks for output that was proposed, and the pause between two.
 const KEPT_LOOKS: u32 = 50;
 const KEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
@@ -97,6 +102,8 @@
     pub deadline_changed: Notify,
     /// Woken when there may be something to run, or to stop running.
     pub work_changed: Notify,
+    /// Woken when a gateway reported its load, or items started or ended.
+    pub loads_changed: Notify,
     /// Woken when members may have to change.
     pub group_changed: Notify,
 }
@@ -153,6 +160,7 @@
             loads: Loads::default(),
             deadline_changed: Notify::new(),
             work_changed: Notify::new(),
+            loads_changed: Notify::new(),
             group_changed: Notify::new(),
         }
     }
@@ -470,9 +478,18 @@
         }
     }
 
-    /// Time since this replica took a job.
-    pub fn age(&self, job: &str) -> std::time::Duration {
-        self.inner.borrow().accepted_at.get(job).map(Instant::elapsed).unwrap_or_default()
+    /// Looks at every job that is open, with the time since this replica took it.
+    pub fn each_open_job(&self, mut look: impl FnMut(&String, &Job, std::time::Duration)) {
+        self.each_job(|id, job, age| {
+            if job.is_open() {
+                look(id, job, age);
+            }
+        });
+    }
+
+    /// Whether any job is open.
+    pub fn has_open_jobs(&self) -> bool {
+        self.inner.borrow().jobs.iter().any(|(_, job)| job.is_open())
     }
 
     /// Looks at one job.
@@ -508,16 +525,44 @@
     }
 
     /// Gives an item up; returns when that is in the log, or the lead is lost.
-    pub async fn abandon(&self, job: &str, item: u32) {
-        let command = Command::Finish {
-            job: job.to_owned(),
-            item,
-            state: ItemState::Abandoned,
-            run: Run::default(),
-            after_event: 0,
-            text: None,
-        };
-        let _ = self.propose(&command).await;
+    pub async fn abandon(&self, job: &str, item: u32) -> Result<(), ProposeError> {
+        self.propose(&abandonment(job, item)).await
+    }
+
+    /// Gives an item up where this replica leads and the item has no result.
+    pub fn abandon_only(&self, job: &str, item: u32) {
+        let is_open = self.with_job(job, |job| job.open.contains_key(&item));
+        if is_open == Some(true) {
+            self.propose_only(&abandonment(job, item));
+        }
+    }
+
+    /// Gives an item up that can never be done. Invariant: what a back end told of it outlives the
+    /// lead of the replica that was told; each further leader would else run the item again. A replica
+    /// that has lost the lead tells the next leader, several times, since a frame may be lost.
+    pub async fn abandon_impossible(&self, job: &str, item: u32) {
+        if self.abandon(job, item).await.is_ok() {
+            return;
+        }
+        for _ in 0..TELLINGS_OF_IMPOSSIBLE {
+            if self.is_leader() {
+                self.abandon_only(job, item);
+            } else if let Some(leader) = self.leader() {
+                self.send_frame(&leader, &Frame::Impossible { job: job.to_owned(), item });
+            }
+            tokio::time::sleep(IMPOSSIBLE_INTERVAL).await;
+        }
+    }
+}
+
+fn abandonment(job: &str, item: u32) -> Command {
+    Command::Finish {
+        job: job.to_owned(),
+        item,
+        state: ItemState::Abandoned,
+        run: Run::default(),
+        after_event: 0,
+        text: None,
     }
 }
 
--- a/crates/jobstore/src/urgency.rs
+++ b/crates/jobstore/src/urgency.rs
@@ -80,3 +80,43 @@
         by_lateness.then(within).then(self.left.cmp(&other.left))
     }
 }
+
+/// A job with items that wait.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitingJob {
+    /// Its id.
+    pub id: String,
+    /// Time since it was taken.
+    pub age: Duration,
+    /// Time after that at which it is due; `None` where its route tells none.
+    pub due: Option<Duration>,
+}
+
+/// An item that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitingItem {
+    /// Its index in its job.
+    pub index: u32,
+    /// Time that it is expected to take yet.
+    pub left: Duration,
+}
+
+impl WaitingJob {
+    /// How soon an item of it should run that takes so long yet.
+    fn urgency(&self, left: Duration) -> Urgency {
+        Urgency { age: self.age, due: self.due, left }
+    }
+
+    /// Whether an item that takes so long cannot be done in time any more.
+    pub fn is_late(&self, left: Duration) -> bool {
+        self.urgency(left).is_late()
+    }
+
+    /// Whether its items go before those of another job: those of items that can be done in time, or
+    /// of `late` ones.
+    pub fn order(&self, other: &Self, late: bool) -> Ordering {
+        let left = |job: &Self| if late { job.due.unwrap_or_default() } else { Duration::ZERO };
+        let order = self.urgency(left(self)).order(&other.urgency(left(other)));
+        order.then_with(|| self.id.cmp(&other.id))
+    }
+}
--- /dev/null
+++ b/crates/jobstore/src/worker.rs
@@ -0,0 +1,178 @@
+//! Runs items at back ends, for this process where it leads or for the leader. Many job stores have
+//! nothing to do while one leads: the leader decides which item runs where and keeps what comes of it,
+//! and others read the events.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::Notify;
+use yokefall_serving::{CatalogCell, Outcome};
+use yokefall_upstream::Places;
+
+use crate::protocol::{Frame, Outgoing, Reply, RunOrder, RunReport};
+use crate::run::{ItemRunner, Progress, RunEnd};
+use crate::state::Run;
+
+/// Interval at which the output of a run is sent to the leader, which makes it durable as often.
+const OUTPUT_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// What runs items.
+pub struct Worker {
+    /// Back ends that are known here.
+    pub catalog: CatalogCell,
+    /// Runs of this process.
+    pub items: ItemRunner,
+    /// Load and health of back ends as this process sees them.
+    pub places: Rc<Places>,
+    /// Runs for a leader at once at most.
+    pub most_runs: usize,
+    runs: Cell<usize>,
+}
+
+impl Worker {
+    /// A worker without runs yet.
+    pub fn new(
+        catalog: CatalogCell,
+        items: ItemRunner,
+        places: Rc<Places>,
+        most_runs: usize,
+    ) -> Rc<Self> {
+        Rc::new(Self { catalog, items, places, most_runs, runs: Cell::new(0) })
+    }
+
+    async fn run(&self, order: RunOrder, sink: &OutputSink, cancelled: &Notify) -> RunReport {
+        let RunOrder { backend, host, item, after_event } = order;
+        let run = Run { number: 0, asked_after: after_event };
+        let progress =
+            Progress { run, kept_event: after_event, last_event: after_event, text: None };
+        let progress = Rc::new(RefCell::new(progress));
+        if !self.catalog.load().is_ready(&backend.id) {
+            let cause = format!("{} takes no work any more, as its worker knows", backend.id);
+            let end = RunEnd::Again { cause, pause: false };
+            return RunReport {
+                end,
+                outcome: Outcome::Abandoned,
+                last_event: after_event,
+                text: None,
+            };
+        }
+        let mut place = self.places.take(backend.into());
+        let item = item.into();
+        let end = {
+            let running = self.items.run_at(&mut place, &host, &item, &progress);
+            tokio::pin!(running);
+            loop {
+                tokio::select! {
+                    end = &mut running => break end,
+                    () = cancelled.notified() => {
+                        break RunEnd::Again { cause: "cancelled by the leader".into(), pause: true };
+                    }
+                    () = tokio::time::sleep(OUTPUT_INTERVAL) => sink.send_output(&progress),
+                }
+            }
+        };
+        let outcome = place.outcome;
+        drop(place);
+        let Progress { last_event, text, .. } = progress.take();
+        RunReport { end, outcome, last_event, text }
+    }
+}
+
+/// Where the output of a run goes.
+struct OutputSink {
+    call: u64,
+    replies: UnboundedSender<Outgoing>,
+}
+
+impl OutputSink {
+    fn send_output(&self, progress: &Rc<RefCell<Progress>>) {
+        let mut progress = progress.borrow_mut();
+        let Some(text) = progress.text.take() else { return };
+        let last_event = progress.last_event;
+        let frame = Frame::Output { call: self.call, last_event, text };
+        // A leader that is gone ends the run by its connection.
+        let _ = self.replies.send(Outgoing::new(frame));
+    }
+}
+
+/// Runs that a leader asked for on one connection. Invariant: they end with the connection, so that
+/// a leader that is replaced leaves no runs behind.
+#[derive(Default)]
+pub struct ConnectionRuns {
+    runs: Rc<RefCell<HashMap<u64, OpenRun>>>,
+}
+
+struct OpenRun {
+    task: tokio::task::JoinHandle<()>,
+    cancelled: Rc<Notify>,
+}
+
+impl ConnectionRuns {
+    /// Starts a run.
+    pub fn start(
+        &self,
+        worker: &Rc<Worker>,
+        call: u64,
+        order: RunOrder,
+        replies: UnboundedSender<Outgoing>,
+    ) {
+        if worker.runs.get() >= worker.most_runs {
+            let _ = replies.send(Outgoing::new(Frame::Reply { call, reply: Reply::Full }));
+            return;
+        }
+        let cancelled = Rc::new(Notify::new());
+        let (worker, runs) = (worker.clone(), self.runs.clone());
+        let sink = OutputSink { call, replies };
+        let told = cancelled.clone();
+        let task = tokio::task::spawn_local(async move {
+            let counted = CountedRun::new(worker.clone());
+            let report = worker.run(order, &sink, &told).await;
+            drop(counted);
+            let frame = Frame::Reply { call, reply: Reply::RunEnded(report) };
+            let _ = sink.replies.send(Outgoing::new(frame));
+            runs.borrow_mut().remove(&call);
+        });
+        self.runs.borrow_mut().insert(call, OpenRun { task, cancelled });
+    }
+
+    /// Ends a run; its report tells how far it came.
+    pub fn cancel(&self, call: u64) {
+        if let Some(run) = self.runs.borrow().get(&call) {
+            run.cancelled.notify_one();
+        }
+    }
+
+    /// Whether nothing runs.
+    pub fn is_empty(&self) -> bool {
+        self.runs.borrow().is_empty()
+    }
+}
+
+impl Drop for ConnectionRuns {
+    fn drop(&mut self) {
+        for (_, run) in self.runs.borrow_mut().drain() {
+            run.task.abort();
+        }
+    }
+}
+
+/// Counts a run until it is dropped.
+struct CountedRun {
+    worker: Rc<Worker>,
+}
+
+impl CountedRun {
+    fn new(worker: Rc<Worker>) -> Self {
+        worker.runs.set(worker.runs.get() + 1);
+        Self { worker }
+    }
+}
+
+impl Drop for CountedRun {
+    fn drop(&mut self) {
+        self.worker.runs.set(self.worker.runs.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/jobstore/tests/loads.rs
@@ -0,0 +1,202 @@
+//! Load reports: totals, and the work that they cost.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use yokefall_jobstore::aggregators::{aggregator_of, aggregators};
+use yokefall_jobstore::loads::Loads;
+use yokefall_jobstore::{BackendCount, BackendTotal, LoadReport, LoadSums, ServiceRate};
+use yokefall_serving::{Fleet, FleetMember};
+
+fn report(gateway: usize, counts: &[(usize, u32)]) -> LoadReport {
+    let count = |(backend, requests): &(usize, u32)| BackendCount {
+        backend: format!("i-{backend}"),
+        requests: *requests,
+    };
+    LoadReport {
+        gateway: format!("edge-{gateway}"),
+        counts: counts.iter().map(count).collect(),
+        arrivals: vec![ServiceRate { service: "models".into(), per_1000_seconds: 1_000 }],
+        answer_all: false,
+    }
+}
+
+fn totals(loads: &Loads) -> BTreeMap<String, (u32, u32)> {
+    let total = |total: BackendTotal| (total.backend, (total.online, total.items));
+    loads.totals().into_iter().map(total).collect()
+}
+
+quickcheck! {
+    /// Running sums are what adding the last report of each gateway up gives.
+    fn totals_are_the_sum_of_the_last_reports(reports: Vec<(u8, Vec<(u8, u8)>)>) -> bool {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        runtime.block_on(async {
+            let loads = Loads::default();
+            let mut last: BTreeMap<u8, BTreeMap<u8, u32>> = BTreeMap::new();
+            let mut known: BTreeMap<u8, BTreeMap<String, (u32, u32)>> = BTreeMap::new();
+            for (gateway, counts) in reports {
+                let gateway = gateway % 5;
+                // A report names a back end once, and those with requests.
+                let counts: BTreeMap<u8, u32> = counts
+                    .into_iter()
+                    .filter(|(_, requests)| *requests > 0)
+                    .map(|(backend, requests)| (backend % 20, u32::from(requests)))
+                    .collect();
+                let sent: Vec<(usize, u32)> =
+                    counts.iter().map(|(id, count)| (usize::from(*id), *count)).collect();
+                last.insert(gateway, counts);
+                let answer = loads.report(report(usize::from(gateway), &sent), None);
+                let known = known.entry(gateway).or_default();
+                for change in answer.changes {
+                    match (change.online, change.items) {
+                        (0, 0) => known.remove(&change.backend),
+                        total => known.insert(change.backend, total),
+                    };
+                }
+                let mut expected: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+                for (id, count) in last.values().flatten() {
+                    expected.entry(format!("i-{id}")).or_default().0 += count;
+                }
+                // 20 back ends fit one answer: each gateway that asks knows all of them.
+                if totals(&loads) != expected || *known != expected {
+                    return false;
+                }
+            }
+            true
+        })
+    }
+}
+
+/// What one report costs does not grow with the gateways, and what all of them cost an aggregator
+/// stays the same from 32 gateways on.
+#[tokio::test(start_paused = true)]
+async fn the_work_of_an_aggregator_is_bounded() {
+    let back_ends = 168;
+    for gateways in [1, 10, 80, 300, 550] {
+        let fleet = fleet(gateways, 45);
+        let chosen = aggregators(&fleet, None);
+        let mut busiest: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+        for gateway in 0..gateways {
+            let name = format!("edge-{gateway}");
+            let aggregator = aggregator_of(&fleet, None, &name).expect("an aggregator");
+            busiest.entry(aggregator.name.clone()).or_default().push(gateway);
+        }
+        let most = busiest.values().max_by_key(|own| own.len()).expect("gateways");
+        assert!(most.len() <= 64, "{gateways} gateways: {} at one aggregator", most.len());
+        let loads = Loads::default();
+        for peer in 1..chosen.len() {
+            loads.take_sums(LoadSums {
+                from: format!("store-{peer}"),
+                counts: (0..back_ends).map(|id| total(id, 1)).collect(),
+                arrivals: vec![],
+                gateways: 32,
+            });
+        }
+        let before = loads.steps();
+        for gateway in most {
+            loads.report(report(*gateway, &[(gateway % back_ends, 1)]), None);
+        }
+        let steps = (loads.steps() - before) / most.len() as u64;
+        // Every total that is known and every one that was answered is looked at once.
+        assert!(steps <= 2 * back_ends as u64 + 100, "{gateways} gateways: {steps} steps a report");
+    }
+}
+
+fn total(backend: usize, online: u32) -> BackendTotal {
+    BackendTotal { backend: format!("i-{backend}"), online, items: 0 }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_falls_silent_is_forgotten() {
+    let loads = Loads::default();
+    loads.report(report(1, &[(1, 4)]), None);
+    assert_eq!(loads.online("i-1"), Some(4));
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert_eq!(loads.online("i-1"), None);
+    assert!(loads.totals().is_empty());
+    assert_eq!(loads.reporters(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_is_bounded_and_the_rest_comes_with_the_next() {
+    let loads = Loads::default();
+    let counts: Vec<(usize, u32)> = (0..150).map(|id| (id, 1 + id as u32)).collect();
+    loads.report(report(1, &counts), None);
+    let mut learnt = 0;
+    let mut largest_first = u32::MAX;
+    for _ in 0..4 {
+        let answer = loads.report(report(2, &[]), None);
+        assert!(answer.changes.len() <= 48);
+        learnt += answer.changes.len();
+        let largest = answer.changes.iter().map(|change| change.online).max().unwrap_or(0);
+        assert!(largest < largest_first);
+        largest_first = largest;
+    }
+    assert_eq!(learnt, 150);
+    assert!(loads.report(report(2, &[]), None).changes.is_empty());
+    let again = loads.report(LoadReport { answer_all: true, ..report(2, &[]) }, None);
+    assert_eq!(again.changes.len(), 48);
+}
+
+#[tokio::test(start_paused = true)]
+async fn sums_of_other_job_stores_count_beside_own_reports_and_items() {
+    let loads = Loads::default();
+    loads.report(report(1, &[(1, 2)]), None);
+    loads.item_started("i-1");
+    let sums = LoadSums {
+        from: "store-2".into(),
+        counts: vec![BackendTotal { backend: "i-1".into(), online: 3, items: 4 }],
+        arrivals: vec![ServiceRate { service: "models".into(), per_1000_seconds: 500 }],
+        gateways: 7,
+    };
+    loads.take_sums(sums.clone());
+    loads.take_sums(sums);
+    assert_eq!((loads.online("i-1"), loads.items("i-1"), loads.reporters()), (Some(5), 5, 8));
+    let own = loads.own_sums("store-1").expect("sums");
+    assert_eq!(own.counts, [BackendTotal { backend: "i-1".into(), online: 2, items: 1 }]);
+    assert_eq!((own.gateways, own.arrivals[0].per_1000_seconds), (1, 1_000));
+    let answer = loads.report(report(1, &[(1, 2)]), None);
+    assert_eq!(answer.arrivals[0].per_1000_seconds, 1_500);
+    loads.item_ended("i-1");
+    assert_eq!(loads.items("i-1"), 4);
+}
+
+fn fleet(gateways: usize, job_stores: usize) -> Fleet {
+    let member = |name: String, job_store: bool| FleetMember {
+        name,
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "hall-1".into(),
+        job_store,
+        accepting: true,
+    };
+    let mut members: Vec<FleetMember> =
+        (0..gateways).map(|index| member(format!("edge-{index}"), false)).collect();
+    members.extend((0..job_stores).map(|index| member(format!("store-{index}"), true)));
+    Fleet { members }
+}
+
+#[test]
+fn one_aggregator_is_the_leader_and_a_lost_one_moves_only_its_own_gateways() {
+    let small = fleet(8, 3);
+    let leader = aggregator_of(&small, Some("store-2"), "edge-1").expect("an aggregator");
+    assert_eq!(leader.name, "store-2");
+
+    let whole = fleet(250, 45);
+    let mut less = whole.clone();
+    let lost = aggregators(&whole, None)[3].name.clone();
+    less.members.retain(|member| member.name != lost);
+    let of = |fleet: &Fleet, gateway: usize| {
+        let name = format!("edge-{gateway}");
+        aggregator_of(fleet, None, &name).expect("an aggregator").name.clone()
+    };
+    let moved =
+        (0..250).filter(|gateway| of(&whole, *gateway) != of(&less, *gateway)).collect::<Vec<_>>();
+    let own = (0..250).filter(|gateway| of(&whole, *gateway) == lost).count();
+    // Those of the lost one, and those that the one that takes its place is nearest to.
+    assert!(moved.len() <= 2 * own + 10, "{} of {own}", moved.len());
+}
--- a/crates/jobstore/tests/room.rs
+++ b/crates/jobstore/tests/room.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use yokefall_jobstore::loads::telling_interval;
+use yokefall_jobstore::loads::report_interval;
 use yokefall_jobstore::room::Room;
 
 fn room(back_ends: u32, taken: u32, interval_ms: u64) -> Room {
@@ -40,8 +40,8 @@
 #[test]
 fn a_job_store_hears_a_bounded_number_of_gateways_a_second() {
     for gateways in [1, 6, 25, 80, 550] {
-        let interval = telling_interval(gateways);
+        let interval = report_interval(gateways);
         assert!((20..=100).contains(&interval.as_millis()), "{gateways}: {interval:?}");
     }
-    assert_eq!(telling_interval(6), Duration::from_millis(24));
+    assert_eq!(report_interval(6), Duration::from_millis(24));
 }
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use borsh::{BorshDeserialize, BorshSerialize};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -37,15 +38,22 @@
 const FIRST_TELLING_INTERVAL_MS: u64 = 100;
 /// Longest time over which arrivals at other processes are reckoned with, in milliseconds.
 const LONGEST_BLIND_MS: u64 = 800;
-/// Time over which the rate of own arrivals is averaged, in milliseconds.
-const RATE_MS: f64 = 2_000.0;
+/// Time over which the rate of own arrivals is averaged, in milliseconds: well below the length of a
+/// wave. Reports add the rates of all gateways up, so that the sum is exact where each is not.
+const RATE_MS: f64 = 500.0;
+/// The same where arrivals at others are only inferred from this process's own: an average over a
+/// shorter time takes two requests in a row for a wave.
+const INFERRED_RATE_MS: f64 = 2_000.0;
+/// Time for which the reported arrivals of all processes count, in milliseconds; load reports repeat
+/// them each half second.
+const REPORTED_RATE_LIFETIME_MS: u64 = 1_500;
 /// Weight of one request in the mean time that requests take.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
 /// Back ends that a prefix prefers.
 const AFFINITY_CANDIDATES: usize = 2;
 
 /// How a request to a back end ended, as far as the back end's health goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Outcome {
     /// It answered.
     Answered,
@@ -99,6 +107,8 @@
     /// When everybody's requests were last heard.
     heard_at: Option<Timestamp>,
     arrivals: HashMap<String, Arrivals>,
+    /// Arrivals at all processes, as they were reported.
+    arrivals_of_all: HashMap<String, ReportedRate>,
     /// Mean time that requests take at back ends of a service, in milliseconds.
     service_ms: HashMap<String, f64>,
 }
@@ -108,14 +118,29 @@
 struct Arrivals {
     at: Timestamp,
     per_ms: f64,
+    /// The same, averaged over a longer time.
+    steady_per_ms: f64,
 }
 
 impl Arrivals {
     fn note(&mut self, now: Timestamp) {
         let elapsed = now.millis_since(self.at) as f64;
-        self.per_ms = self.per_ms * (-elapsed / RATE_MS).exp() + 1.0 / RATE_MS;
+        self.per_ms = self.per_ms(now) + 1.0 / RATE_MS;
+        self.steady_per_ms =
+            self.steady_per_ms * (-elapsed / INFERRED_RATE_MS).exp() + 1.0 / INFERRED_RATE_MS;
         self.at = now;
     }
+
+    fn per_ms(&self, now: Timestamp) -> f64 {
+        self.per_ms * (-(now.millis_since(self.at) as f64) / RATE_MS).exp()
+    }
+}
+
+/// Requests of all processes to a service.
+#[derive(Clone, Copy, Debug)]
+struct ReportedRate {
+    at: Timestamp,
+    per_ms: f64,
 }
 
 impl Balancer {
@@ -130,6 +155,7 @@
             telling_interval_ms: FIRST_TELLING_INTERVAL_MS,
             heard_at: None,
             arrivals: HashMap::new(),
+            arrivals_of_all: HashMap::new(),
             service_ms: HashMap::new(),
         }
     }
@@ -173,22 +199,40 @@
     /// Notes a request of this process to a service.
     fn note_arrival(&mut self, now: Timestamp, service: &str) {
         if !self.arrivals.contains_key(service) {
-            self.arrivals.insert(service.to_owned(), Arrivals { at: now, per_ms: 0.0 });
+            let none = Arrivals { at: now, ..Arrivals::default() };
+            self.arrivals.insert(service.to_owned(), none);
         }
         if let Some(arrivals) = self.arrivals.get_mut(service) {
             arrivals.note(now);
         }
     }
 
+    /// Own requests to each service in a millisecond.
+    pub fn own_arrivals(&self, now: Timestamp) -> impl Iterator<Item = (&str, f64)> {
+        self.arrivals.iter().map(move |(service, own)| (service.as_str(), own.per_ms(now)))
+    }
+
+    /// Requests of all processes to a service in a millisecond became known.
+    pub fn set_arrivals_of_all(&mut self, now: Timestamp, service: String, per_ms: f64) {
+        self.arrivals_of_all.insert(service, ReportedRate { at: now, per_ms });
+    }
+
     /// Requests that other processes probably place at a service without this one knowing it yet.
     fn unseen_arrivals(&self, now: Timestamp, service: &str) -> f64 {
-        self.others_per_ms(service) * self.blind_ms(now)
+        self.others_per_ms(now, service) * self.blind_ms(now)
     }
 
-    /// Requests to a service of other processes in a millisecond, which take about as many each.
-    fn others_per_ms(&self, service: &str) -> f64 {
-        let others = self.choosers - 1;
-        self.arrivals.get(service).map_or(0.0, |arrivals| arrivals.per_ms * others as f64)
+    /// Requests to a service of other processes in a millisecond: as reported, else as many of each
+    /// as of this one.
+    fn others_per_ms(&self, now: Timestamp, service: &str) -> f64 {
+        let own = self.arrivals.get(service);
+        let reported = self.arrivals_of_all.get(service);
+        let is_recent =
+            |rate: &&ReportedRate| now.millis_since(rate.at) < REPORTED_RATE_LIFETIME_MS;
+        if let Some(rate) = reported.filter(is_recent) {
+            return (rate.per_ms - own.map_or(0.0, |own| own.per_ms(now))).max(0.0);
+        }
+        own.map_or(0.0, |own| own.steady_per_ms * (self.choosers - 1) as f64)
     }
 
     /// Time over which the requests of others are not known, in milliseconds.
@@ -230,7 +274,7 @@
             slots: f64::from(backend.slots.max(1)),
         };
         let levels: Vec<Level> = open.map(level).collect();
-        let unseen = self.others_per_ms(service) * age.min(service_ms);
+        let unseen = self.others_per_ms(now, service) * age.min(service_ms);
         surface(&levels, unseen + 1.0)
     }
 
--- /dev/null
+++ b/crates/serving/src/discovery.rs
@@ -0,0 +1,86 @@
+//! Assembles what keeps a process current: members, the platform's objects, and news from peers.
+//!
+//! Members come from datagrams (`fleet`). Each process is ranked among those of its zone (`duty`); few
+//! watch the platform's store (`watch`), and the others take what these know (`news`).
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch as channel;
+use yokefall_core::Timestamp;
+
+use crate::duty::Roster;
+use crate::fleet::{run_membership, Identity, Membership};
+use crate::news::News;
+use crate::news_exchange::serve;
+use crate::observer::LineObserver;
+use crate::source::Platform;
+use crate::watch::{follow, Knowledge, SharedKnowledge};
+use crate::{CatalogCell, FleetCell};
+
+/// Ports for other processes.
+pub struct PeerPorts {
+    /// Datagrams of membership.
+    pub datagrams: UdpSocket,
+    /// Exchange of configuration and back ends.
+    pub news: TcpListener,
+}
+
+/// What a process says of itself, and where it begins.
+pub struct DiscoveryOptions {
+    /// Who it is.
+    pub identity: Identity,
+    /// Peer addresses of some processes; they change when settings are read again.
+    pub seeds: channel::Receiver<Vec<SocketAddr>>,
+    /// Whether the whole system starts for the first time, so that no peer knows anything yet.
+    pub is_first_start: bool,
+}
+
+/// Starts the tasks that keep `catalog` and `fleet` current, on the present `LocalSet`. `changed` is
+/// called after each change of the catalog; `leaving` turns true when a stop has begun.
+pub fn start<P: Platform>(
+    platform: &P,
+    options: DiscoveryOptions,
+    ports: PeerPorts,
+    catalog: CatalogCell,
+    fleet: FleetCell,
+    changed: impl Fn() + 'static,
+    leaving: channel::Receiver<bool>,
+) {
+    let knowledge = Rc::new(RefCell::new(Knowledge::new(catalog)));
+    let observer = Rc::new(LineObserver::new(changed));
+    let shared = SharedKnowledge { knowledge: knowledge.clone(), observer };
+    let roster = Roster::new(Timestamp(0), options.is_first_start, rand::random());
+    let take = {
+        let shared = shared.clone();
+        Box::new(move |answer| shared.take_news(answer))
+    };
+    let (news, duty) = News::new(knowledge.clone(), take, roster);
+    let (configuration, backends) = (news.refresh.configuration(), news.refresh.backends());
+    let news_port = ports.news.local_addr().map_or(0, |address| address.port());
+    tokio::task::spawn_local(serve(
+        ports.news,
+        Rc::new(move |request| knowledge.borrow().answer(request)),
+    ));
+    tokio::task::spawn_local(run_membership(Membership {
+        socket: ports.datagrams,
+        identity: options.identity,
+        seeds: options.seeds,
+        cell: fleet,
+        news,
+        news_port,
+        leaving,
+        origin: Instant::now(),
+    }));
+    tokio::task::spawn_local(follow(
+        platform.configurations(),
+        shared.clone(),
+        configuration.clone(),
+        backends.clone(),
+        duty.clone(),
+    ));
+    tokio::task::spawn_local(follow(platform.backends(), shared, backends, configuration, duty));
+}
--- /dev/null
+++ b/crates/serving/src/duty.rs
@@ -0,0 +1,207 @@
+//! Which processes watch the platform's store, and which learn from them.
+//!
+//! In each zone the members are ranked by the hash of their names. The first `WATCHERS` watch. They
+//! say so to the next `STANDBYS`, who take over while they hear of too few. A process that knows no
+//! configuration, or to whom peers cannot give what they know, reads the store for itself.
+
+use std::collections::HashMap;
+
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
+use yokefall_core::Timestamp;
+
+use crate::fleet::FleetMember;
+
+/// Members of a zone that watch: one may be lost at any moment.
+pub const WATCHERS: usize = 2;
+/// Members of a zone that hear of watchers and take over.
+pub const STANDBYS: usize = 2;
+/// Interval at which a watcher says that the store answers it, in milliseconds.
+pub const HEARTBEAT_INTERVAL_MS: u64 = 300;
+/// Time without a heartbeat after which a watcher counts as lost, in milliseconds: three heartbeats,
+/// and below the second within which a watcher is to be replaced.
+const HEARTBEAT_LIFETIME_MS: u64 = 950;
+/// Time from a start until ranks count, in milliseconds: the members are not known before.
+const START_GRACE_MS: u64 = 1_000;
+/// Shortest time that a process without a configuration waits for one from peers, in milliseconds: a
+/// seed answers in some milliseconds, and some tens where many processes start at once.
+const PATIENCE_MS: u64 = 100;
+/// Spread of that time among processes: those that ask first tell the others.
+const PATIENCE_SPREAD_MS: u64 = 300;
+/// The same where the whole system starts for the first time, before there are callers.
+const FIRST_START_PATIENCE_MS: u64 = 1_500;
+const FIRST_START_SPREAD_MS: u64 = 3_000;
+/// Time for which a process reads the store after peers could not give what they know, in
+/// milliseconds: a list and what follows it.
+const CATCH_UP_MS: u64 = 2_000;
+
+/// Whether this process watches, as the watching tasks see it.
+#[derive(Clone, Debug)]
+pub struct Duty {
+    /// `None` for a process that always watches.
+    receiver: Option<watch::Receiver<bool>>,
+}
+
+impl Duty {
+    /// The duty of a process that always watches.
+    pub fn always() -> Self {
+        Self { receiver: None }
+    }
+
+    /// A duty that begins and ends as its sender says.
+    pub fn told() -> (watch::Sender<bool>, Self) {
+        let (sender, receiver) = watch::channel(false);
+        (sender, Self { receiver: Some(receiver) })
+    }
+
+    /// Waits until the duty has begun.
+    pub async fn begun(&mut self) {
+        self.becomes(true).await;
+    }
+
+    /// Waits until the duty has ended.
+    pub async fn ended(&mut self) {
+        match self.receiver {
+            Some(_) => self.becomes(false).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn becomes(&mut self, wanted: bool) {
+        let Some(receiver) = &mut self.receiver else { return };
+        // A sender that is gone belongs to a process that ends.
+        if receiver.wait_for(|duty| *duty == wanted).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Position of a member among the live members of its zone, and who comes after the watchers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ranking {
+    /// Position of this process, 0 the first.
+    pub rank: usize,
+    /// Names of the members after this process that hear of watchers.
+    pub standbys: Vec<String>,
+}
+
+impl Ranking {
+    /// Ranks the members of a zone, `me` among them.
+    pub fn new(members: &[FleetMember], zone: &str, me: &str) -> Self {
+        let in_zone = members.iter().filter(|member| member.zone == zone);
+        let live = in_zone.filter(|member| member.accepting || member.name == me);
+        let mut names: Vec<&str> = live.map(|member| member.name.as_str()).collect();
+        names.sort_by_cached_key(|name| xxh3_64(name.as_bytes()));
+        let rank = names.iter().position(|name| *name == me).unwrap_or(0);
+        // Two standbys that heard each other would give up together, and begin together again.
+        let last = WATCHERS + STANDBYS;
+        let standbys = names.iter().take(last).skip(WATCHERS.max(rank + 1));
+        Self { rank, standbys: standbys.map(|name| (*name).to_owned()).collect() }
+    }
+}
+
+/// Decides whether this process watches. Invariant: where the store answers any of the first
+/// `WATCHERS + STANDBYS` members of a zone, the zone has a watcher within a second of the loss of the
+/// one before; otherwise its members hear of changes from other zones alone.
+#[derive(Debug)]
+pub struct Roster {
+    started: Timestamp,
+    /// When this process asks the store itself if it knows no configuration until then.
+    ask_at: Timestamp,
+    ranking: Ranking,
+    ranked_at: Timestamp,
+    /// When watchers were last heard, by name.
+    heard: HashMap<String, Timestamp>,
+    catch_up_until: Option<Timestamp>,
+}
+
+impl Roster {
+    /// The roster of a process that starts now. `spread` is drawn from 0 to 1 for each start.
+    pub fn new(now: Timestamp, is_first_start: bool, spread: f64) -> Self {
+        let (patience, range) = match is_first_start {
+            true => (FIRST_START_PATIENCE_MS, FIRST_START_SPREAD_MS),
+            false => (PATIENCE_MS, PATIENCE_SPREAD_MS),
+        };
+        let patience = patience + (range as f64 * spread) as u64;
+        Self {
+            started: now,
+            ask_at: now.plus_millis(patience),
+            ranking: Ranking::default(),
+            ranked_at: now,
+            heard: HashMap::new(),
+            catch_up_until: None,
+        }
+    }
+
+    /// The live members changed.
+    pub fn rank(&mut self, now: Timestamp, ranking: Ranking) {
+        if self.ranking != ranking {
+            self.ranking = ranking;
+            self.ranked_at = now;
+        }
+    }
+
+    /// A watcher says that the store answers it.
+    pub fn heard_watcher(&mut self, now: Timestamp, name: &str) {
+        self.heard.insert(name.to_owned(), now);
+    }
+
+    /// Peers know more and could not tell it.
+    pub fn catch_up(&mut self, now: Timestamp) {
+        self.catch_up_until = Some(now.plus_millis(CATCH_UP_MS));
+    }
+
+    /// Whether this process watches now.
+    pub fn watches(&mut self, now: Timestamp, knows_configuration: bool) -> bool {
+        if self.catch_up_until.is_some_and(|until| now < until) {
+            return true;
+        }
+        if !knows_configuration {
+            return now >= self.ask_at;
+        }
+        if now < self.started.plus_millis(START_GRACE_MS) {
+            return false;
+        }
+        match self.ranking.rank {
+            rank if rank < WATCHERS => true,
+            rank if rank < WATCHERS + STANDBYS => self.lacks_watchers(now),
+            _ => false,
+        }
+    }
+
+    /// Whether a standby hears of too few watchers.
+    fn lacks_watchers(&mut self, now: Timestamp) -> bool {
+        self.heard.retain(|_, at| now.millis_since(*at) < HEARTBEAT_LIFETIME_MS);
+        let is_settled = now.millis_since(self.ranked_at) >= HEARTBEAT_LIFETIME_MS;
+        is_settled && self.heard.len() < WATCHERS
+    }
+
+    /// Position of this process among the members of its zone, 0 the first.
+    pub fn rank_of_this(&self) -> usize {
+        self.ranking.rank
+    }
+
+    /// Names of the members to which a watcher says that the store answers it.
+    pub fn standbys(&self) -> &[String] {
+        &self.ranking.standbys
+    }
+
+    /// When `watches` may change without news.
+    pub fn next_look(&self, now: Timestamp, knows_configuration: bool) -> Timestamp {
+        let regular = now.plus_millis(HEARTBEAT_INTERVAL_MS);
+        let is_standby = (WATCHERS..WATCHERS + STANDBYS).contains(&self.ranking.rank);
+        let begins = self.started.plus_millis(START_GRACE_MS);
+        if !knows_configuration && now < self.ask_at {
+            return self.ask_at;
+        }
+        if now < begins {
+            return begins;
+        }
+        match self.catch_up_until {
+            Some(until) if now < until => until,
+            _ if is_standby => regular,
+            // Ranks change with the members, which wake the process by themselves.
+            _ => now.plus_millis(3_600_000),
+        }
+    }
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -9,13 +9,18 @@
 use arc_swap::ArcSwap;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use yokefall_core::membership::{Datagram, MemberRecord, MemberState, Membership, Outgoing};
+use yokefall_core::membership::{
+    Datagram, DatagramKind, MemberRecord, MemberState, Membership as MemberList, Outgoing,
+};
 use yokefall_core::Timestamp;
 
+use crate::duty::{Ranking, HEARTBEAT_INTERVAL_MS};
 use crate::news::{Known, News};
 
-/// Members that are told at once of what this process has learnt.
-const NEWS_FANOUT: usize = 4;
+/// Members of the own zone, and of others, that are told at once of what this process has learnt. Each
+/// tells as many when it knows it: 300 members hear of it after four or five steps.
+const NEAR_FANOUT: usize = 3;
+const FAR_FANOUT: usize = 1;
 /// Largest datagram read, in bytes.
 const DATAGRAM_BYTES: usize = 16_384;
 
@@ -92,54 +97,70 @@
     now.map_or(1, |elapsed| elapsed.as_millis() as u64)
 }
 
-/// Keeps `cell` current until the process ends. `leaving` turns true when a stop has begun; `seeds`
-/// may change when settings are read again.
-pub async fn run_membership(
-    socket: UdpSocket,
-    identity: Identity,
-    mut seeds: watch::Receiver<Vec<SocketAddr>>,
-    cell: FleetCell,
-    news: Rc<News>,
-    mut leaving: watch::Receiver<bool>,
-) {
-    let origin = Instant::now();
-    let record = MemberRecord {
-        node: identity.name.as_str().into(),
-        incarnation: identity.incarnation,
-        address: identity.address.to_string(),
-        zone: identity.zone,
-        region: identity.region,
-        data: identity.job_store,
-        state: MemberState::Alive,
-    };
+/// What keeps the view of the fleet current.
+pub struct Membership {
+    /// Port for datagrams.
+    pub socket: UdpSocket,
+    /// Who this process is.
+    pub identity: Identity,
+    /// Peer addresses of some processes; they change when settings are read again.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// The view.
+    pub cell: FleetCell,
+    /// What is told to peers beside it.
+    pub news: Rc<News>,
+    /// TCP port at which peers may ask for it.
+    pub news_port: u16,
+    /// Turns true when a stop has begun.
+    pub leaving: watch::Receiver<bool>,
+    /// Moment of the process's start.
+    pub origin: Instant,
+}
+
+/// Keeps the view current until the process ends.
+pub async fn run_membership(parts: Membership) {
+    let Membership { socket, identity, mut seeds, cell, news, news_port, mut leaving, origin } =
+        parts;
+    let (name, zone) = (identity.name.clone(), identity.zone.clone());
     let first_seeds = texts(&seeds.borrow_and_update());
-    let mut membership = Membership::new(record, first_seeds, identity.incarnation);
+    let incarnation = identity.incarnation;
+    let mut members = MemberList::new(record_of(identity), first_seeds, incarnation);
+    members.set_news_port(news_port);
     let mut may_change = true;
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut told_leaving = false;
     let mut told = Known::default();
+    let mut heartbeat_at = Timestamp(0);
     loop {
         let now = Timestamp(origin.elapsed().as_millis() as u64);
-        let own = news.own();
-        tell(&mut membership, own);
+        if publish(&mut members, &cell) {
+            news.rank(now, Ranking::new(&cell.load().members, &zone, &name));
+        }
         news.tick(now);
+        let own = news.own();
+        tell(&mut members, own);
         if own.is_news_after(told) {
-            // Whoever watches in vain hears of it from a few, who tell others when they know it.
-            send(&socket, membership.tell_some(NEWS_FANOUT)).await;
+            // Those hear of it at once who tell others when they know it.
+            send(&socket, members.tell_some(NEAR_FANOUT, FAR_FANOUT)).await;
             told = own;
         }
-        send(&socket, membership.tick(now)).await;
-        publish(&mut membership, &cell);
-        let deadline = membership.next_deadline();
-        let deadline = news.next_look().map_or(deadline, |look| look.min(deadline));
+        if now >= heartbeat_at {
+            send(&socket, members.tell_watching(&news.standbys())).await;
+            heartbeat_at = now.plus_millis(HEARTBEAT_INTERVAL_MS);
+        }
+        send(&socket, members.tick(now)).await;
+        let mut deadline = members.next_deadline().min(news.next_look(now));
+        if news.watches() {
+            deadline = deadline.min(heartbeat_at);
+        }
         let wait = deadline.millis_since(now).max(1);
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, source)) = received {
                     let now = Timestamp(origin.elapsed().as_millis() as u64);
                     if let Ok(datagram) = borsh::from_slice::<Datagram>(&buffer[..length]) {
-                        news.hear(now, known(&datagram));
-                        send(&socket, membership.receive(now, datagram, &source.to_string())).await;
+                        hear(&news, now, &datagram, source);
+                        send(&socket, members.receive(now, datagram, &source.to_string())).await;
                     }
                 }
             }
@@ -148,13 +169,13 @@
             changed = seeds.changed(), if may_change => {
                 may_change = changed.is_ok();
                 if may_change {
-                    membership.set_seeds(texts(&seeds.borrow_and_update()));
+                    members.set_seeds(texts(&seeds.borrow_and_update()));
                 }
             }
             changed = leaving.changed(), if !told_leaving => {
                 if changed.is_ok() && *leaving.borrow() {
-                    membership.announce(MemberState::Leaving);
-                    send(&socket, membership.farewell()).await;
+                    members.announce(MemberState::Leaving);
+                    send(&socket, members.farewell()).await;
                 }
                 told_leaving = true;
             }
@@ -162,11 +183,31 @@
     }
 }
 
+fn record_of(identity: Identity) -> MemberRecord {
+    MemberRecord {
+        node: identity.name.as_str().into(),
+        incarnation: identity.incarnation,
+        address: identity.address.to_string(),
+        zone: identity.zone,
+        region: identity.region,
+        data: identity.job_store,
+        state: MemberState::Alive,
+    }
+}
+
+/// Takes what a datagram says beside the members.
+fn hear(news: &Rc<News>, now: Timestamp, datagram: &Datagram, source: SocketAddr) {
+    news.hear(now, known(datagram), SocketAddr::new(source.ip(), datagram.news_port));
+    if datagram.kind == DatagramKind::Watching {
+        news.heard_watcher(now, datagram.from.as_str());
+    }
+}
+
 fn texts(addresses: &[SocketAddr]) -> Vec<String> {
     addresses.iter().map(SocketAddr::to_string).collect()
 }
 
-fn tell(membership: &mut Membership, own: Known) {
+fn tell(membership: &mut MemberList, own: Known) {
     membership.set_configuration_version(own.version);
     membership.set_backends(own.backends_digest, own.backends_revision);
 }
@@ -189,9 +230,10 @@
     }
 }
 
-fn publish(membership: &mut Membership, cell: &FleetCell) {
+/// Puts the members into the cell where they changed; returns whether they did.
+fn publish(membership: &mut MemberList, cell: &FleetCell) -> bool {
     if !membership.take_changed() {
-        return;
+        return false;
     }
     let member = |(record, _): (MemberRecord, u64)| {
         Some(FleetMember {
@@ -206,4 +248,5 @@
     let alive = |(record, _): &(MemberRecord, u64)| record.state != MemberState::Dead;
     let members = membership.records().into_iter().filter(alive).filter_map(member).collect();
     cell.store(Arc::new(Fleet { members }));
+    true
 }
--- a/crates/serving/src/model.rs
+++ b/crates/serving/src/model.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
+use borsh::{BorshDeserialize, BorshSerialize};
+
 /// What a route allows to be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum RouteKind {
     /// May run more than once.
     Repeatable,
@@ -16,7 +18,7 @@
 }
 
 /// One part of a traffic split.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct SplitPart {
     /// Service that gets the part.
     pub service: String,
@@ -25,7 +27,7 @@
 }
 
 /// Time limits of the items of a batch route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct BatchPolicy {
     /// Time after the first submission at which all results are due, in milliseconds.
     pub completion_target_ms: u64,
@@ -36,7 +38,7 @@
 }
 
 /// Where requests of a host and path go.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Route {
     /// Name.
     pub name: String,
@@ -63,7 +65,7 @@
 }
 
 /// A group of back ends that do the same.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Service {
     /// Name.
     pub name: String,
@@ -74,7 +76,7 @@
 }
 
 /// What clients may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct RequestLimits {
     /// Bytes of a request's head.
     pub header_bytes: usize,
@@ -98,7 +100,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Configuration {
     /// Version; a higher one replaces a lower one.
     pub version: u64,
@@ -111,7 +113,7 @@
 }
 
 /// Whether a back end takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum BackendState {
     /// Takes work.
     Ready,
@@ -120,7 +122,7 @@
 }
 
 /// One process that runs a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Backend {
     /// Identity of this life of the process.
     pub id: String,
--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -1,12 +1,18 @@
 //! Peers tell each other which configuration and back ends they know, so that a process whose watch
-//! was lost in silence finds out long before the watch would have ended.
+//! was lost in silence finds out long before the watch would have ended, and one that does not watch
+//! asks the peer for what it knows.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use tokio::sync::Notify;
+use borsh::{BorshDeserialize, BorshSerialize};
+use tokio::sync::{watch, Notify};
 use yokefall_core::Timestamp;
+use yokefall_telemetry::{EventName, Line};
 
+use crate::duty::{Duty, Ranking, Roster};
+use crate::news_exchange::{fetch, ExchangeError, NewsAnswer, NewsRequest};
 use crate::watch::Knowledge;
 
 /// Time for which a peer must know more before a process asks the store again, in milliseconds:
@@ -16,7 +22,7 @@
 const LEAST_INTERVAL_MS: u64 = 1_000;
 
 /// What one process knows, in numbers that fit a datagram.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Known {
     /// Version of the configuration.
     pub version: u64,
@@ -90,10 +96,28 @@
     }
 }
 
+/// How this process gets what peers know.
+struct Sources {
+    /// Whether a peer is being asked.
+    asking: bool,
+    /// Another peer that knows more.
+    next: Option<SocketAddr>,
+    /// Whether the last peer that was asked gave no answer.
+    failed: bool,
+}
+
+/// Takes what a peer told; returns whether its whole list is needed.
+pub type TakeNews = Box<dyn Fn(NewsAnswer) -> bool>;
+
 /// What this process tells its peers, and what it does about what they tell.
 pub struct News {
     knowledge: Rc<RefCell<Knowledge>>,
+    take: TakeNews,
     comparison: RefCell<Comparison>,
+    sources: RefCell<Sources>,
+    roster: RefCell<Roster>,
+    /// Whether this process watches the platform's store.
+    watches: watch::Sender<bool>,
     changed: Rc<Notify>,
     /// Ends the present watches, so that the store is asked again.
     pub refresh: Refresh,
@@ -119,15 +143,25 @@
 }
 
 impl News {
-    /// News about what is known.
-    pub fn new(knowledge: Rc<RefCell<Knowledge>>) -> Rc<Self> {
+    /// News about what is known, with the duty that follows from it.
+    pub fn new(
+        knowledge: Rc<RefCell<Knowledge>>,
+        take: TakeNews,
+        roster: Roster,
+    ) -> (Rc<Self>, Duty) {
         let changed = knowledge.borrow().changed();
-        Rc::new(Self {
+        let (watches, duty) = Duty::told();
+        let news = Self {
             knowledge,
+            take,
             comparison: RefCell::default(),
+            sources: RefCell::new(Sources { asking: false, next: None, failed: false }),
+            roster: RefCell::new(roster),
+            watches,
             changed,
             refresh: Refresh::default(),
-        })
+        };
+        (Rc::new(news), duty)
     }
 
     /// What this process knows.
@@ -135,23 +169,113 @@
         self.knowledge.borrow().known()
     }
 
-    /// A peer told what it knows.
-    pub fn hear(&self, now: Timestamp, peer: Known) {
-        if self.comparison.borrow_mut().is_behind(now, self.own(), peer) {
-            self.ask_again();
+    /// A peer told what it knows; `address` is where it tells the whole of it.
+    pub fn hear(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
+        let own = self.own();
+        if !own.lacks(peer) {
+            return;
+        }
+        if address.port() > 0 {
+            self.ask(address);
+        }
+        if self.comparison.borrow_mut().is_behind(now, own, peer) {
+            self.ask_store(now);
+        }
+    }
+
+    /// Asks a peer; where one is being asked already, this one is asked next.
+    fn ask(self: &Rc<Self>, address: SocketAddr) {
+        let mut sources = self.sources.borrow_mut();
+        if sources.asking {
+            sources.next = Some(address);
+            return;
+        }
+        sources.asking = true;
+        tokio::task::spawn_local(self.clone().ask_peers(address));
+    }
+
+    async fn ask_peers(self: Rc<Self>, first: SocketAddr) {
+        let mut address = first;
+        loop {
+            let outcome = self.ask_one(address).await;
+            let mut sources = self.sources.borrow_mut();
+            sources.failed = outcome.is_err();
+            match (outcome, sources.next.take()) {
+                // The next one was heard before this answer came, which most likely says the same.
+                (Err(_), Some(next)) => address = next,
+                _ => {
+                    sources.asking = false;
+                    return;
+                }
+            }
         }
     }
 
-    /// Time has passed: asks the store again where a peer has known more for long enough.
+    async fn ask_one(&self, address: SocketAddr) -> Result<(), ExchangeError> {
+        let request = NewsRequest { known: self.own(), whole: false };
+        let answer = fetch(address, request).await;
+        count_exchange(&answer);
+        if (self.take)(answer?) {
+            let request = NewsRequest { known: self.own(), whole: true };
+            let answer = fetch(address, request).await;
+            count_exchange(&answer);
+            (self.take)(answer?);
+        }
+        Ok(())
+    }
+
+    /// A member of this zone watches, and the store answers it.
+    pub fn heard_watcher(&self, now: Timestamp, name: &str) {
+        self.roster.borrow_mut().heard_watcher(now, name);
+    }
+
+    /// The live members changed.
+    pub fn rank(&self, now: Timestamp, ranking: Ranking) {
+        self.roster.borrow_mut().rank(now, ranking);
+    }
+
+    /// Time has passed: asks the store again where a peer has known more for long enough, and takes up
+    /// or gives up watching.
     pub fn tick(&self, now: Timestamp) {
         if self.comparison.borrow_mut().is_due(now, self.own()) {
-            self.ask_again();
+            self.ask_store(now);
+        }
+        let knows = self.knows_configuration();
+        let watches = self.roster.borrow_mut().watches(now, knows);
+        let changed =
+            self.watches.send_if_modified(|held| std::mem::replace(held, watches) != watches);
+        if changed {
+            metrics::gauge!("platform_watcher").set(if watches { 1.0 } else { 0.0 });
+            Line::new(EventName::WatchDutyChanged)
+                .field("watches", watches)
+                .field("knows_configuration", knows)
+                .field("rank", self.roster.borrow().rank_of_this())
+                .write();
         }
     }
 
+    fn knows_configuration(&self) -> bool {
+        self.knowledge.borrow().configuration().is_some()
+    }
+
+    /// Members to which it is to be said now that this process watches; none where it does not, or
+    /// where the store does not answer it.
+    pub fn standbys(&self) -> Vec<String> {
+        if !*self.watches.borrow() || !self.knowledge.borrow().is_in_touch() {
+            return Vec::new();
+        }
+        self.roster.borrow().standbys().to_vec()
+    }
+
+    /// Whether this process watches.
+    pub fn watches(&self) -> bool {
+        *self.watches.borrow()
+    }
+
     /// When `tick` has something to do.
-    pub fn next_look(&self) -> Option<Timestamp> {
-        self.comparison.borrow().next_look()
+    pub fn next_look(&self, now: Timestamp) -> Timestamp {
+        let look = self.roster.borrow().next_look(now, self.knows_configuration());
+        self.comparison.borrow().next_look().map_or(look, |comparison| comparison.min(look))
     }
 
     /// Waits until what this process knows has changed.
@@ -159,8 +283,19 @@
         self.changed.notified().await;
     }
 
-    fn ask_again(&self) {
-        self.refresh.configuration.notify_one();
-        self.refresh.backends.notify_one();
+    /// Asks the store again. A process that does not watch does so only where peers give no answer.
+    fn ask_store(&self, now: Timestamp) {
+        if *self.watches.borrow() {
+            self.refresh.configuration.notify_one();
+            self.refresh.backends.notify_one();
+        } else if self.sources.borrow().failed {
+            self.roster.borrow_mut().catch_up(now);
+        }
     }
 }
+
+/// Counts an exchange with a peer by its outcome.
+fn count_exchange(answer: &Result<NewsAnswer, ExchangeError>) {
+    let outcome = if answer.is_ok() { "ok" } else { "failed" };
+    metrics::counter!("news_exchanges_total", "outcome" => outcome).increment(1);
+}
--- /dev/null
+++ b/crates/serving/src/news_exchange.rs
@@ -0,0 +1,151 @@
+//! The exchange of configuration and back ends between peers: one request and one answer on a TCP
+//! connection, borsh, each prefixed by its length.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::model::{Backend, Configuration};
+use crate::news::Known;
+use crate::source::Revision;
+
+/// Longest time for an exchange: a round trip to another zone and some 100 KB at a narrow link.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest message in bytes: a configuration of 1 MB, which is what an object of the platform's store
+/// may hold, and 10,000 back ends.
+const MAX_MESSAGE_BYTES: u32 = 4 * 1024 * 1024;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Asks a peer for what it knows beyond this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct NewsRequest {
+    /// What is known already.
+    pub known: Known,
+    /// Whether every back end is wanted, and not only those that changed.
+    pub whole: bool,
+}
+
+/// What a peer knows beyond what was asked.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct NewsAnswer {
+    /// What the peer knows.
+    pub known: Known,
+    /// Its configuration, where it is newer.
+    pub configuration: Option<Configuration>,
+    /// Its back ends.
+    pub backends: BackendNews,
+}
+
+/// Back ends that changed.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct BackendNews {
+    /// Revision after which these are the changes; `None` where these are all back ends.
+    pub since: Option<Revision>,
+    /// Back ends that are new or have changed.
+    pub changed: Vec<NamedBackend>,
+    /// Back ends that are gone.
+    pub removed: Vec<Removal>,
+}
+
+/// A back end with its place in the store's history.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct NamedBackend {
+    /// Name of its object.
+    pub name: String,
+    /// Revision of the object's last change.
+    pub revision: Revision,
+    /// The back end.
+    pub backend: Backend,
+}
+
+/// An object that is gone.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Removal {
+    /// Name of the object.
+    pub name: String,
+    /// Revision at which its removal was learnt.
+    pub revision: Revision,
+}
+
+/// Why an exchange with a peer failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExchangeError {
+    /// The step.
+    pub step: &'static str,
+    /// Address of the peer.
+    pub peer: SocketAddr,
+    /// The cause.
+    pub cause: String,
+}
+
+impl fmt::Display for ExchangeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} {}: {}", self.step, self.peer, self.cause)
+    }
+}
+
+impl std::error::Error for ExchangeError {}
+
+/// Asks a peer.
+pub async fn fetch(peer: SocketAddr, request: NewsRequest) -> Result<NewsAnswer, ExchangeError> {
+    let failed = |step: &'static str| {
+        move |cause: std::io::Error| ExchangeError { step, peer, cause: cause.to_string() }
+    };
+    let exchange = async {
+        let mut stream = TcpStream::connect(peer).await.map_err(failed("connect"))?;
+        send(&mut stream, &request).await.map_err(failed("send request"))?;
+        receive(&mut stream).await.map_err(failed("read answer"))
+    };
+    match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            let cause = format!("none within {EXCHANGE_TIMEOUT:?}");
+            Err(ExchangeError { step: "await answer", peer, cause })
+        }
+    }
+}
+
+/// Answers peers for ever.
+pub async fn serve(listener: TcpListener, answer: Rc<dyn Fn(&NewsRequest) -> NewsAnswer>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_one(stream, answer.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_one(mut stream: TcpStream, answer: Rc<dyn Fn(&NewsRequest) -> NewsAnswer>) {
+    let exchange = async {
+        let request: NewsRequest = receive(&mut stream).await?;
+        send(&mut stream, &answer(&request)).await
+    };
+    // A peer that got no answer asks another one.
+    let _ = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
+}
+
+async fn send(stream: &mut TcpStream, message: &impl BorshSerialize) -> std::io::Result<()> {
+    let body = borsh::to_vec(message)?;
+    let length = u32::try_from(body.len()).map_err(std::io::Error::other)?;
+    let mut bytes = length.to_be_bytes().to_vec();
+    bytes.extend(body);
+    stream.write_all(&bytes).await
+}
+
+async fn receive<T: BorshDeserialize>(stream: &mut TcpStream) -> std::io::Result<T> {
+    let length = stream.read_u32().await?;
+    if length > MAX_MESSAGE_BYTES {
+        return Err(std::io::Error::other(format!("a message of {length} bytes")));
+    }
+    let mut body = vec![0; length as usize];
+    stream.read_exact(&mut body).await?;
+    borsh::from_slice(&body)
+}
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -5,7 +5,7 @@
 //! than what is held removes nothing.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,8 +14,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::catalog::{Catalog, CatalogCell};
+use crate::duty::Duty;
 use crate::model::{Backend, BackendState, Configuration};
 use crate::news::Known;
+use crate::news_exchange::{BackendNews, NamedBackend, NewsAnswer, NewsRequest, Removal};
 use crate::source::{Change, Listing, Revision, Source, SourceError, Watched};
 
 /// Longest time for which one watch waits.
@@ -32,17 +34,26 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Removals that are remembered for peers: some minutes of a fleet of 3,000 back ends that are
+/// replaced once a day, or one replacement of a sixth of them at once.
+const MOST_REMOVALS: usize = 512;
+
 /// Objects of one kind by name, with the revision of each.
 #[derive(Debug)]
 pub struct Objects<T> {
     held: HashMap<String, (Revision, Arc<T>)>,
     /// Revision up to which everything is known.
     revision: Revision,
+    /// Objects that were removed, with the revision at which that was learnt, the oldest first.
+    removals: VecDeque<Removal>,
+    /// Invariant: every removal that was learnt after this revision is in `removals`. A peer that
+    /// knows less gets the whole list; it would else keep objects that are gone.
+    removals_after: Revision,
 }
 
 impl<T> Default for Objects<T> {
     fn default() -> Self {
-        Self { held: HashMap::new(), revision: 0 }
+        Self { held: HashMap::new(), revision: 0, removals: VecDeque::new(), removals_after: 0 }
     }
 }
 
@@ -52,6 +63,9 @@
         if listing.revision < self.revision {
             return false;
         }
+        // A list does not tell what came and went since the one before.
+        self.removals.clear();
+        self.removals_after = listing.revision;
         self.revision = listing.revision;
         let mut held = HashMap::new();
         for item in listing.items {
@@ -63,21 +77,64 @@
         true
     }
 
+    fn note_removal(&mut self, name: String, revision: Revision) {
+        self.removals.push_back(Removal { name, revision });
+        if self.removals.len() > MOST_REMOVALS {
+            if let Some(oldest) = self.removals.pop_front() {
+                self.removals_after = self.removals_after.max(oldest.revision);
+            }
+        }
+    }
+
+    /// Whether everything that changed after a revision is known here, removals included.
+    pub fn covers(&self, revision: Revision) -> bool {
+        revision > 0 && revision >= self.removals_after
+    }
+
+    /// Objects that changed after a revision.
+    pub fn changed_after(
+        &self,
+        revision: Revision,
+    ) -> impl Iterator<Item = (&String, Revision, &Arc<T>)> {
+        let all = self.held.iter().map(|(name, (changed, value))| (name, *changed, value));
+        all.filter(move |(_, changed, _)| *changed > revision)
+    }
+
+    /// Removals that were learnt after a revision. One of an object that is back again is none: the
+    /// revision at which it was learnt may be higher than that of the object's return.
+    pub fn removed_after(&self, revision: Revision) -> impl Iterator<Item = &Removal> {
+        let is_gone = |removal: &&Removal| !self.held.contains_key(&removal.name);
+        self.removals.iter().filter(move |removal| removal.revision > revision).filter(is_gone)
+    }
+
+    /// Takes removals that a peer learnt of. An object that changed later than that is back again.
+    pub fn remove(&mut self, removals: Vec<Removal>) {
+        for Removal { name, revision } in removals {
+            let is_older = |(held, _): &(Revision, Arc<T>)| *held <= revision;
+            if self.held.get(&name).is_some_and(is_older) {
+                self.held.remove(&name);
+            }
+            self.note_removal(name, revision);
+        }
+    }
+
     /// Takes changes up to a revision; those older than what is held are left out.
     pub fn apply(&mut self, changes: Vec<Change<T>>, revision: Revision) {
         for change in changes {
-            self.apply_one(change);
+            self.apply_one(change, revision);
         }
         self.revision = self.revision.max(revision);
     }
 
-    fn apply_one(&mut self, change: Change<T>) {
+    fn apply_one(&mut self, change: Change<T>, revision: Revision) {
         let older = |(revision, _): &(Revision, Arc<T>)| *revision >= change.revision;
         let held_is_newer = self.held.get(&change.name).is_some_and(older);
         match change.value {
             // The removal of an object has no revision above its last change at every store.
             None => {
-                self.held.remove(&change.name);
+                if self.held.remove(&change.name).is_some() {
+                    self.note_removal(change.name, revision);
+                }
             }
             Some(_) if held_is_newer => {}
             Some(value) => {
@@ -107,8 +164,13 @@
     cell: CatalogCell,
     /// Woken when what is known has changed.
     changed: Rc<Notify>,
+    /// Kinds of objects that the store gave when it was last asked.
+    answered: BTreeSet<&'static str>,
 }
 
+/// Kinds of objects that a process follows: configuration and back ends.
+const FOLLOWED_KINDS: usize = 2;
+
 impl Knowledge {
     /// Nothing known yet.
     pub fn new(cell: CatalogCell) -> Self {
@@ -118,9 +180,22 @@
             digest: 0,
             cell,
             changed: Rc::default(),
+            answered: BTreeSet::new(),
         }
     }
 
+    /// Whether the store answers this process, by the last calls of each kind.
+    pub fn is_in_touch(&self) -> bool {
+        self.answered.len() == FOLLOWED_KINDS
+    }
+
+    fn note_answered(&mut self, kind: &'static str, answered: bool) {
+        match answered {
+            true => self.answered.insert(kind),
+            false => self.answered.remove(kind),
+        };
+    }
+
     /// Takes a configuration; returns whether it is newer than the one in force.
     pub fn take_configuration(&mut self, configuration: Configuration) -> bool {
         let held = self.configuration.as_ref().map_or(0, |held| held.version);
@@ -156,6 +231,52 @@
         }
     }
 
+    /// What a peer that knows less is told.
+    pub fn answer(&self, request: &NewsRequest) -> NewsAnswer {
+        let held = self.configuration.as_ref();
+        let configuration = held.filter(|held| held.version > request.known.version);
+        let known = request.known.backends_revision;
+        let since = (!request.whole && self.backends.covers(known)).then_some(known);
+        let after = since.unwrap_or(0);
+        let changed = |(name, revision, backend): (&String, Revision, &Arc<Backend>)| {
+            let (name, backend) = (name.clone(), Backend::clone(backend));
+            NamedBackend { name, revision, backend }
+        };
+        NewsAnswer {
+            known: self.known(),
+            configuration: configuration.map(|held| Configuration::clone(held)),
+            backends: BackendNews {
+                since,
+                changed: self.backends.changed_after(after).map(changed).collect(),
+                removed: self.backends.removed_after(after).cloned().collect(),
+            },
+        }
+    }
+
+    /// Takes what a peer told of back ends. Returns whether the same is known here now; where it is
+    /// not, the whole list is to be asked for.
+    pub fn take_backend_news(&mut self, peer: Known, news: BackendNews) -> bool {
+        let revision = peer.backends_revision;
+        let BackendNews { since, changed, removed } = news;
+        let changes = changed.into_iter().map(|named| Change {
+            name: named.name,
+            revision: named.revision,
+            value: Some(named.backend),
+        });
+        match since {
+            None => {
+                self.backends.replace(Listing { items: changes.collect(), revision });
+            }
+            // What changed in between came from elsewhere meanwhile: it is newer or the same.
+            Some(_) => {
+                self.backends.remove(removed);
+                self.backends.apply(changes.collect(), revision);
+            }
+        }
+        self.publish();
+        self.backends.revision() != revision || self.digest == peer.backends_digest
+    }
+
     fn publish(&mut self) {
         let hash = |backend: &Arc<Backend>| {
             let ready = u64::from(backend.state == BackendState::Ready);
@@ -217,11 +338,34 @@
     }
 
     fn ended(&self, error: Option<&SourceError>) {
+        self.knowledge.borrow_mut().note_answered("configuration", error.is_none());
         self.observer.reachable("configuration", error);
     }
 }
 
 impl<O: Observer> SharedKnowledge<O> {
+    /// Takes what a peer told. Returns whether its whole list of back ends is needed.
+    pub fn take_news(&self, answer: NewsAnswer) -> bool {
+        if let Some(configuration) = answer.configuration {
+            let version = configuration.version;
+            if self.knowledge.borrow_mut().take_configuration(configuration) {
+                self.observer.configuration(version);
+            }
+        }
+        let own = self.knowledge.borrow().known();
+        let is_same = own.backends_digest == answer.known.backends_digest;
+        let (held, told) = (own.backends_revision, answer.known.backends_revision);
+        if held > told || (held == told && is_same) {
+            return false;
+        }
+        let is_same = {
+            let mut knowledge = self.knowledge.borrow_mut();
+            knowledge.take_backend_news(answer.known, answer.backends)
+        };
+        self.tell_backends();
+        !is_same
+    }
+
     fn tell_backends(&self) {
         let mut knowledge = self.knowledge.borrow_mut();
         knowledge.publish();
@@ -246,11 +390,12 @@
     }
 
     fn ended(&self, error: Option<&SourceError>) {
+        self.knowledge.borrow_mut().note_answered("backends", error.is_none());
         self.observer.reachable("backends", error);
     }
 }
 
-/// Lists, then watches, for ever. A watch that fails, has lost its history or is ended by `refresh`
+/// Lists, then watches, while this process has the duty to. A watch that fails, has lost its history or is ended by `refresh`
 /// lists again. When the store answers after a failure, `other` ends the watch of another kind: a
 /// connection on which an answer was lost says nothing more, and nobody would know before its wait ends.
 pub async fn follow<T, S: Source<T>>(
@@ -258,22 +403,25 @@
     sink: impl Sink<T>,
     refresh: Rc<Notify>,
     other: Rc<Notify>,
+    mut duty: Duty,
 ) {
     let mut pause = FIRST_PAUSE;
     let mut failed = false;
     loop {
+        duty.begun().await;
         let listed = || {
             if std::mem::take(&mut failed) {
                 other.notify_one();
             }
         };
-        match follow_once(&mut source, &sink, listed, &mut pause, &refresh).await {
+        match follow_once(&mut source, &sink, listed, &mut pause, &refresh, &mut duty).await {
             Ok(()) => {}
             Err(error) => {
                 failed = true;
                 sink.ended(Some(&error));
                 source.reset();
-                tokio::time::sleep(pause).await;
+                // Spread, so that processes that failed together do not call together.
+                tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
@@ -286,6 +434,7 @@
     listed: impl FnOnce(),
     pause: &mut Duration,
     refresh: &Notify,
+    duty: &mut Duty,
 ) -> Result<(), SourceError> {
     let listing = within(LIST_TIMEOUT, source.list()).await;
     count(source.kind(), "list", &listing);
@@ -301,6 +450,7 @@
                 Some(watched)
             }
             () = refresh.notified() => None,
+            () = duty.ended() => None,
         };
         let Some(watched) = watched else {
             source.reset();
--- /dev/null
+++ b/crates/serving/tests/duty.rs
@@ -0,0 +1,191 @@
+//! Which processes watch the platform's store: a model of whole fleets in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use yokefall_core::Timestamp;
+use yokefall_serving::duty::{Ranking, Roster, HEARTBEAT_INTERVAL_MS, STANDBYS, WATCHERS};
+use yokefall_serving::FleetMember;
+
+const STEP_MS: u64 = 50;
+
+fn member(index: usize, zones: usize) -> FleetMember {
+    FleetMember {
+        name: format!("node-{index}"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: format!("zone-{}", index % zones),
+        job_store: false,
+        accepting: true,
+    }
+}
+
+/// A fleet of which every member knows the others after `DETECTION_MS`.
+struct Model {
+    now: u64,
+    zones: usize,
+    members: Vec<FleetMember>,
+    rosters: Vec<Roster>,
+    /// Members that neither run nor are seen to.
+    gone: BTreeMap<usize, u64>,
+    /// Members that the store turns away.
+    refused: BTreeSet<usize>,
+    watching: BTreeSet<usize>,
+}
+
+/// Time until a lost member is known as such, by the probes of membership.
+const DETECTION_MS: u64 = 3_000;
+
+impl Model {
+    fn new(count: usize, zones: usize) -> Self {
+        let members: Vec<FleetMember> = (0..count).map(|index| member(index, zones)).collect();
+        let roster = |index: usize| Roster::new(Timestamp(0), false, index as f64 / count as f64);
+        let rosters = (0..count).map(roster).collect();
+        let (gone, refused, watching) = Default::default();
+        Self { now: 0, zones, members, rosters, gone, refused, watching }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / STEP_MS {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now = Timestamp(self.now);
+        let seen: Vec<FleetMember> = self
+            .members
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| {
+                self.gone.get(index).is_none_or(|since| self.now < since + DETECTION_MS)
+            })
+            .map(|(_, member)| member.clone())
+            .collect();
+        self.watching.clear();
+        let beats = self.now % HEARTBEAT_INTERVAL_MS == 0;
+        let mut heartbeats: Vec<(String, Vec<String>)> = Vec::new();
+        for (index, member) in self.members.iter().enumerate() {
+            if self.gone.contains_key(&index) {
+                continue;
+            }
+            let roster = &mut self.rosters[index];
+            roster.rank(now, Ranking::new(&seen, &member.zone, &member.name));
+            if !roster.watches(now, true) {
+                continue;
+            }
+            self.watching.insert(index);
+            if beats && !self.refused.contains(&index) {
+                heartbeats.push((member.name.clone(), roster.standbys().to_vec()));
+            }
+        }
+        for (watcher, standbys) in heartbeats {
+            for (index, member) in self.members.iter().enumerate() {
+                if standbys.contains(&member.name) && !self.gone.contains_key(&index) {
+                    self.rosters[index].heard_watcher(now, &watcher);
+                }
+            }
+        }
+        self.now += STEP_MS;
+    }
+
+    /// Members of each zone that watch and are answered.
+    fn answered(&self) -> BTreeMap<&str, usize> {
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+        for index in 0..self.zones {
+            zones.insert(&self.members[index].zone, 0);
+        }
+        for index in self.watching.iter().filter(|index| !self.refused.contains(index)) {
+            *zones.entry(&self.members[*index].zone).or_default() += 1;
+        }
+        zones
+    }
+}
+
+#[test]
+fn calls_grow_with_zones_and_not_with_members() {
+    for (count, zones) in [(11, 3), (76, 3), (195, 6), (295, 5), (550, 12)] {
+        let mut model = Model::new(count, zones);
+        model.run(5_000);
+        assert!(model.watching.len() <= WATCHERS * zones, "{count}: {}", model.watching.len());
+        assert!(model.answered().values().all(|watchers| *watchers == WATCHERS), "{count}");
+    }
+}
+
+/// Whichever watcher is lost, refused, paused or cut off: its zone has as many again within a second.
+#[test]
+fn a_lost_watcher_is_replaced_within_a_second() {
+    for refuse in [false, true] {
+        let mut model = Model::new(550, 12);
+        model.run(5_000);
+        let lost = *model.watching.first().expect("a watcher");
+        let (zone, since) = (model.members[lost].zone.clone(), model.now);
+        if refuse {
+            model.refused.insert(lost);
+        } else {
+            model.gone.insert(lost, since);
+        }
+        // The other watcher of the zone goes on all the while.
+        model.run(1_000 + HEARTBEAT_INTERVAL_MS);
+        assert!(model.answered()[zone.as_str()] >= WATCHERS, "refused: {refuse}");
+        model.run(10_000);
+        for _ in 0..100 {
+            model.step();
+            assert_eq!(model.answered()[zone.as_str()], WATCHERS, "refused: {refuse}");
+        }
+    }
+}
+
+/// The store turns a third of the members away, whichever they are, and serves the others.
+#[test]
+fn a_store_that_refuses_a_third_leaves_zones_watched_and_calls_bounded() {
+    for offset in 0..3 {
+        let mut model = Model::new(550, 12);
+        model.run(5_000);
+        model.refused = (0..550).filter(|index| (index / 12) % 3 == offset).collect();
+        model.run(4_000);
+        assert!(model.watching.len() <= (WATCHERS + STANDBYS) * 12);
+        let unwatched = model.answered().values().filter(|watchers| **watchers == 0).count();
+        // All of the first four of a zone are refused with a chance of one in 81.
+        assert!(unwatched <= 1, "{unwatched} zones without a watcher");
+    }
+}
+
+#[test]
+fn when_more_than_half_are_killed_at_once_the_rest_watch() {
+    let mut model = Model::new(300, 5);
+    model.run(5_000);
+    for index in (0..300).filter(|index| index % 9 < 5) {
+        model.gone.insert(index, model.now);
+    }
+    model.run(DETECTION_MS + 1_500);
+    assert!(model.answered().values().all(|watchers| *watchers >= WATCHERS));
+    model.gone.clear();
+    model.run(3_000);
+    assert!(model.watching.len() <= (WATCHERS + STANDBYS) * 5);
+    model.run(3_000);
+    assert!(model.watching.len() <= WATCHERS * 5);
+}
+
+#[test]
+fn a_process_that_nobody_tells_a_configuration_reads_it_itself() {
+    let mut roster = Roster::new(Timestamp(0), false, 1.0);
+    assert!(!roster.watches(Timestamp(50), false));
+    assert!(roster.watches(Timestamp(500), false));
+    let mut first = Roster::new(Timestamp(0), true, 0.0);
+    assert!(!first.watches(Timestamp(500), false));
+    assert!(first.watches(Timestamp(2_000), false));
+}
+
+#[test]
+fn a_process_whose_peers_do_not_answer_reads_the_store_for_a_while() {
+    let mut roster = Roster::new(Timestamp(0), false, 0.0);
+    let members: Vec<FleetMember> = (0..20).map(|index| member(index, 1)).collect();
+    let last = (0..20)
+        .map(|index| Ranking::new(&members, "zone-0", &format!("node-{index}")))
+        .max_by_key(|ranking| ranking.rank)
+        .expect("a ranking");
+    roster.rank(Timestamp(0), last);
+    assert!(!roster.watches(Timestamp(5_000), true));
+    roster.catch_up(Timestamp(5_000));
+    assert!(roster.watches(Timestamp(5_100), true));
+    assert!(!roster.watches(Timestamp(8_000), true));
+}
--- a/crates/serving/tests/follow.rs
+++ b/crates/serving/tests/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use yokefall_serving::duty::Duty;
 use yokefall_serving::source::{Revision, Source, SourceError, Watched};
 use yokefall_serving::watch::{follow, Sink};
 use yokefall_serving::{Change, Listing};
@@ -55,6 +56,32 @@
 
 struct Nobody;
 
+/// Only few processes watch the store: it is paid for each call.
+#[tokio::test(start_paused = true)]
+async fn the_store_is_asked_only_while_the_duty_lasts() {
+    let watches = Rc::new(RefCell::new(Vec::new()));
+    let script = Script { steps: VecDeque::new(), watches: watches.clone() };
+    let (sender, duty) = Duty::told();
+    let following = follow(script, Nobody, Rc::default(), Rc::default(), duty);
+    let steps = async {
+        let pause = || tokio::time::sleep(Duration::from_secs(1));
+        pause().await;
+        assert_eq!(watches.borrow().len(), 0);
+        sender.send_replace(true);
+        pause().await;
+        assert_eq!(watches.borrow().len(), 1);
+        sender.send_replace(false);
+        pause().await;
+        sender.send_replace(true);
+        pause().await;
+        assert_eq!(watches.borrow().len(), 2);
+    };
+    tokio::select! {
+        () = following => {}
+        () = steps => {}
+    }
+}
+
 impl Sink<u64> for Nobody {
     fn replace(&self, _listing: Listing<u64>) {}
     fn apply(&self, _changes: Vec<Change<u64>>, _revision: Revision) {}
@@ -66,7 +93,7 @@
     let watches = Rc::new(RefCell::new(Vec::new()));
     let script = Script { steps: steps.into(), watches: watches.clone() };
     let other = Rc::new(Notify::new());
-    let following = follow(script, Nobody, Rc::default(), other.clone());
+    let following = follow(script, Nobody, Rc::default(), other.clone(), Duty::always());
     let _ = tokio::time::timeout(Duration::from_secs(5), following).await;
     let ended = tokio::time::timeout(Duration::from_millis(1), other.notified()).await.is_ok();
     let watches = watches.borrow().clone();
--- a/crates/settings/src/serving.rs
+++ b/crates/settings/src/serving.rs
@@ -24,6 +24,9 @@
 pub struct ServingListen {
     /// Port for other processes, TCP and UDP.
     pub peer: SocketAddr,
+    /// TCP port at which other processes ask for configuration and back ends; where none is given, one
+    /// that the system chooses.
+    pub news: Option<SocketAddr>,
     /// HTTP port for metrics and health.
     pub metrics: SocketAddr,
     /// Port for clients; a gateway's.
@@ -44,6 +47,16 @@
     /// Machines with a disk that may be lost at once.
     #[serde(default = "default_tolerated_losses")]
     pub tolerated_losses: usize,
+    /// Whether the whole system starts for the first time: no process knows anything yet.
+    #[serde(default)]
+    pub bootstrap: bool,
+}
+
+impl ServingListen {
+    /// Address of the port for news.
+    pub fn news(&self) -> SocketAddr {
+        self.news.unwrap_or(SocketAddr::new(self.peer.ip(), 0))
+    }
 }
 
 /// Where routes and back ends come from: give one of the two.
