A gateway without reports infers no wave; items are sent only while wanted; lateness is told

The only step between the decision and the send that can take seconds is the connection, in a process that lacks processor time; the item is now checked once more right before it is sent.

Every process measures how late its timers wake it, tells it as a histogram, and in a line when it begins and ends.

--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -97,13 +97,17 @@
         Self { pool: Pool::default(), dialect }
     }
 
-    /// Runs an item at the back end of a place, from where its output stands.
+    /// Runs an item at the back end of a place, from where its output stands. Invariant: `is_wanted` is
+    /// asked at the last moment before the item is sent. A connection may take long to come up, and a
+    /// process without processor time may take longer; meanwhile the job may have been cancelled, the
+    /// lead lost, or the back end have begun to drain.
     pub async fn run_at(
         &self,
         place: &mut Place,
         host: &str,
         item: &Arc<JobItem>,
         progress: &Rc<RefCell<Progress>>,
+        is_wanted: impl Fn() -> bool,
     ) -> RunEnd {
         let backend = place.backend.clone();
         let again = |cause: String, pause| RunEnd::Again { cause, pause };
@@ -121,6 +125,11 @@
         let Some(request) = self.request(host, item, &backend, after) else {
             return RunEnd::Impossible;
         };
+        if !is_wanted() {
+            place.outcome = Outcome::Abandoned;
+            self.pool.put_back(connection);
+            return again("not wanted any more when the connection was up".into(), false);
+        }
         let names = self.dialect.headers();
         let id_header = self.dialect.marks_answers().then_some(&names.request_id);
         let sent = exchange(&mut connection, request, id_header);
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -381,10 +381,15 @@
                 };
                 self.delegation.run(worker, order, &mut place, &progress, &preempted).await
             }
-            None => tokio::select! {
-                end = self.worker.items.run_at(&mut place, &host, &item, &progress) => end,
-                () = preempted.notified() => preemption(),
-            },
+            None => {
+                let id = place.backend.id.clone();
+                let is_wanted = || self.is_wanted(&key, &id);
+                let items = &self.worker.items;
+                tokio::select! {
+                    end = items.run_at(&mut place, &host, &item, &progress, is_wanted) => end,
+                    () = preempted.notified() => preemption(),
+                }
+            }
         };
         drop(place);
         drop(counted);
@@ -399,6 +404,12 @@
         self.store.work_changed.notify_one();
     }
 
+    /// Whether an item may still be sent to a back end.
+    fn is_wanted(&self, (job, item): &ItemKey, backend: &str) -> bool {
+        let is_open = self.store.with_job(job, |job| job.open.contains_key(item));
+        self.store.serves() && is_open == Some(true) && self.worker.catalog.load().is_ready(backend)
+    }
+
     async fn finish(
         &self,
         key: &ItemKey,
--- a/crates/jobstore/src/worker.rs
+++ b/crates/jobstore/src/worker.rs
@@ -62,7 +62,9 @@
         let mut place = self.places.take(backend.into());
         let item = item.into();
         let end = {
-            let running = self.items.run_at(&mut place, &host, &item, &progress);
+            let id = place.backend.id.clone();
+            let is_wanted = || self.catalog.load().is_ready(&id);
+            let running = self.items.run_at(&mut place, &host, &item, &progress, is_wanted);
             tokio::pin!(running);
             loop {
                 tokio::select! {
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -274,7 +274,11 @@
             slots: f64::from(backend.slots.max(1)),
         };
         let levels: Vec<Level> = open.map(level).collect();
-        let unseen = self.others_per_ms(now, service) * age.min(service_ms);
+        // A guess from own requests holds requests before free slots where this process gets more
+        // than its share of the clients: without reports only what it has itself counts.
+        let is_informed = self.heard_at.is_some_and(|at| now.millis_since(at) < LOAD_LIFETIME_MS);
+        let unseen =
+            if is_informed { self.others_per_ms(now, service) * age.min(service_ms) } else { 0.0 };
         surface(&levels, unseen + 1.0)
     }
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -15,6 +15,7 @@
 use yokefall_core::Timestamp;
 
 use crate::duty::{Ranking, HEARTBEAT_INTERVAL_MS};
+use crate::lateness::Lateness;
 use crate::news::{Known, News};
 
 /// Members of the own zone, and of others, that are told at once of what this process has learnt. Each
@@ -131,6 +132,7 @@
     let mut told_leaving = false;
     let mut told = Known::default();
     let mut heartbeat_at = Timestamp(0);
+    let mut lateness = Lateness::default();
     loop {
         let now = Timestamp(origin.elapsed().as_millis() as u64);
         if publish(&mut members, &cell) {
@@ -164,7 +166,10 @@
                     }
                 }
             }
-            () = tokio::time::sleep(Duration::from_millis(wait)) => {}
+            () = tokio::time::sleep(Duration::from_millis(wait)) => {
+                let woken = Timestamp(origin.elapsed().as_millis() as u64);
+                lateness.note_and_tell(woken.millis_since(now.plus_millis(wait)));
+            }
             () = news.changed() => {}
             changed = seeds.changed(), if may_change => {
                 may_change = changed.is_ok();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod duty;
 pub mod fleet;
 pub mod job;
+pub mod lateness;
 pub mod model;
 pub mod news;
 pub mod news_exchange;
--- a/crates/serving/tests/balance.rs
+++ b/crates/serving/tests/balance.rs
@@ -183,3 +183,22 @@
     let second = balancer.choose(NOW, &all, &[], Some(42)).expect("a back end").id.clone();
     assert_ne!(second, first);
 }
+
+/// Found on the large Board, scale-2: gateways that were cut off from the job stores, and to which more
+/// than their share of the clients came, took all others to be as busy, and held and refused 408
+/// requests before free slots.
+#[test]
+fn a_gateway_that_gets_no_reports_infers_no_wave_from_its_own_requests() {
+    let (mut balancer, all) = (balancer(), backends(100));
+    balancer.set_choosers(250, 100);
+    balancer.took("models", 700.0);
+    balancer.heard_totals(NOW, [("i-0", online(1))].into_iter(), |_| 0);
+    let later = NOW.plus_millis(3_000);
+    for step in 0..100 {
+        let id = choose(&mut balancer, later.plus_millis(step * 20), &all);
+        balancer.started(&id);
+        balancer.ended(later.plus_millis(step * 20 + 10), &id, Outcome::Answered);
+    }
+    let level = balancer.online_level(later.plus_millis(2_000), &all).expect("a back end");
+    assert!(level < 0.5, "{level}");
+}
