Back ends that fail for all gateways are left out by all

Change: recent outcomes travel with load reports; where two requests of any gateways failed within a second, and a third of all, every gateway leaves the back end out as if it had found that out, for longer each time until it answers. Where more than half of a service would be left out, each gateway judges for itself. A few lost answers in a hundred leave a back end in.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -7,9 +7,11 @@
 
 use tokio::time::Instant;
 use yokefall_jobstore::aggregators::aggregator_of;
-use yokefall_jobstore::loads::report_interval;
-use yokefall_jobstore::{BackendCount, LoadAnswer, LoadReport, Reply, Request, ServiceRate};
-use yokefall_serving::InFlight;
+use yokefall_jobstore::loads::{report_interval, THOUSANDTHS};
+use yokefall_jobstore::{
+    BackendCount, BackendOutcomes, LoadAnswer, LoadReport, Reply, Request, ServiceRate,
+};
+use yokefall_serving::{InFlight, Outcomes};
 
 use crate::shared::Shared;
 
@@ -69,6 +71,7 @@
         gateway: gateway.to_owned(),
         counts: counts.clone(),
         arrivals: arrivals(shared),
+        outcomes: outcomes(shared),
         answer_all: !known.is_current,
     };
     let limit = Instant::now() + ANSWER_TIMEOUT;
@@ -109,6 +112,37 @@
     })
 }
 
+fn outcomes(shared: &Shared) -> Vec<BackendOutcomes> {
+    let thousandths = |requests: f64| (requests * THOUSANDTHS) as u64;
+    shared.places.with(|balancer, now| {
+        let outcome = |(backend, sums): (&str, Outcomes)| BackendOutcomes {
+            backend: backend.to_owned(),
+            failed: thousandths(sums.failed),
+            answered: thousandths(sums.answered),
+        };
+        balancer.outcomes(now).map(outcome).collect()
+    })
+}
+
+/// Leaves out back ends that fail for all gateways. Where these are more than half of a service, the
+/// fault may be a link of those who report, and each gateway judges for itself.
+fn leave_out_failing(shared: &Shared, failing: &[String]) {
+    if failing.is_empty() {
+        return;
+    }
+    let catalog = shared.catalog.load();
+    for backends in catalog.ready.values() {
+        let failing: Vec<&str> = backends
+            .iter()
+            .map(|backend| backend.id.as_str())
+            .filter(|id| failing.iter().any(|failing| failing == id))
+            .collect();
+        if failing.len() * 2 <= backends.len() {
+            shared.places.with(|balancer, now| balancer.fail_for_all(now, failing.into_iter()));
+        }
+    }
+}
+
 /// Takes what all processes have in flight, `reported` by this gateway included.
 fn take_answer(shared: &Shared, known: &mut Known, answer: LoadAnswer, reported: &[BackendCount]) {
     if !known.is_current {
@@ -124,6 +158,7 @@
         }
     }
     known.leader = answer.leader;
+    leave_out_failing(shared, &answer.failing);
     let own = |id: &str| {
         reported.iter().find(|count| count.backend == id).map_or(0, |count| count.requests)
     };
--- a/crates/jobstore/src/aggregators.rs
+++ b/crates/jobstore/src/aggregators.rs
@@ -61,7 +61,13 @@
             continue;
         }
         // Where nothing is left, that is told once.
-        let none = LoadSums { from: me.clone(), counts: vec![], arrivals: vec![], gateways: 0 };
+        let none = LoadSums {
+            from: me.clone(),
+            counts: vec![],
+            arrivals: vec![],
+            outcomes: vec![],
+            gateways: 0,
+        };
         let frame = Frame::Sums(sums.clone().unwrap_or(none));
         for name in listeners(&fleet, store.leader(), &me) {
             store.send_frame(&name, &frame);
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -30,6 +30,6 @@
 pub use client::{CallOutcome, JobClient};
 pub use daemon::{JobStore, JobStoreOptions};
 pub use protocol::{
-    BackendCount, BackendTotal, LoadAnswer, LoadReport, LoadSums, Reply, Request, ServiceRate,
-    Submission,
+    BackendCount, BackendOutcomes, BackendTotal, LoadAnswer, LoadReport, LoadSums, Reply, Request,
+    ServiceRate, Submission,
 };
--- a/crates/jobstore/src/loads.rs
+++ b/crates/jobstore/src/loads.rs
@@ -9,9 +9,11 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use yokefall_serving::InFlight;
+use yokefall_serving::{InFlight, Outcomes};
 
-use crate::protocol::{BackendTotal, LoadAnswer, LoadReport, LoadSums, ServiceRate};
+use crate::protocol::{
+    BackendOutcomes, BackendTotal, LoadAnswer, LoadReport, LoadSums, ServiceRate,
+};
 
 /// Time for which a report counts; reporters repeat theirs every 500 ms while anything is in flight,
 /// so that two may be lost.
@@ -22,6 +24,9 @@
 /// next answer, so that an answer costs the same however many back ends there are.
 const MOST_CHANGES: usize = 48;
 
+/// Parts of one request in reported outcomes.
+pub const THOUSANDTHS: f64 = 1_000.0;
+
 /// Share of an aggregator's time for which one gateway asks: an aggregator takes 250 reports a second
 /// at most.
 const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(4);
@@ -42,10 +47,27 @@
     at: Instant,
     counts: Vec<BackendTotal>,
     arrivals: Vec<ServiceRate>,
+    outcomes: Vec<BackendOutcomes>,
     /// Gateways whose requests are in it.
     gateways: u32,
 }
 
+/// Outcomes of all reports at one back end, in thousandths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct SummedOutcomes {
+    failed: u64,
+    answered: u64,
+}
+
+impl SummedOutcomes {
+    fn is_failing(&self) -> bool {
+        let requests = |thousandths: u64| thousandths as f64 / THOUSANDTHS;
+        let outcomes =
+            Outcomes { failed: requests(self.failed), answered: requests(self.answered) };
+        outcomes.is_failing()
+    }
+}
+
 #[derive(Debug, Default)]
 struct Sums {
     gateways: HashMap<String, Source>,
@@ -55,6 +77,8 @@
     totals: HashMap<String, InFlight>,
     /// Requests in 1,000 seconds, by service.
     arrivals: HashMap<String, u64>,
+    /// Recent outcomes in thousandths, by back end.
+    outcomes: HashMap<String, SummedOutcomes>,
     reporters: u32,
     /// Totals that each gateway was answered with.
     answered: HashMap<String, HashMap<String, InFlight>>,
@@ -72,7 +96,7 @@
     /// Takes the report of a gateway in the place of the one before, and answers it with the totals
     /// that changed since its last answer.
     pub fn report(&self, report: LoadReport, leader: Option<String>) -> LoadAnswer {
-        let LoadReport { gateway, counts, arrivals, answer_all } = report;
+        let LoadReport { gateway, counts, arrivals, outcomes, answer_all } = report;
         let sums = &mut *self.sums.borrow_mut();
         self.expire(sums);
         let counts = counts.into_iter().map(|count| BackendTotal {
@@ -82,7 +106,7 @@
         });
         let counts: Vec<BackendTotal> = counts.collect();
         self.count_steps(counts.len());
-        let source = Source { at: Instant::now(), counts, arrivals, gateways: 1 };
+        let source = Source { at: Instant::now(), counts, arrivals, outcomes, gateways: 1 };
         sums.add(&source);
         if let Some(before) = sums.gateways.insert(gateway.clone(), source) {
             sums.subtract(&before);
@@ -96,8 +120,9 @@
             per_1000_seconds: *rate,
         };
         let arrivals = arrivals.map(rate).collect();
+        let failing = sums.failing();
         let changes = self.changes(sums, gateway);
-        LoadAnswer { changes, arrivals, leader }
+        LoadAnswer { changes, arrivals, failing, leader }
     }
 
     /// Totals that differ from what a gateway was answered, the largest differences first.
@@ -136,11 +161,11 @@
 
     /// Takes the sums of another job store in the place of those before.
     pub fn take_sums(&self, sent: LoadSums) {
-        let LoadSums { from, counts, arrivals, gateways } = sent;
+        let LoadSums { from, counts, arrivals, outcomes, gateways } = sent;
         let sums = &mut *self.sums.borrow_mut();
         self.expire(sums);
         self.count_steps(counts.len());
-        let source = Source { at: Instant::now(), counts, arrivals, gateways };
+        let source = Source { at: Instant::now(), counts, arrivals, outcomes, gateways };
         sums.add(&source);
         if let Some(before) = sums.job_stores.insert(from, source) {
             sums.subtract(&before);
@@ -157,6 +182,7 @@
         }
         let mut counts: BTreeMap<&str, InFlight> = BTreeMap::new();
         let mut arrivals: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut outcomes: BTreeMap<&str, SummedOutcomes> = BTreeMap::new();
         for source in sums.gateways.values() {
             for count in &source.counts {
                 counts.entry(&count.backend).or_default().online += count.online;
@@ -164,6 +190,11 @@
             for rate in &source.arrivals {
                 *arrivals.entry(&rate.service).or_default() += rate.per_1000_seconds;
             }
+            for told in &source.outcomes {
+                let sum = outcomes.entry(&told.backend).or_default();
+                sum.failed += told.failed;
+                sum.answered += told.answered;
+            }
         }
         for (backend, items) in &sums.own_items {
             counts.entry(backend).or_default().items += items;
@@ -173,10 +204,16 @@
             service: service.to_owned(),
             per_1000_seconds: rate,
         };
+        let told = |(backend, sum): (&str, SummedOutcomes)| BackendOutcomes {
+            backend: backend.to_owned(),
+            failed: sum.failed,
+            answered: sum.answered,
+        };
         Some(LoadSums {
             from: from.to_owned(),
             counts: counts.into_iter().map(|(id, total)| total_of(id, total)).collect(),
             arrivals: arrivals.into_iter().map(rate).collect(),
+            outcomes: outcomes.into_iter().map(told).collect(),
             gateways: sums.gateways.len() as u32,
         })
     }
@@ -223,6 +260,11 @@
         sums.totals.iter().map(|(id, total)| total_of(id, *total)).collect()
     }
 
+    /// Back ends that fail for all gateways.
+    pub fn failing(&self) -> Vec<String> {
+        self.sums.borrow().failing()
+    }
+
     /// Gateways whose reports count now.
     pub fn reporters(&self) -> u32 {
         self.sums.borrow().reporters
@@ -277,9 +319,19 @@
         for rate in &source.arrivals {
             *self.arrivals.entry(rate.service.clone()).or_default() += rate.per_1000_seconds;
         }
+        for told in &source.outcomes {
+            let sum = self.outcomes.entry(told.backend.clone()).or_default();
+            sum.failed += told.failed;
+            sum.answered += told.answered;
+        }
         self.reporters += source.gateways;
     }
 
+    fn failing(&self) -> Vec<String> {
+        let failing = self.outcomes.iter().filter(|(_, sum)| sum.is_failing());
+        failing.map(|(backend, _)| backend.clone()).collect()
+    }
+
     /// Takes out what a source added before.
     fn subtract(&mut self, source: &Source) {
         for count in &source.counts {
@@ -294,6 +346,14 @@
                 }
             }
         }
+        for told in &source.outcomes {
+            let Some(sum) = self.outcomes.get_mut(&told.backend) else { continue };
+            sum.failed -= told.failed;
+            sum.answered -= told.answered;
+            if *sum == SummedOutcomes::default() {
+                self.outcomes.remove(&told.backend);
+            }
+        }
         self.reporters -= source.gateways;
     }
 
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -73,6 +73,17 @@
     pub per_1000_seconds: u64,
 }
 
+/// Recent outcomes of requests at a back end, in thousandths.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct BackendOutcomes {
+    /// Identity of the back end.
+    pub backend: String,
+    /// Requests that failed.
+    pub failed: u64,
+    /// Requests that were answered.
+    pub answered: u64,
+}
+
 /// What a gateway has in flight. It takes the place of the gateway's report before.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct LoadReport {
@@ -82,6 +93,8 @@
     pub counts: Vec<BackendCount>,
     /// Its arrivals, by service.
     pub arrivals: Vec<ServiceRate>,
+    /// Recent outcomes of its requests.
+    pub outcomes: Vec<BackendOutcomes>,
     /// Whether every total is wanted, and not only those that changed: the gateway is new to this
     /// job store, or has missed an answer.
     pub answer_all: bool,
@@ -94,6 +107,8 @@
     pub changes: Vec<BackendTotal>,
     /// Arrivals at all gateways, by service.
     pub arrivals: Vec<ServiceRate>,
+    /// Back ends that fail for all gateways.
+    pub failing: Vec<String>,
     /// The job store that leads, as far as known.
     pub leader: Option<String>,
 }
@@ -107,6 +122,8 @@
     pub counts: Vec<BackendTotal>,
     /// Arrivals, by service.
     pub arrivals: Vec<ServiceRate>,
+    /// Recent outcomes, by back end.
+    pub outcomes: Vec<BackendOutcomes>,
     /// Gateways whose reports are in the sums.
     pub gateways: u32,
 }
--- a/crates/jobstore/tests/frames.rs
+++ b/crates/jobstore/tests/frames.rs
@@ -10,6 +10,7 @@
         gateway: text.to_owned(),
         counts: vec![BackendCount { backend: text.to_owned(), requests: number }],
         arrivals: vec![ServiceRate { service: text.to_owned(), per_1000_seconds: number.into() }],
+        outcomes: vec![],
         answer_all: number % 2 == 0,
     };
     vec![
--- a/crates/jobstore/tests/loads.rs
+++ b/crates/jobstore/tests/loads.rs
@@ -6,7 +6,9 @@
 use quickcheck::quickcheck;
 use yokefall_jobstore::aggregators::{aggregator_of, aggregators};
 use yokefall_jobstore::loads::Loads;
-use yokefall_jobstore::{BackendCount, BackendTotal, LoadReport, LoadSums, ServiceRate};
+use yokefall_jobstore::{
+    BackendCount, BackendOutcomes, BackendTotal, LoadReport, LoadSums, ServiceRate,
+};
 use yokefall_serving::{Fleet, FleetMember};
 
 fn report(gateway: usize, counts: &[(usize, u32)]) -> LoadReport {
@@ -18,6 +20,7 @@
         gateway: format!("edge-{gateway}"),
         counts: counts.iter().map(count).collect(),
         arrivals: vec![ServiceRate { service: "models".into(), per_1000_seconds: 1_000 }],
+        outcomes: vec![],
         answer_all: false,
     }
 }
@@ -94,6 +97,7 @@
                 from: format!("store-{peer}"),
                 counts: (0..back_ends).map(|id| total(id, 1)).collect(),
                 arrivals: vec![],
+                outcomes: vec![],
                 gateways: 32,
             });
         }
@@ -152,6 +156,7 @@
         from: "store-2".into(),
         counts: vec![BackendTotal { backend: "i-1".into(), online: 3, items: 4 }],
         arrivals: vec![ServiceRate { service: "models".into(), per_1000_seconds: 500 }],
+        outcomes: vec![],
         gateways: 7,
     };
     loads.take_sums(sums.clone());
@@ -166,6 +171,35 @@
     assert_eq!(loads.items("i-1"), 4);
 }
 
+fn outcome(gateway: usize, failed: u64, answered: u64) -> LoadReport {
+    let outcomes = BackendOutcomes { backend: "i-1".into(), failed, answered };
+    LoadReport { outcomes: vec![outcomes], ..report(gateway, &[]) }
+}
+
+/// Found on the grown Trasovka, scale-1: ten back ends reset every request, and each of 53 gateways had
+/// to find that out by itself, three times.
+#[tokio::test(start_paused = true)]
+async fn a_back_end_that_fails_for_two_gateways_is_known_to_all() {
+    let loads = Loads::default();
+    assert!(loads.report(outcome(1, 1_000, 0), None).failing.is_empty());
+    assert_eq!(loads.report(outcome(2, 900, 0), None).failing, ["i-1"]);
+    assert_eq!(loads.report(report(3, &[]), None).failing, ["i-1"]);
+    // Their sums make it known to the gateways of other aggregators.
+    let other = Loads::default();
+    other.take_sums(loads.own_sums("store-1").expect("sums"));
+    assert_eq!(other.report(report(4, &[]), None).failing, ["i-1"]);
+    // It is forgotten with the reports.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert!(loads.report(report(3, &[]), None).failing.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_back_end_that_loses_a_few_answers_stays() {
+    let loads = Loads::default();
+    loads.report(outcome(1, 1_000, 2_000), None);
+    assert!(loads.report(outcome(2, 1_000, 3_000), None).failing.is_empty());
+}
+
 fn fleet(gateways: usize, job_stores: usize) -> Fleet {
     let member = |name: String, job_store: bool| FleetMember {
         name,
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -49,6 +49,15 @@
 const REPORTED_RATE_LIFETIME_MS: u64 = 1_500;
 /// Weight of one request in the mean time that requests take.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
+/// Time over which outcomes lose their weight, in milliseconds: some requests at each back end of a busy
+/// fleet, and no longer than the first ejections.
+const OUTCOME_MS: f64 = 1_000.0;
+/// Least weight of outcomes that are reported: those of three seconds ago have less.
+const LEAST_OUTCOME: f64 = 0.05;
+/// Failures of all processes at a back end from which it is left out by all: two, half a second apart.
+const FAILURES_OF_ALL: f64 = 1.5;
+/// Part of all outcomes that must have failed. Back ends that lose a few answers in a hundred stay.
+const FAILED_SHARE_OF_ALL: f64 = 1.0 / 3.0;
 /// Back ends that a prefix prefers.
 const AFFINITY_CANDIDATES: usize = 2;
 
@@ -78,6 +87,38 @@
     pub items: u32,
 }
 
+/// Requests at a back end that failed, and that it answered, over about the last second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outcomes {
+    /// Failed, or found it unreachable or silent.
+    pub failed: f64,
+    /// Answered.
+    pub answered: f64,
+}
+
+/// Outcomes that lose their weight with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentOutcomes {
+    at: Timestamp,
+    sums: Outcomes,
+}
+
+impl RecentOutcomes {
+    fn sums(&self, now: Timestamp) -> Outcomes {
+        let weight = (-(now.millis_since(self.at) as f64) / OUTCOME_MS).exp();
+        Outcomes { failed: self.sums.failed * weight, answered: self.sums.answered * weight }
+    }
+
+    fn note(&mut self, now: Timestamp, failed: bool) {
+        self.sums = self.sums(now);
+        self.at = now;
+        match failed {
+            true => self.sums.failed += 1.0,
+            false => self.sums.answered += 1.0,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct BackendRecord {
     in_flight: u32,
@@ -91,6 +132,7 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<Timestamp>,
+    outcomes: RecentOutcomes,
 }
 
 /// What this process knows of the load and health of back ends.
@@ -113,6 +155,14 @@
     service_ms: HashMap<String, f64>,
 }
 
+impl Outcomes {
+    /// Whether outcomes of all processes say that a back end is to be left out.
+    pub fn is_failing(&self) -> bool {
+        let all = self.failed + self.answered;
+        self.failed >= FAILURES_OF_ALL && self.failed >= all * FAILED_SHARE_OF_ALL
+    }
+}
+
 /// Rate of own requests to a service.
 #[derive(Clone, Copy, Debug, Default)]
 struct Arrivals {
@@ -350,6 +400,11 @@
     pub fn ended(&mut self, now: Timestamp, id: &str, outcome: Outcome) {
         let Some(record) = self.records.get_mut(id) else { return };
         record.in_flight = record.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Answered => record.outcomes.note(now, false),
+            Outcome::Unreachable | Outcome::Failed => record.outcomes.note(now, true),
+            Outcome::Misdirected | Outcome::Full | Outcome::Abandoned => {}
+        }
         match outcome {
             Outcome::Answered => {
                 record.failures = 0;
@@ -374,6 +429,29 @@
         busy.map(|(id, record)| (id.as_str(), record.in_flight))
     }
 
+    /// Recent outcomes of this process's requests, by back end.
+    pub fn outcomes(&self, now: Timestamp) -> impl Iterator<Item = (&str, Outcomes)> {
+        let sums =
+            self.records.iter().map(move |(id, held)| (id.as_str(), held.outcomes.sums(now)));
+        sums.filter(|(_, sums)| sums.failed + sums.answered >= LEAST_OUTCOME)
+    }
+
+    /// Back ends fail for all processes, as their reports say: they are left out as if this process
+    /// had found it out. One that dies is else found out by each process by itself.
+    pub fn fail_for_all<'a>(&mut self, now: Timestamp, ids: impl Iterator<Item = &'a str>) {
+        for id in ids {
+            if self.is_ejected(now, id) {
+                continue;
+            }
+            if !self.records.contains_key(id) {
+                self.records.insert(id.to_owned(), BackendRecord::default());
+            }
+            if let Some(record) = self.records.get_mut(id) {
+                record.eject(now);
+            }
+        }
+    }
+
     /// Something came from a back end.
     pub fn heard(&mut self, now: Timestamp, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
@@ -391,6 +469,9 @@
         if record.heard_at.is_some_and(|at| now.millis_since(at) < silence_ms) {
             return false;
         }
+        if record.ejected_until.is_none_or(|until| until <= now) {
+            record.outcomes.note(now, true);
+        }
         let until = now.plus_millis(SILENT_EJECTION_MS);
         record.ejected_until = Some(record.ejected_until.map_or(until, |held| held.max(until)));
         true
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod table;
 pub mod watch;
 
-pub use balance::{Balancer, InFlight, Outcome};
+pub use balance::{Balancer, InFlight, Outcome, Outcomes};
 pub use catalog::{empty_catalog, Catalog, CatalogCell};
 pub use dialect::{BackendLoad, BadSubmission, Dialect, HeaderNames, JobCall, PrefixPart};
 pub use fleet::{empty_fleet, Fleet, FleetCell, FleetMember};
--- a/crates/serving/tests/balance.rs
+++ b/crates/serving/tests/balance.rs
@@ -202,3 +202,30 @@
     let level = balancer.online_level(later.plus_millis(2_000), &all).expect("a back end");
     assert!(level < 0.5, "{level}");
 }
+
+#[test]
+fn a_back_end_that_fails_for_all_is_left_out_for_longer_each_time_until_it_answers() {
+    let (mut balancer, all) = (balancer(), backends(2));
+    balancer.fail_for_all(NOW, ["i-0"].into_iter());
+    assert_eq!(choose(&mut balancer, NOW, &all), "i-1");
+    assert!(!balancer.is_ejected(NOW.plus_millis(600), "i-0"));
+    balancer.fail_for_all(NOW.plus_millis(600), ["i-0"].into_iter());
+    assert!(balancer.is_ejected(NOW.plus_millis(1_500), "i-0"));
+    balancer.started("i-0");
+    balancer.ended(NOW.plus_millis(1_500), "i-0", Outcome::Answered);
+    assert!(!balancer.is_ejected(NOW.plus_millis(1_500), "i-0"));
+}
+
+#[test]
+fn outcomes_are_reported_while_they_are_recent() {
+    let mut balancer = balancer();
+    for outcome in [Outcome::Failed, Outcome::Unreachable, Outcome::Answered, Outcome::Full] {
+        balancer.started("i-0");
+        balancer.ended(NOW, "i-0", outcome);
+    }
+    let sums = balancer.outcomes(NOW).next().expect("outcomes").1;
+    assert_eq!((sums.failed, sums.answered), (2.0, 1.0));
+    assert!(sums.is_failing());
+    assert!(!balancer.outcomes(NOW.plus_millis(700)).next().expect("outcomes").1.is_failing());
+    assert!(balancer.outcomes(NOW.plus_millis(5_000)).next().is_none());
+}
