--- a/crates/bench/src/commands/measure.rs
+++ b/crates/bench/src/commands/measure.rs
@@ -1,8 +1,8 @@
-//! `yokefall-bench overhead` and `yokefall-bench slopes`.
+//! `yokefall-bench overhead`.
 
 use clap::Args;
 use serde::Serialize;
-use yokefall_bench::measure::{overhead as overhead_run, slopes as slopes_run};
+use yokefall_bench::measure::overhead as overhead_run;
 
 /// Arguments of `overhead`.
 #[derive(Debug, Args)]
@@ -15,14 +15,6 @@
     json: bool,
 }
 
-/// Arguments of `slopes`.
-#[derive(Debug, Args)]
-pub struct SlopesArguments {
-    /// Print JSON.
-    #[arg(long)]
-    json: bool,
-}
-
 fn print(json: bool, value: &impl Serialize, table: &str) -> Result<(), String> {
     if json {
         println!("{}", serde_json::to_string(value).map_err(|error| error.to_string())?);
@@ -37,9 +29,3 @@
     let rows = overhead_run::run(arguments.rounds).await?;
     print(arguments.json, &rows, &overhead_run::table(&rows))
 }
-
-/// Measures costs as sizes grow.
-pub fn slopes(arguments: &SlopesArguments) -> Result<(), String> {
-    let rows = slopes_run::run()?;
-    print(arguments.json, &rows, &slopes_run::table(&rows))
-}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -26,8 +26,6 @@
     Load(load::LoadArguments),
     /// Load a fleet while its parts die, hang, lie and come back; lost and doubled must stay 0.
     Chaos(chaos::ChaosArguments),
-    /// Measure what state, messages and decisions cost, as sizes grow.
-    Slopes(measure::SlopesArguments),
 }
 
 fn main() -> std::process::ExitCode {
@@ -46,7 +44,6 @@
             Command::Overhead(arguments) => measure::overhead(arguments).await,
             Command::Load(arguments) => load::run(arguments).await,
             Command::Chaos(arguments) => chaos::run(arguments).await,
-            Command::Slopes(arguments) => measure::slopes(&arguments),
         }
     });
     runtime.shutdown_background();
--- a/crates/bench/src/measure/mod.rs
+++ b/crates/bench/src/measure/mod.rs
@@ -1,6 +1,4 @@
 //! Measurements.
 
-pub mod journal;
 pub mod overhead;
 pub mod process;
-pub mod slopes;
--- a/crates/jobstore/src/room.rs
+++ b/crates/jobstore/src/room.rs
@@ -8,12 +8,12 @@
 use yokefall_serving::{Backend, Balancer};
 
 /// Time in which a burst of online requests is taken to fill all slots of a service. As many slots
-/// stay free as it fills before items have given way, one at least.
+/// stay free as it fills before items are preempted, one at least.
 const FILL_TIME: Duration = Duration::from_millis(1_200);
-/// Time from when a gateway tells its requests until items have given way to them.
-const GIVE_WAY_TIME: Duration = Duration::from_millis(70);
-/// Part of that reserve below which items give way. It is well below the whole, so that an item does
-/// not give way for the next one to start.
+/// Time from a load report until items have been preempted for the requests in it.
+const PREEMPTION_TIME: Duration = Duration::from_millis(70);
+/// Part of that reserve below which items are preempted. It is well below the whole, so that an item is
+/// not preempted for the next one to start.
 const LEAST_RESERVE_SHARE: f64 = 0.5;
 
 /// Slots of a service's back ends.
@@ -28,9 +28,9 @@
 }
 
 impl Room {
-    /// No back ends yet, where gateways tell their requests at an interval.
-    pub fn new(telling_interval: Duration) -> Self {
-        let reaction = telling_interval + GIVE_WAY_TIME;
+    /// No back ends yet, where gateways report their load at an interval.
+    pub fn new(report_interval: Duration) -> Self {
+        let reaction = report_interval + PREEMPTION_TIME;
         Self { slots: 0, free: 0, reserved_share: reaction.div_duration_f64(FILL_TIME) }
     }
 
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -1,5 +1,5 @@
-//! Runs items at back ends while this replica leads. Online requests go first: an item takes a
-//! place only at a back end with room to spare.
+//! Decides which item runs at which back end while this replica leads. Online requests go first: an
+//! item gets a slot only where online requests leave some free. Who reads the events is `delegation`'s.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -23,7 +23,8 @@
 use crate::urgency::{Pace, WaitingItem, WaitingJob};
 use crate::worker::Worker;
 
-/// The same where no gateway tells its load.
+/// Part of a back end's slots that items may take where no gateway reports its load: online requests
+/// may have the others. A guess, in force for moments after a start.
 const BLIND_SLOT_SHARE: f64 = 0.3;
 /// Pause before an item that could not run is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -47,7 +48,7 @@
     options: RunnerOptions,
 }
 
-/// What a runner is told.
+/// What a runner is given at its start.
 #[derive(Clone, Copy, Debug)]
 pub struct RunnerOptions {
     /// Time for which jobs that are over are kept.
@@ -154,7 +155,7 @@
             let mut order: Vec<&WaitingJob> = jobs.iter().collect();
             order.sort_unstable_by(|left, right| left.order(right, late));
             for job in order {
-                if self.running.borrow().len() >= self.most_runs() {
+                if self.running.borrow().len() >= self.options.most_runs {
                     return;
                 }
                 self.start_items_of(job, late, &mut services);
@@ -162,11 +163,6 @@
         }
     }
 
-    /// Runs at once at most: a run at a worker takes a small part of the memory of one here.
-    fn most_runs(&self) -> usize {
-        self.options.most_runs
-    }
-
     /// Jobs with items that do not run yet. Items that have waited for longer than their route allows
     /// are given up.
     fn waiting_jobs(self: &Rc<Self>) -> Vec<WaitingJob> {
@@ -210,7 +206,7 @@
             // An item whose route is unknown must not hold up the items of others.
             let Some(service) = self.service_of(&key) else { continue };
             let free = services.of(&service, || self.free_slots(&service));
-            if free.items() == 0 || self.running.borrow().len() >= self.most_runs() {
+            if free.items() == 0 || self.running.borrow().len() >= self.options.most_runs {
                 return;
             }
             let chosen = self.worker.places.with(|balancer, now| free.choose(balancer, now));
--- a/crates/jobstore/src/urgency.rs
+++ b/crates/jobstore/src/urgency.rs
@@ -1,4 +1,4 @@
-//! In which order items wait, and which of those that run give way first.
+//! In which order items wait, and which is done first.
 //!
 //! The item that is due first goes first, as long as it can be done in time. One that cannot be done
 //! in time goes after all that can: where there is more work than room, the oldest first would have
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -9,8 +9,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yokefall_core::Timestamp;
 
+use crate::arrivals::{Arrivals, ReportedRate};
 use crate::dialect::BackendLoad;
 use crate::model::Backend;
+use crate::outcomes::{Outcomes, RecentOutcomes};
 use crate::policy::Policy;
 use crate::spread::{draw, surface, Level};
 
@@ -38,26 +40,10 @@
 const FIRST_TELLING_INTERVAL_MS: u64 = 100;
 /// Longest time over which arrivals at other processes are reckoned with, in milliseconds.
 const LONGEST_BLIND_MS: u64 = 800;
-/// Time over which the rate of own arrivals is averaged, in milliseconds: well below the length of a
-/// wave. Reports add the rates of all gateways up, so that the sum is exact where each is not.
-const RATE_MS: f64 = 500.0;
-/// The same where arrivals at others are only inferred from this process's own: an average over a
-/// shorter time takes two requests in a row for a wave.
-const INFERRED_RATE_MS: f64 = 2_000.0;
-/// Time for which the reported arrivals of all processes count, in milliseconds; load reports repeat
-/// them each half second.
-const REPORTED_RATE_LIFETIME_MS: u64 = 1_500;
 /// Weight of one request in the mean time that requests take.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
-/// Time over which outcomes lose their weight, in milliseconds: some requests at each back end of a busy
-/// fleet, and no longer than the first ejections.
-const OUTCOME_MS: f64 = 1_000.0;
 /// Least weight of outcomes that are reported: those of three seconds ago have less.
 const LEAST_OUTCOME: f64 = 0.05;
-/// Failures of all processes at a back end from which it is left out by all: two, half a second apart.
-const FAILURES_OF_ALL: f64 = 1.5;
-/// Part of all outcomes that must have failed. Back ends that lose a few answers in a hundred stay.
-const FAILED_SHARE_OF_ALL: f64 = 1.0 / 3.0;
 /// Back ends that a prefix prefers.
 const AFFINITY_CANDIDATES: usize = 2;
 
@@ -83,42 +69,10 @@
 pub struct InFlight {
     /// Online requests.
     pub online: u32,
-    /// Items of jobs, which give way to online requests.
+    /// Items of jobs, which online requests preempt.
     pub items: u32,
 }
 
-/// Requests at a back end that failed, and that it answered, over about the last second.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Outcomes {
-    /// Failed, or found it unreachable or silent.
-    pub failed: f64,
-    /// Answered.
-    pub answered: f64,
-}
-
-/// Outcomes that lose their weight with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct RecentOutcomes {
-    at: Timestamp,
-    sums: Outcomes,
-}
-
-impl RecentOutcomes {
-    fn sums(&self, now: Timestamp) -> Outcomes {
-        let weight = (-(now.millis_since(self.at) as f64) / OUTCOME_MS).exp();
-        Outcomes { failed: self.sums.failed * weight, answered: self.sums.answered * weight }
-    }
-
-    fn note(&mut self, now: Timestamp, failed: bool) {
-        self.sums = self.sums(now);
-        self.at = now;
-        match failed {
-            true => self.sums.failed += 1.0,
-            false => self.sums.answered += 1.0,
-        }
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct BackendRecord {
     in_flight: u32,
@@ -155,44 +109,6 @@
     service_ms: HashMap<String, f64>,
 }
 
-impl Outcomes {
-    /// Whether outcomes of all processes say that a back end is to be left out.
-    pub fn is_failing(&self) -> bool {
-        let all = self.failed + self.answered;
-        self.failed >= FAILURES_OF_ALL && self.failed >= all * FAILED_SHARE_OF_ALL
-    }
-}
-
-/// Rate of own requests to a service.
-#[derive(Clone, Copy, Debug, Default)]
-struct Arrivals {
-    at: Timestamp,
-    per_ms: f64,
-    /// The same, averaged over a longer time.
-    steady_per_ms: f64,
-}
-
-impl Arrivals {
-    fn note(&mut self, now: Timestamp) {
-        let elapsed = now.millis_since(self.at) as f64;
-        self.per_ms = self.per_ms(now) + 1.0 / RATE_MS;
-        self.steady_per_ms =
-            self.steady_per_ms * (-elapsed / INFERRED_RATE_MS).exp() + 1.0 / INFERRED_RATE_MS;
-        self.at = now;
-    }
-
-    fn per_ms(&self, now: Timestamp) -> f64 {
-        self.per_ms * (-(now.millis_since(self.at) as f64) / RATE_MS).exp()
-    }
-}
-
-/// Requests of all processes to a service.
-#[derive(Clone, Copy, Debug)]
-struct ReportedRate {
-    at: Timestamp,
-    per_ms: f64,
-}
-
 impl Balancer {
     /// A balancer for a process in `zone`, whose draws follow from `seed`.
     pub fn new(zone: String, seed: u64, policy: Policy) -> Self {
@@ -249,8 +165,7 @@
     /// Notes a request of this process to a service.
     fn note_arrival(&mut self, now: Timestamp, service: &str) {
         if !self.arrivals.contains_key(service) {
-            let none = Arrivals { at: now, ..Arrivals::default() };
-            self.arrivals.insert(service.to_owned(), none);
+            self.arrivals.insert(service.to_owned(), Arrivals::since(now));
         }
         if let Some(arrivals) = self.arrivals.get_mut(service) {
             arrivals.note(now);
@@ -277,9 +192,7 @@
     fn others_per_ms(&self, now: Timestamp, service: &str) -> f64 {
         let own = self.arrivals.get(service);
         let reported = self.arrivals_of_all.get(service);
-        let is_recent =
-            |rate: &&ReportedRate| now.millis_since(rate.at) < REPORTED_RATE_LIFETIME_MS;
-        if let Some(rate) = reported.filter(is_recent) {
+        if let Some(rate) = reported.filter(|rate| rate.is_recent(now)) {
             return (rate.per_ms - own.map_or(0.0, |own| own.per_ms(now))).max(0.0);
         }
         own.map_or(0.0, |own| own.steady_per_ms * (self.choosers - 1) as f64)
@@ -311,7 +224,7 @@
     }
 
     /// Load that the emptiest back ends have with one more online request, in parts of their slots;
-    /// `None` where all are left out. Items do not count, since they give way.
+    /// `None` where all are left out. Items do not count, since they are preempted.
     pub fn online_level(&self, now: Timestamp, candidates: &[Arc<Backend>]) -> Option<f64> {
         let service = &candidates.first()?.service;
         let age = self.blind_ms(now);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform adapter implements; and the decisions on them that need no input or output.
 
 pub mod admission;
+pub(crate) mod arrivals;
 pub mod balance;
 pub mod catalog;
 pub mod dialect;
@@ -13,14 +14,16 @@
 pub mod model;
 pub mod news;
 pub mod news_exchange;
+pub mod objects;
 pub mod observer;
+pub mod outcomes;
 pub mod policy;
 pub mod source;
 pub mod spread;
 pub mod table;
 pub mod watch;
 
-pub use balance::{Balancer, InFlight, Outcome, Outcomes};
+pub use balance::{Balancer, InFlight, Outcome};
 pub use catalog::{empty_catalog, Catalog, CatalogCell};
 pub use dialect::{BackendLoad, BadSubmission, Dialect, HeaderNames, JobCall, PrefixPart};
 pub use fleet::{empty_fleet, Fleet, FleetCell, FleetMember};
@@ -29,6 +32,7 @@
     Backend, BackendState, BatchPolicy, Configuration, RequestLimits, Route, RouteKind, Service,
     SplitPart,
 };
+pub use outcomes::Outcomes;
 pub use policy::Policy;
 pub use source::{
     Change, Claim, Listing, Platform, Registry, Retirement, Source, SourceError, Watched,
--- a/crates/serving/tests/catalog.rs
+++ b/crates/serving/tests/catalog.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use yokefall_serving::catalog::empty_catalog;
+use yokefall_serving::objects::Objects;
 use yokefall_serving::table::{RouteTable, Splitter};
-use yokefall_serving::watch::{Knowledge, Objects};
+use yokefall_serving::watch::Knowledge;
 use yokefall_serving::{Change, Configuration, Listing, Route, RouteKind, SplitPart};
 
 fn route(name: &str, host: &str, prefix: &str, split: &[(&str, u32)]) -> Route {
