--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -37,6 +37,12 @@
 const SEED_INTERVAL_MS: u64 = 5_000;
 /// Least interval between two repairs, in milliseconds.
 const REPAIR_INTERVAL_MS: u64 = 2_000;
+/// Time from a start in which many may start together, in milliseconds: as long as 200 took to know each
+/// other with the regular interval, and as much again.
+const EARLY_MS: u64 = 8_000;
+/// Least interval between two repairs in that time, in milliseconds. Each about doubles what a member
+/// knows, so that six do for 200; an answer is at most some 25 datagrams.
+const EARLY_REPAIR_INTERVAL_MS: u64 = 250;
 
 #[derive(Clone, Debug)]
 struct Entry {
@@ -79,6 +85,8 @@
     next_probe_at: Timestamp,
     next_join_at: Timestamp,
     next_repair_at: Timestamp,
+    /// When this daemon first acted.
+    started_at: Option<Timestamp>,
     configuration_version: u64,
     backends_digest: u64,
     backends_revision: u64,
@@ -102,6 +110,7 @@
             next_probe_at: Timestamp(0),
             next_join_at: Timestamp(0),
             next_repair_at: Timestamp(0),
+            started_at: None,
             configuration_version: 0,
             backends_digest: 0,
             backends_revision: 0,
@@ -206,6 +215,7 @@
 
     /// Time passes: probes, suspicions and tombstones.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        self.started_at.get_or_insert(now);
         let mut outgoing = self.join(now);
         outgoing.extend(self.continue_probe(now));
         if self.next_probe_at <= now {
@@ -343,7 +353,9 @@
         if now < self.next_repair_at || digest == self.digest() {
             return None;
         }
-        self.next_repair_at = now.plus_millis(REPAIR_INTERVAL_MS);
+        let is_early = self.started_at.is_none_or(|at| now.millis_since(at) < EARLY_MS);
+        let interval = if is_early { EARLY_REPAIR_INTERVAL_MS } else { REPAIR_INTERVAL_MS };
+        self.next_repair_at = now.plus_millis(interval);
         let buckets = self.bucket_digests();
         Some(self.outgoing(source.to_owned(), DatagramKind::Repair { buckets }))
     }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -172,6 +172,21 @@
     assert!(fleet.all_see(150));
 }
 
+/// Found on the large Trasovka, incident inc-821c: every process was killed at once, and 5.7 s passed
+/// until the job stores knew each other and one of them led.
+#[test]
+fn two_hundred_that_start_at_once_know_each_other_within_two_seconds() {
+    let mut fleet = Fleet::new(195, 0.01);
+    let mut together_at = None;
+    fleet.run(8_000, |fleet| {
+        if together_at.is_none() && fleet.all_see(195) {
+            together_at = Some(fleet.now);
+        }
+    });
+    let at = together_at.expect("they come together");
+    assert!(at <= 2_000, "after {at} ms");
+}
+
 #[test]
 fn a_leaving_member_is_known_as_such_before_it_is_gone() {
     let mut fleet = Fleet::new(10, 0.0);
