--- a/crates/jobstore/src/delegation.rs
+++ b/crates/jobstore/src/delegation.rs
@@ -92,7 +92,7 @@
     /// The job store that runs items of a back end: of those that do not vote, in the back end's zone
     /// where there are any, the one with the highest hash of both names, so that connections to back
     /// ends are used again. `None` where this process should run them itself.
-    pub fn worker_for(&self, backend: &Backend) -> Option<(String, SocketAddr)> {
+    pub fn worker_for(&self, backend: &Backend) -> Option<FleetMember> {
         let voters = self.store.with_core(|core, _| core.members().voters.clone());
         let fleet = self.fleet.load();
         let mut resting = self.resting.borrow_mut();
@@ -108,19 +108,20 @@
         let candidates = free.into_iter().filter(|member| !is_near || member.zone == backend.zone);
         let score =
             |member: &&FleetMember| xxh3_64(format!("{}/{}", backend.id, member.name).as_bytes());
-        candidates.max_by_key(score).map(|member| (member.name.clone(), member.address))
+        candidates.max_by_key(score).cloned()
     }
 
     /// Runs an item at a worker. The output comes into `progress`; `preempted` ends the run.
     pub async fn run(
         &self,
-        (name, address): (String, SocketAddr),
+        worker: &FleetMember,
         order: RunOrder,
         place: &mut Place,
         progress: &Rc<RefCell<Progress>>,
         preempted: &Notify,
     ) -> RunEnd {
-        let link = self.link(&name, address);
+        let name = &worker.name;
+        let link = self.link(name, worker.address);
         link.used_at.set(Instant::now());
         let call = self.next_call.get();
         self.next_call.set(call + 1);
@@ -153,12 +154,12 @@
                 }
             }
             Some(_) => {
-                self.rest(&name);
+                self.rest(name);
                 RunEnd::Again { cause: format!("worker {name} is full"), pause: false }
             }
             None if was_preempted => preemption(),
             None => {
-                self.rest(&name);
+                self.rest(name);
                 lost()
             }
         }
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -360,7 +360,7 @@
             .id(&item.id)
             .text("job", &key.0)
             .text("backend", &place.backend.id)
-            .field("worker", worker.as_ref().map(|(name, _)| name.clone()))
+            .field("worker", worker.as_ref().map(|worker| worker.name.clone()))
             .field("online", self.store.loads.online(&place.backend.id))
             .field("items", self.store.loads.items(&place.backend.id))
             .field("after_event", progress.borrow().last_event)
@@ -375,7 +375,7 @@
                     item: JobItem::clone(&item),
                     after_event: events_before,
                 };
-                self.delegation.run(worker, order, &mut place, &progress, &preempted).await
+                self.delegation.run(&worker, order, &mut place, &progress, &preempted).await
             }
             None => {
                 let id = place.backend.id.clone();
