News of back ends is published once; one sum of outcomes

Work done twice: what a peer told of back ends rebuilt the catalog and its digest a second time, only to write the line about it. Written twice: taking a configuration (from the store and from a peer) and adding reported outcomes. Never called: Loads::failing. Behaviour is the same; tests of both crates pass, no test changed.

--- a/crates/jobstore/src/loads.rs
+++ b/crates/jobstore/src/loads.rs
@@ -60,6 +60,11 @@
 }
 
 impl SummedOutcomes {
+    fn add(&mut self, reported: &BackendOutcomes) {
+        self.failed += reported.failed;
+        self.answered += reported.answered;
+    }
+
     fn is_failing(&self) -> bool {
         let requests = |thousandths: u64| thousandths as f64 / THOUSANDTHS;
         let outcomes =
@@ -190,10 +195,8 @@
             for rate in &source.arrivals {
                 *arrivals.entry(&rate.service).or_default() += rate.per_1000_seconds;
             }
-            for told in &source.outcomes {
-                let sum = outcomes.entry(&told.backend).or_default();
-                sum.failed += told.failed;
-                sum.answered += told.answered;
+            for reported in &source.outcomes {
+                outcomes.entry(&reported.backend).or_default().add(reported);
             }
         }
         for (backend, items) in &sums.own_items {
@@ -260,11 +263,6 @@
         sums.totals.iter().map(|(id, total)| total_of(id, *total)).collect()
     }
 
-    /// Back ends that fail for all gateways.
-    pub fn failing(&self) -> Vec<String> {
-        self.sums.borrow().failing()
-    }
-
     /// Gateways whose reports count now.
     pub fn reporters(&self) -> u32 {
         self.sums.borrow().reporters
@@ -319,10 +317,8 @@
         for rate in &source.arrivals {
             *self.arrivals.entry(rate.service.clone()).or_default() += rate.per_1000_seconds;
         }
-        for told in &source.outcomes {
-            let sum = self.outcomes.entry(told.backend.clone()).or_default();
-            sum.failed += told.failed;
-            sum.answered += told.answered;
+        for reported in &source.outcomes {
+            self.outcomes.entry(reported.backend.clone()).or_default().add(reported);
         }
         self.reporters += source.gateways;
     }
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -211,10 +211,7 @@
 
     fn apply(&self, changes: Vec<Change<Configuration>>, _revision: Revision) {
         for configuration in changes.into_iter().filter_map(|change| change.value) {
-            let version = configuration.version;
-            if self.knowledge.borrow_mut().take_configuration(configuration) {
-                self.observer.configuration(version);
-            }
+            self.take_configuration(configuration);
         }
     }
 
@@ -228,10 +225,7 @@
     /// Takes what a peer told. Returns whether its whole list of back ends is needed.
     pub fn take_news(&self, answer: NewsAnswer) -> bool {
         if let Some(configuration) = answer.configuration {
-            let version = configuration.version;
-            if self.knowledge.borrow_mut().take_configuration(configuration) {
-                self.observer.configuration(version);
-            }
+            self.take_configuration(configuration);
         }
         let own = self.knowledge.borrow().known();
         let is_same = own.backends_digest == answer.known.backends_digest;
@@ -247,9 +241,20 @@
         !is_same
     }
 
+    fn take_configuration(&self, configuration: Configuration) {
+        let version = configuration.version;
+        if self.knowledge.borrow_mut().take_configuration(configuration) {
+            self.observer.configuration(version);
+        }
+    }
+
+    fn publish_backends(&self) {
+        self.knowledge.borrow_mut().publish();
+        self.tell_backends();
+    }
+
     fn tell_backends(&self) {
-        let mut knowledge = self.knowledge.borrow_mut();
-        knowledge.publish();
+        let knowledge = self.knowledge.borrow();
         let ready = knowledge.cell.load().ready.values().map(Vec::len).sum();
         self.observer.backends(ready, knowledge.backends.revision());
     }
@@ -258,7 +263,7 @@
 impl<O: Observer> Sink<Backend> for SharedKnowledge<O> {
     fn replace(&self, listing: Listing<Backend>) {
         if self.knowledge.borrow_mut().backends.replace(listing) {
-            self.tell_backends();
+            self.publish_backends();
         }
     }
 
@@ -266,7 +271,7 @@
         let changed = !changes.is_empty();
         self.knowledge.borrow_mut().backends.apply(changes, revision);
         if changed {
-            self.tell_backends();
+            self.publish_backends();
         }
     }
 
@@ -276,8 +281,8 @@
     }
 }
 
-/// Lists, then watches, while this process has the duty to. A watch that fails, has lost its history or is ended by `refresh`
-/// lists again. When the store answers after a failure, `other` ends the watch of another kind: a
+/// Lists, then watches, while this process has the duty to. A watch that fails, has lost its history or
+/// is ended by `refresh` lists again. When the store answers after a failure, `other` ends the watch of another kind: a
 /// connection on which an answer was lost says nothing more, and nobody would know before its wait ends.
 pub async fn follow<T, S: Source<T>>(
     mut source: S,
