One rendezvous hash, one policy

The project had both. Aggregators, workers and watchers were ranked by three hashes of their own; they use yokefall_types::rendezvous_score, which takes names now. Policy stood in serving and in settings with a function that copied nine fields; it stands in yokefall_types, and settings read it as it is (defaults and refusal of unknown keys as before). No check changed.

--- a/crates/app/src/commands/serving.rs
+++ b/crates/app/src/commands/serving.rs
@@ -213,21 +213,7 @@
         seeds,
         held_body_bytes: (memory * BODY_MEMORY_SHARE) as usize,
         stop_time: Duration::from_secs_f64(settings.stop.seconds),
-        policy: policy(settings.policy),
-    }
-}
-
-fn policy(settings: yokefall_settings::ServingPolicy) -> yokefall_serving::Policy {
-    yokefall_serving::Policy {
-        hold_requests: settings.hold_requests,
-        peer_loads: settings.peer_loads,
-        poured_draw: settings.poured_draw,
-        zone_cost: settings.zone_cost,
-        prefix_affinity: settings.prefix_affinity,
-        ejection: settings.ejection,
-        silence: settings.silence,
-        give_way: settings.give_way,
-        due_order: settings.due_order,
+        policy: settings.policy,
     }
 }
 
@@ -271,7 +257,7 @@
         log_bytes: (log_mb * BYTES_PER_MB) as usize,
         job_bytes: (job_mb * BYTES_PER_MB) as usize,
         page_bytes: (memory_mb * BYTES_PER_MB * PAGE_MEMORY_SHARE) as usize,
-        policy: policy(settings.policy),
+        policy: settings.policy,
         most_runs: (memory_mb * BYTES_PER_MB * RUN_MEMORY_SHARE / RUN_BYTES) as usize + 1,
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -192,7 +192,8 @@
 pub fn record_holders(request: &RequestId, members: &[MemberInfo]) -> Vec<NodeName> {
     let score = rendezvous_score(request.to_string().as_bytes());
     let accepting = members.iter().filter(|member| member.accepting);
-    let mut scored: Vec<(u64, &MemberInfo)> = accepting.map(|m| (score(&m.node), m)).collect();
+    let mut scored: Vec<(u64, &MemberInfo)> =
+        accepting.map(|m| (score(m.node.as_str()), m)).collect();
     let by_score = |left: &(u64, &MemberInfo), right: &(u64, &MemberInfo)| {
         (right.0, &right.1.node).cmp(&(left.0, &left.1.node))
     };
--- a/crates/jobstore/src/aggregators.rs
+++ b/crates/jobstore/src/aggregators.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 use yokefall_serving::{Fleet, FleetCell, FleetMember};
+use yokefall_types::rendezvous_score;
 
 use crate::loads::report_interval;
 use crate::protocol::{Frame, LoadSums};
@@ -15,18 +15,21 @@
 /// Gateways for each aggregator, from the arithmetic of work: with `g` gateways an aggregator takes
 /// `g / k` reports in an interval and `k - 1` sums, and both stay below 40 up to 500 gateways.
 const GATEWAYS_PER_AGGREGATOR: usize = 32;
+/// Key by which every process finds the same aggregators.
+const AGGREGATOR_KEY: &[u8] = b"load-aggregators";
 /// Interval at which sums that have not changed are repeated; a third of the time for which they
 /// count.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The job stores that add up load reports, the first in the order of their names' hashes. Where one
+/// The job stores that add up load reports, the first by rendezvous score. Where one
 /// is enough, the leader does it, so that the runner of items knows loads without another hop.
 pub fn aggregators<'a>(fleet: &'a Fleet, leader: Option<&str>) -> Vec<&'a FleetMember> {
     let wanted = fleet.gateways().count().div_ceil(GATEWAYS_PER_AGGREGATOR).max(1);
     let mut stores: Vec<&FleetMember> =
         fleet.job_stores().filter(|member| member.accepting).collect();
     let leads = |member: &FleetMember| wanted == 1 && leader == Some(member.name.as_str());
-    stores.sort_by_cached_key(|member| (Reverse(leads(member)), xxh3_64(member.name.as_bytes())));
+    let score = rendezvous_score(AGGREGATOR_KEY);
+    stores.sort_by_cached_key(|member| Reverse((leads(member), score(&member.name))));
     stores.truncate(wanted);
     stores
 }
@@ -38,8 +41,8 @@
     leader: Option<&str>,
     gateway: &str,
 ) -> Option<&'a FleetMember> {
-    let score = |member: &&FleetMember| xxh3_64(format!("{gateway}/{}", member.name).as_bytes());
-    aggregators(fleet, leader).into_iter().max_by_key(score)
+    let score = rendezvous_score(gateway.as_bytes());
+    aggregators(fleet, leader).into_iter().max_by_key(|member| score(&member.name))
 }
 
 /// Sends this process's sums to the other aggregators and to the leader, for ever: when they change,
--- a/crates/jobstore/src/delegation.rs
+++ b/crates/jobstore/src/delegation.rs
@@ -16,8 +16,8 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 use yokefall_serving::{Backend, FleetCell, FleetMember};
+use yokefall_types::rendezvous_score;
 use yokefall_upstream::Place;
 
 use crate::protocol::{decode, encode, framed, Frame, Reply, Request, RunOrder, RunReport};
@@ -106,9 +106,8 @@
         let free: Vec<&FleetMember> = fleet.job_stores().filter(is_free).collect();
         let is_near = free.iter().any(|member| member.zone == backend.zone);
         let candidates = free.into_iter().filter(|member| !is_near || member.zone == backend.zone);
-        let score =
-            |member: &&FleetMember| xxh3_64(format!("{}/{}", backend.id, member.name).as_bytes());
-        candidates.max_by_key(score).cloned()
+        let score = rendezvous_score(backend.id.as_bytes());
+        candidates.max_by_key(|member| score(&member.name)).cloned()
     }
 
     /// Runs an item at a worker. The output comes into `progress`; `preempted` ends the run.
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -13,8 +13,8 @@
 use crate::dialect::BackendLoad;
 use crate::model::Backend;
 use crate::outcomes::{Outcomes, RecentOutcomes};
-use crate::policy::Policy;
 use crate::spread::{draw, surface, Level};
+use yokefall_types::Policy;
 
 /// Time for which a told load counts, in milliseconds; its weight falls to zero over it.
 const LOAD_LIFETIME_MS: u64 = 1_500;
--- a/crates/serving/src/duty.rs
+++ b/crates/serving/src/duty.rs
@@ -1,17 +1,20 @@
 //! Which processes watch the platform's store, and which learn from them.
 //!
-//! In each zone the members are ranked by the hash of their names. The first `WATCHERS` watch. They
+//! In each zone the members are ranked by rendezvous score. The first `WATCHERS` watch. They
 //! say so to the next `STANDBYS`, who take over while they hear of too few. A process that knows no
 //! configuration, or to whom peers cannot give what they know, reads the store for itself.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
 use yokefall_core::Timestamp;
+use yokefall_types::rendezvous_score;
 
 use crate::fleet::FleetMember;
 
+/// Key by which every process ranks the members of a zone the same way.
+const WATCHER_KEY: &[u8] = b"platform-watchers";
 /// Members of a zone that watch: one may be lost at any moment.
 pub const WATCHERS: usize = 2;
 /// Members of a zone that hear of watchers and take over.
@@ -91,7 +94,8 @@
         let in_zone = members.iter().filter(|member| member.zone == zone);
         let live = in_zone.filter(|member| member.accepting || member.name == me);
         let mut names: Vec<&str> = live.map(|member| member.name.as_str()).collect();
-        names.sort_by_cached_key(|name| xxh3_64(name.as_bytes()));
+        let score = rendezvous_score(WATCHER_KEY);
+        names.sort_by_cached_key(|name| Reverse(score(name)));
         let rank = names.iter().position(|name| *name == me).unwrap_or(0);
         // Two standbys that heard each other would give up together, and begin together again.
         let last = WATCHERS + STANDBYS;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod objects;
 pub mod observer;
 pub mod outcomes;
-pub mod policy;
 pub mod source;
 pub mod spread;
 pub mod table;
@@ -33,7 +32,7 @@
     SplitPart,
 };
 pub use outcomes::Outcomes;
-pub use policy::Policy;
 pub use source::{
     Change, Claim, Listing, Platform, Registry, Retirement, Source, SourceError, Watched,
 };
+pub use yokefall_types::Policy;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,5 +13,5 @@
 };
 pub use serving::{
     ServingData, ServingFleet, ServingLimits, ServingListen, ServingLog, ServingPlatform,
-    ServingPolicy, ServingRole, ServingSettings, ServingStop,
+    ServingRole, ServingSettings, ServingStop,
 };
--- a/crates/settings/src/serving.rs
+++ b/crates/settings/src/serving.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use serde::{Deserialize, Serialize};
+use yokefall_types::Policy;
 
 use crate::error::SettingsError;
 use crate::model::{LogLevel, NodeSettings};
@@ -115,46 +116,6 @@
     }
 }
 
-/// Decisions under load that may be switched off, one by one; all are on where nothing is said.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct ServingPolicy {
-    /// Requests beyond the room of back ends are held in a gateway and sent in order.
-    pub hold_requests: bool,
-    /// What all processes have in flight counts, not only what this one has.
-    pub peer_loads: bool,
-    /// The draw among back ends reckons with what others place meanwhile.
-    pub poured_draw: bool,
-    /// Back ends in the same zone are preferred.
-    pub zone_cost: bool,
-    /// Requests with the same long prefix go to the same few back ends.
-    pub prefix_affinity: bool,
-    /// Failing back ends are left out for a while.
-    pub ejection: bool,
-    /// Back ends that say nothing are left out for a while.
-    pub silence: bool,
-    /// Items give way to online requests.
-    pub give_way: bool,
-    /// Items that can be in time go before those that cannot.
-    pub due_order: bool,
-}
-
-impl Default for ServingPolicy {
-    fn default() -> Self {
-        Self {
-            hold_requests: true,
-            peer_loads: true,
-            poured_draw: true,
-            zone_cost: true,
-            prefix_affinity: true,
-            ejection: true,
-            silence: true,
-            give_way: true,
-            due_order: true,
-        }
-    }
-}
-
 /// A whole settings file of a serving process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -177,7 +138,7 @@
     pub data: Option<ServingData>,
     /// Decisions under load.
     #[serde(default)]
-    pub policy: ServingPolicy,
+    pub policy: Policy,
     /// Logs.
     #[serde(default)]
     pub log: ServingLog,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod key;
 pub mod limits;
 pub mod place;
+pub mod policy;
 
 pub use call::{Answer, CallHeader, Outcome, Priority, Refusal, RefusalReason, RepeatPolicy};
 pub use declaration::{
@@ -18,3 +19,4 @@
 };
 pub use job::{ItemOutcome, ItemResult, JobProgress, JobState};
 pub use place::{rendezvous_order, rendezvous_score};
+pub use policy::Policy;
--- a/crates/types/src/place.rs
+++ b/crates/types/src/place.rs
@@ -4,10 +4,11 @@
 
 use crate::NodeName;
 
-/// The function that scores each node for `key`: the node with the greatest score comes first.
-pub fn rendezvous_score(key: &[u8]) -> impl Fn(&NodeName) -> u64 {
+/// The function that scores each node for `key` by its name: the node with the greatest score comes
+/// first.
+pub fn rendezvous_score(key: &[u8]) -> impl Fn(&str) -> u64 {
     let seed = xxh3_64_with_seed(key, 0);
-    move |node| xxh3_64_with_seed(node.as_str().as_bytes(), seed)
+    move |node| xxh3_64_with_seed(node.as_bytes(), seed)
 }
 
 /// Orders `nodes` by their rendezvous score for `key`, greatest first.
@@ -19,7 +20,8 @@
     nodes: impl IntoIterator<Item = &'a NodeName>,
 ) -> Vec<&'a NodeName> {
     let score = rendezvous_score(key);
-    let mut scored: Vec<(u64, &NodeName)> = nodes.into_iter().map(|n| (score(n), n)).collect();
+    let mut scored: Vec<(u64, &NodeName)> =
+        nodes.into_iter().map(|n| (score(n.as_str()), n)).collect();
     scored.sort_unstable_by(|left, right| right.cmp(left));
     scored.into_iter().map(|(_, node)| node).collect()
 }
--- a/crates/serving/src/policy.rs
+++ b/crates/types/src/policy.rs
@@ -1,7 +1,10 @@
 //! Decisions under load that an operator may switch off, one by one, to see what each is worth.
 
-/// What is switched on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+use serde::{Deserialize, Serialize};
+
+/// What is switched on, as it stands in settings; everything is where nothing is said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Policy {
     /// Requests beyond the room of back ends are held in a gateway and sent in order.
     pub hold_requests: bool,
@@ -17,7 +20,7 @@
     pub ejection: bool,
     /// Back ends that say nothing are left out for a while.
     pub silence: bool,
-    /// Items give way to online requests.
+    /// Items are preempted by online requests.
     pub give_way: bool,
     /// Items that can be in time go before those that cannot.
     pub due_order: bool,
