--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,7 +23,7 @@
 use crate::admission::{admit, choose, GivenUp};
 use crate::answer::{plain, refusal, Answer};
 use crate::body::HeldBody;
-use crate::quota::{self, NoToken, Token};
+use crate::quota::{self, NoToken, Token, Wanted};
 use crate::relay;
 use crate::shared::Shared;
 
@@ -184,7 +184,9 @@
     let Caller::Tenant(tenant) = &order.caller else { return Ok(()) };
     let Some(limit) = tenant.limit else { return Ok(()) };
     if order.token.is_none_or(|token| !token.is_valid()) {
-        order.token = Some(quota::take(shared, tenant, limit, order.version).await?);
+        let target = Duration::from_millis(order.route.target_latency_ms);
+        let wanted = Wanted { tenant: &tenant.name, limit, version: order.version, target };
+        order.token = Some(quota::take(shared, wanted).await?);
     }
     Ok(())
 }
@@ -197,9 +199,8 @@
             *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
             answer
         }
-        NoToken::Unknown => {
-            let text = "the tenant's limit cannot be checked now, ask another gateway";
-            refusal(retry_after, Duration::ZERO, text)
+        NoToken::Unknown { wait } => {
+            refusal(retry_after, wait, "the tenant's limit cannot be checked now")
         }
     }
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -21,7 +21,7 @@
 use crate::answer::{plain, refusal, Answer};
 use crate::connection::{LimitedStream, PhaseCell, TimeLimits};
 use crate::forward::{forward, no_token, Order};
-use crate::quota::{self, NoToken, Token};
+use crate::quota::{self, NoToken, Token, Wanted};
 use crate::shared::Shared;
 use crate::{body, directory, jobs};
 
@@ -219,7 +219,7 @@
     }
     let id = parts.headers.get(&shared.dialect.headers().request_id);
     let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
-    let token = match take_token(shared, &caller, configuration.version, &id).await {
+    let token = match take_token(shared, &caller, &route, configuration.version, &id).await {
         Ok(token) => token,
         Err(cause) => return no_token(&shared.dialect.headers().retry_after, cause),
     };
@@ -269,16 +269,19 @@
 async fn take_token(
     shared: &Rc<Shared>,
     caller: &Caller,
+    route: &Route,
     version: u64,
     id: &str,
 ) -> Result<Option<Token>, NoToken> {
     let Some(tenant) = caller.tenant() else { return Ok(None) };
     let Some(limit) = tenant.limit else { return Ok(None) };
-    let taken = quota::take(shared, tenant, limit, version).await;
+    let target = Duration::from_millis(route.target_latency_ms);
+    let wanted = Wanted { tenant: &tenant.name, limit, version, target };
+    let taken = quota::take(shared, wanted).await;
     if let Err(cause) = taken {
         let (event, wait) = match cause {
             NoToken::OverLimit { wait } => (EventName::QuotaExceeded, wait),
-            NoToken::Unknown => (EventName::QuotaUnknown, Duration::ZERO),
+            NoToken::Unknown { wait } => (EventName::QuotaUnknown, wait),
         };
         let (name, cause) = (tenant.name.as_str().to_owned(), event.text());
         metrics::counter!("gateway_quota_refusals_total", "tenant" => name, "cause" => cause)
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -14,7 +14,7 @@
 use yokefall_quota::{
     Assignment, Meter, NextStep, Part, QuotaBounds, Refused, TokenAsk, TokenGrant, PARTS,
 };
-use yokefall_serving::{RateLimit, Tenant, TenantName};
+use yokefall_serving::{RateLimit, TenantName};
 
 use crate::shared::Shared;
 
@@ -27,6 +27,17 @@
 const ASSIGNMENT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval at which that is asked for without a reason.
 const ASSIGNMENT_INTERVAL: Duration = Duration::from_secs(30);
+/// Shortest interval between two such questions of a process that knows an answer.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which a process that has just started looks whether it knows a configuration.
+const START_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of its target for which a request waits until an accountant is known: what is refused within a
+/// quarter of its target can be served elsewhere in time.
+const PATIENCE_SHARE: f64 = 0.2;
+/// When a caller may come back where no gateway can check limits: after a loss of all processes the job
+/// stores have a leader 1.2 s after their start. Spread, so that callers do not come together.
+const COLD_RETRY: Duration = Duration::from_millis(800);
+const COLD_RETRY_SPREAD: f64 = 1.5;
 /// Other gateways that are asked to pass an ask on where no accountant can be reached.
 const RELAYS: usize = 2;
 /// Longest queue of asks drained at once.
@@ -54,7 +65,10 @@
         wait: Duration,
     },
     /// No accountant could be asked in time.
-    Unknown,
+    Unknown {
+        /// When the caller may come back: at once, to another gateway, where others may reach one.
+        wait: Duration,
+    },
 }
 
 /// What became of one ask.
@@ -78,6 +92,8 @@
     queues: RefCell<HashMap<String, UnboundedSender<Waiting>>>,
     /// Woken when another assignment is wanted.
     refresh: Notify,
+    /// Woken when accountants are known that were not, or answer again.
+    found: Notify,
     lifetime: Duration,
     origin: Instant,
 }
@@ -89,6 +105,7 @@
             meter: RefCell::new(Meter::new(gateway)),
             queues: RefCell::default(),
             refresh: Notify::new(),
+            found: Notify::new(),
             lifetime: bounds.token_lifetime(),
             origin: Instant::now(),
         }
@@ -108,17 +125,45 @@
     }
 }
 
-/// Takes a token of a limited tenant. `version` is that of the configuration that gave the limit.
-pub async fn take(
-    shared: &Rc<Shared>,
-    tenant: &Tenant,
-    limit: RateLimit,
-    version: u64,
-) -> Result<Token, NoToken> {
+/// A token that is wanted.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Who sends the request.
+    pub tenant: &'a TenantName,
+    /// The tenant's limit.
+    pub limit: RateLimit,
+    /// Version of the configuration that gave the limit.
+    pub version: u64,
+    /// Target for latency of the request's route.
+    pub target: Duration,
+}
+
+impl Wanted<'_> {
+    fn ask(&self, part: Part) -> TokenAsk {
+        let tenant = self.tenant.clone();
+        TokenAsk { tenant, part, limit: self.limit, version: self.version, tokens: 1 }
+    }
+}
+
+/// Takes a token for a request of a limited tenant. Where no accountant is known, as after a start of
+/// all processes, it waits a little.
+pub async fn take(shared: &Rc<Shared>, wanted: Wanted<'_>) -> Result<Token, NoToken> {
+    let until = Instant::now() + wanted.target.mul_f64(PATIENCE_SHARE);
+    loop {
+        let found = shared.quota.found.notified();
+        let taken = try_take(shared, wanted).await;
+        let is_unknown = matches!(taken, Err(NoToken::Unknown { .. }));
+        if !is_unknown || tokio::time::timeout_at(until, found).await.is_err() {
+            return taken;
+        }
+    }
+}
+
+async fn try_take(shared: &Rc<Shared>, wanted: Wanted<'_>) -> Result<Token, NoToken> {
     let quota = &shared.quota;
     let mut refused: Vec<Refused> = Vec::new();
     loop {
-        let step = quota.meter.borrow().next(quota.now(), &tenant.name, &refused);
+        let step = quota.meter.borrow().next(quota.now(), wanted.tenant, &refused);
         let (part, accountant) = match step {
             NextStep::Ask { part, accountant } => (part, accountant),
             NextStep::OverLimit { wait_ms } => {
@@ -126,14 +171,17 @@
             }
             NextStep::Unknown => {
                 quota.refresh.notify_one();
-                return take_by_relay(shared, &tenant.name, limit, version).await;
+                if quota.meter.borrow().assignment().version == 0 {
+                    let spread = rand::random_range(1.0..COLD_RETRY_SPREAD);
+                    return Err(NoToken::Unknown { wait: COLD_RETRY.mul_f64(spread) });
+                }
+                return take_by_relay(shared, wanted).await;
             }
         };
-        let ask = ask(&tenant.name, part, limit, version);
-        let wait_ms = match ask_accountant(shared, &accountant, ask).await {
+        let wait_ms = match ask_accountant(shared, &accountant, wanted.ask(part)).await {
             Answer::Token { asked_at } => return Ok(quota.token(asked_at)),
             Answer::Spent { wait_ms } => {
-                quota.meter.borrow_mut().spent(quota.now(), &tenant.name, part, wait_ms);
+                quota.meter.borrow_mut().spent(quota.now(), wanted.tenant, part, wait_ms);
                 Some(wait_ms)
             }
             Answer::NotHeld | Answer::None => {
@@ -145,10 +193,6 @@
     }
 }
 
-fn ask(tenant: &TenantName, part: Part, limit: RateLimit, version: u64) -> TokenAsk {
-    TokenAsk { tenant: tenant.clone(), part, limit, version, tokens: 1 }
-}
-
 /// Queues an ask for an accountant and waits for its answer.
 async fn ask_accountant(shared: &Rc<Shared>, accountant: &str, ask: TokenAsk) -> Answer {
     let (answer, answered) = oneshot::channel();
@@ -252,18 +296,13 @@
 }
 
 /// Asks other gateways to pass an ask on: this one may be cut off from the job stores alone.
-async fn take_by_relay(
-    shared: &Rc<Shared>,
-    tenant: &TenantName,
-    limit: RateLimit,
-    version: u64,
-) -> Result<Token, NoToken> {
+async fn take_by_relay(shared: &Rc<Shared>, wanted: Wanted<'_>) -> Result<Token, NoToken> {
     for address in relays(shared) {
         let mut shortest_wait: Option<u64> = None;
         for part in (0..PARTS).map(Part) {
             let asked_at = Instant::now();
-            let asks = vec![ask(tenant, part, limit, version)];
-            let deadline = asked_at + 2 * ASK_TIMEOUT;
+            let asks = vec![wanted.ask(part)];
+            let deadline = asked_at + ASK_TIMEOUT;
             let reply = shared.jobs.call_member(address, Request::TakeTokens(asks), deadline).await;
             let grant = match reply {
                 Some(Reply::Tokens(grants)) => grants.first().copied(),
@@ -283,7 +322,7 @@
             return Err(NoToken::OverLimit { wait: Duration::from_millis(wait_ms) });
         }
     }
-    Err(NoToken::Unknown)
+    Err(NoToken::Unknown { wait: Duration::ZERO })
 }
 
 /// Addresses of some other gateways, drawn anew each time.
@@ -318,52 +357,64 @@
 
 /// Keeps the assignment current and tries accountants that gave no answer, for ever.
 pub async fn maintain(shared: Rc<Shared>) {
-    let mut asked_at: Option<Instant> = None;
     loop {
-        let is_failing = !shared.quota.meter.borrow().failing().is_empty();
-        let limit = if is_failing { PROBE_INTERVAL } else { ASSIGNMENT_INTERVAL };
-        let is_limited = has_limits(&shared);
-        let is_known = shared.quota.meter.borrow().assignment().version > 0;
-        if is_limited && (is_known || asked_at.is_some()) {
-            let pause = if is_known { limit } else { PROBE_INTERVAL };
-            let _ = tokio::time::timeout(pause, shared.quota.refresh.notified()).await;
-        } else {
-            tokio::time::sleep(PROBE_INTERVAL).await;
+        match has_limits(&shared) {
+            None => tokio::time::sleep(START_INTERVAL).await,
+            Some(false) => tokio::time::sleep(PROBE_INTERVAL).await,
+            Some(true) => maintain_once(&shared).await,
         }
-        if !has_limits(&shared) {
-            continue;
-        }
-        if asked_at.is_none_or(|at| at.elapsed() >= PROBE_INTERVAL) {
-            asked_at = Some(Instant::now());
-            refresh(&shared).await;
+    }
+}
+
+async fn maintain_once(shared: &Shared) {
+    if refresh(shared).await {
+        shared.quota.found.notify_waiters();
+    }
+    let now = shared.quota.now();
+    shared.quota.meter.borrow_mut().forget(now);
+    if shared.quota.meter.borrow().assignment().version == 0 {
+        tokio::time::sleep(START_INTERVAL).await;
+        return;
+    }
+    tokio::time::sleep(REFRESH_INTERVAL).await;
+    let wanted = shared.quota.refresh.notified();
+    tokio::pin!(wanted);
+    let rested = tokio::time::sleep(ASSIGNMENT_INTERVAL);
+    tokio::pin!(rested);
+    loop {
+        let probing = !shared.quota.meter.borrow().failing().is_empty();
+        tokio::select! {
+            () = &mut wanted => return,
+            () = &mut rested => return,
+            () = tokio::time::sleep(PROBE_INTERVAL), if probing => probe(shared).await,
         }
-        probe(&shared).await;
-        let now = shared.quota.now();
-        shared.quota.meter.borrow_mut().forget(now);
     }
 }
 
-fn has_limits(shared: &Shared) -> bool {
+/// Whether any tenant has a limit; `None` where no configuration is known.
+fn has_limits(shared: &Shared) -> Option<bool> {
     let catalog = shared.catalog.load();
-    catalog.configuration.as_ref().is_some_and(|configuration| configuration.has_limits())
+    catalog.configuration.as_ref().map(|configuration| configuration.has_limits())
 }
 
-async fn refresh(shared: &Shared) {
+/// Asks who the accountants are; returns whether somebody told it.
+async fn refresh(shared: &Shared) -> bool {
     let deadline = Instant::now() + ASSIGNMENT_TIMEOUT;
     if let CallOutcome::Answered(Reply::Accountants(assignment)) =
         shared.jobs.call(Request::Accountants, deadline).await
     {
         shared.quota.meter.borrow_mut().set_assignment(assignment);
-        return;
+        return true;
     }
     for address in relays(shared) {
         let limit = Instant::now() + ASK_TIMEOUT;
         let reply = shared.jobs.call_member(address, Request::Accountants, limit).await;
         if let Some(Reply::Accountants(assignment)) = reply {
             shared.quota.meter.borrow_mut().set_assignment(assignment);
-            return;
+            return true;
         }
     }
+    false
 }
 
 /// Tries accountants that gave no answer: an ask for nothing.
@@ -372,6 +423,7 @@
     for accountant in failing {
         if call(shared, &accountant, Vec::new()).await.is_some() {
             shared.quota.meter.borrow_mut().answered(&accountant);
+            shared.quota.found.notify_waiters();
         }
     }
 }
--- a/crates/jobstore/src/quota.rs
+++ b/crates/jobstore/src/quota.rs
@@ -27,6 +27,8 @@
 const OVERSEE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a process looks whether the configuration limits any tenant.
 const IDLE_INTERVAL: Duration = Duration::from_millis(2_000);
+/// The same while no configuration is known yet.
+const START_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for the leader to answer; an accountant that stops must not wait long for it.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -88,17 +90,22 @@
     }
 }
 
-/// Whether the configuration limits any tenant.
-fn is_wanted(catalog: &CatalogCell) -> bool {
-    catalog.load().configuration.as_ref().is_some_and(|configuration| configuration.has_limits())
+/// How long to wait before the next look whether the configuration limits any tenant; `None` where it
+/// does.
+fn pause(catalog: &CatalogCell) -> Option<Duration> {
+    match &catalog.load().configuration {
+        None => Some(START_INTERVAL),
+        Some(configuration) if configuration.has_limits() => None,
+        Some(_) => Some(IDLE_INTERVAL),
+    }
 }
 
 /// Renews the leases of this process's slots until it gives them back.
 pub async fn renew_leases(quota: Rc<QuotaService>, catalog: CatalogCell, fleet: FleetCell) {
     let leader = JobClient::new(fleet);
     while !quota.accountant.borrow().is_released() {
-        if !is_wanted(&catalog) {
-            tokio::time::sleep(IDLE_INTERVAL).await;
+        if let Some(pause) = pause(&catalog) {
+            tokio::time::sleep(pause).await;
             continue;
         }
         let asked_at = quota.now();
@@ -126,8 +133,8 @@
     fleet: FleetCell,
 ) {
     loop {
-        if !is_wanted(&catalog) || !store.is_leader() {
-            tokio::time::sleep(OVERSEE_INTERVAL).await;
+        if let Some(pause) = pause(&catalog) {
+            tokio::time::sleep(pause).await;
             continue;
         }
         if store.serves() {
