--- /dev/null
+++ b/crates/quota/tests/model.rs
@@ -0,0 +1,186 @@
+//! Limits over all gateways in virtual time. The rule: in every sliding window a tenant sends at most
+//! (rate x window + burst) x 1.1 + 20. What is shown beside it: how many requests within the limit are
+//! refused, and how many asks it takes.
+
+mod support;
+
+use quickcheck::{Gen, QuickCheck};
+use support::{Fault, Fleet, Outcome, Plan, Sender, Surge, LEAD_IN_MS};
+use yokefall_quota::QuotaBounds;
+use yokefall_types::{RateLimit, TenantName};
+
+const WINDOW_MS: u64 = 5_000;
+
+/// Tenants of very unequal size that send 100 requests a second together, each with a limit of 1.6
+/// times what it sends. `hot` of them send `times` their usual between seconds 4 and 10.
+fn senders(count: usize, hot: usize, times: f64) -> Vec<Sender> {
+    let weights: Vec<f64> = (1..=count).map(|rank| 1.0 / rank as f64).collect();
+    let sum: f64 = weights.iter().sum();
+    let sender = |(number, weight): (usize, &f64)| {
+        let rate = (100.0 * weight / sum).max(0.2);
+        let limit = (rate * 1.6).ceil();
+        let surge = Surge { from_ms: 4_000, until_ms: 10_000, times };
+        Sender {
+            name: TenantName::new(format!("tenant-{number}")),
+            limit: RateLimit { per_1000_seconds: limit as u64 * 1_000, burst: limit as u64 },
+            rate,
+            surge: (number < hot).then_some(surge),
+        }
+    };
+    weights.iter().enumerate().map(sender).collect()
+}
+
+fn plan(seed: u64, gateways: usize, senders: Vec<Sender>, faults: Vec<Fault>) -> Plan {
+    Plan { seed, gateways, stores: 10, senders, faults, length_ms: 16_000, used_gateways: None }
+}
+
+/// Plays a plan and checks the rule for each tenant.
+fn play(plan: Plan) -> Outcome {
+    let (seed, senders) = (plan.seed, plan.senders.clone());
+    let outcome = Fleet::new(plan).run();
+    let bounds = QuotaBounds::default();
+    for sender in &senders {
+        let most = outcome.most_in_window(&sender.name, WINDOW_MS, 0);
+        let allowed = bounds.most_in_window(sender.limit);
+        assert!(most as f64 <= allowed, "seed {seed}: {} sent {most} of {allowed}", sender.name);
+    }
+    outcome
+}
+
+#[test]
+fn calm_fleets_refuse_almost_nothing_within_the_limit() {
+    for gateways in [11, 50, 250, 550] {
+        for tenants in [72, 260] {
+            let outcome = play(plan(1, gateways, senders(tenants, 0, 1.0), vec![]));
+            let share = outcome.refused_share();
+            println!(
+                "{gateways} gateways, {tenants} tenants: refused {share:.5}, asks {} for {} requests, \
+                 {} at the busiest job store",
+                outcome.asks, outcome.within_limit, outcome.most_asks
+            );
+            assert!(share < 0.001, "{share} of {}", outcome.within_limit);
+        }
+    }
+}
+
+#[test]
+fn tenants_that_send_many_times_their_usual_stay_within_their_limit() {
+    for (hot, times) in [(1, 8.0), (1, 20.0), (3, 8.0), (3, 20.0)] {
+        for gateways in [11, 50, 250] {
+            let outcome = play(plan(2, gateways, senders(72, hot, times), vec![]));
+            let sent = |number: usize| {
+                let name = TenantName::new(format!("tenant-{number}"));
+                outcome.sends.get(&name).map_or(0, Vec::len)
+            };
+            let sent: usize = (0..hot).map(sent).sum();
+            let share = sent as f64 / outcome.within_limit_of_hot as f64;
+            println!(
+                "{hot} hot x{times}, {gateways} gateways: others refused {:.5}, hot sent {share:.3} of \
+                 what they may, asks {} for {} requests",
+                outcome.refused_share(),
+                outcome.asks,
+                outcome.within_limit + outcome.within_limit_of_hot
+            );
+            assert!(outcome.refused_share() < 0.001, "{}", outcome.refused_share());
+            assert!(share > 0.95, "{share}");
+        }
+    }
+}
+
+#[test]
+fn clients_that_all_use_three_gateways_are_served_alike() {
+    let mut plan = plan(3, 50, senders(72, 1, 8.0), vec![]);
+    plan.used_gateways = Some(3);
+    let outcome = play(plan);
+    assert!(outcome.refused_share() < 0.001, "{}", outcome.refused_share());
+}
+
+#[test]
+fn one_fault_refuses_under_one_in_a_hundred_within_the_limit() {
+    let faults: [(&str, Vec<Fault>); 6] = [
+        ("a job store is killed", vec![Fault::KillStore { at_ms: 5_000, store: 4, for_ms: 1_000 }]),
+        ("a job store is lost", vec![Fault::KillStore { at_ms: 5_000, store: 4, for_ms: 60_000 }]),
+        ("a job store is cut off", vec![Fault::CutStore { at_ms: 5_000, store: 5, for_ms: 5_500 }]),
+        ("a job store freezes", vec![Fault::FreezeStore { at_ms: 5_000, store: 6, for_ms: 8_000 }]),
+        ("the leader is lost", vec![Fault::LoseLeader { at_ms: 5_000, gap_ms: 3_200 }]),
+        ("the leader is killed", vec![Fault::KillStore { at_ms: 5_000, store: 0, for_ms: 60_000 }]),
+    ];
+    for (name, faults) in faults {
+        let outcome = play(plan(4, 50, senders(72, 0, 1.0), faults));
+        println!("{name}: refused {:.5}", outcome.refused_share());
+        assert!(outcome.refused_share() < 0.01, "{name}: {}", outcome.refused_share());
+    }
+}
+
+#[test]
+fn a_lowered_limit_binds_one_window_after_it_is_known() {
+    let faults = vec![Fault::SetLimits { at_ms: 4_000, percent: 50, within_ms: 3_000 }];
+    let senders = senders(72, 3, 20.0);
+    let outcome = play(plan(5, 50, senders.clone(), faults));
+    let bounds = QuotaBounds::default();
+    for sender in &senders {
+        let limit = RateLimit {
+            per_1000_seconds: sender.limit.per_1000_seconds / 2,
+            burst: sender.limit.burst / 2,
+        };
+        let from = LEAD_IN_MS + 4_000 + 3_000 + WINDOW_MS;
+        let most = outcome.most_in_window(&sender.name, WINDOW_MS, from);
+        let allowed = bounds.most_in_window(limit);
+        assert!(most as f64 <= allowed, "{}: {most} of {allowed}", sender.name);
+    }
+}
+
+/// Faults of any kind, one after the other and together.
+fn faults(random: &mut Gen) -> Vec<Fault> {
+    let number = |random: &mut Gen, below: u64| -> u64 {
+        let drawn: u64 = quickcheck::Arbitrary::arbitrary(random);
+        drawn % below
+    };
+    let count = 1 + number(random, 6);
+    let one = |_| {
+        let at_ms = number(random, 12_000);
+        let for_ms = 200 + number(random, 9_000);
+        let store = number(random, 10) as usize;
+        let gateway = number(random, 50) as usize;
+        match number(random, 6) {
+            0 => Fault::KillStore { at_ms, store, for_ms },
+            1 => Fault::CutStore { at_ms, store, for_ms },
+            2 => Fault::FreezeStore { at_ms, store, for_ms },
+            3 => Fault::LoseLeader { at_ms, gap_ms: 300 + for_ms / 3 },
+            4 => Fault::CutGateway { at_ms, gateway, for_ms },
+            _ => Fault::FreezeGateway { at_ms, gateway, for_ms },
+        }
+    };
+    (0..count).map(one).collect()
+}
+
+/// Histories of random faults with tenants far beyond their limits. The generator is seeded: every
+/// run plays the same.
+#[test]
+fn no_history_of_faults_breaks_the_rule() {
+    let histories = 150;
+    let mut random = Gen::from_size_and_seed(100, 20_261_202);
+    for seed in 0..histories {
+        let faults = faults(&mut random);
+        play(plan(100 + seed, 50, senders(24, 6, 20.0), faults));
+    }
+}
+
+/// Kills of the same accountants again and again: each new life begins with empty buckets.
+#[test]
+fn lives_that_end_soon_grant_no_more_than_one_that_lasts() {
+    fn kills(interval_ms: u16) -> bool {
+        let interval = 900 + u64::from(interval_ms % 2_000);
+        let kill = |number: u64| Fault::KillStore {
+            at_ms: 4_000 + number * interval,
+            store: (number % 10) as usize,
+            for_ms: 300,
+        };
+        play(plan(6, 20, senders(12, 6, 20.0), (0..8).map(kill).collect()));
+        true
+    }
+    QuickCheck::new()
+        .tests(20)
+        .rng(Gen::from_size_and_seed(100, 7))
+        .quickcheck(kills as fn(u16) -> bool);
+}
