--- a/crates/app/src/commands/check.rs
+++ b/crates/app/src/commands/check.rs
@@ -20,10 +20,7 @@
 pub fn run(arguments: &CheckArguments) -> ExitStatus {
     if is_serving(&arguments.file) {
         return match ServingSettings::load(&arguments.file) {
-            Ok(settings) => {
-                println!("{}: good, role {:?}", arguments.file.display(), settings.role);
-                ExitStatus::Done
-            }
+            Ok(settings) => check_catalog(arguments, &settings),
             Err(error) => fail(ExitStatus::BadInput, error),
         };
     }
@@ -36,6 +33,17 @@
     }
 }
 
+/// Checks the catalog file that settings name, where they name one: routes, back ends and tenants.
+fn check_catalog(arguments: &CheckArguments, settings: &ServingSettings) -> ExitStatus {
+    if let Some(catalog) = &settings.platform.catalog {
+        if let Err(error) = yokefall_standalone::catalog::read(catalog) {
+            return fail(ExitStatus::BadInput, format!("{}: {error}", catalog.display()));
+        }
+    }
+    println!("{}: good, role {:?}", arguments.file.display(), settings.role);
+    ExitStatus::Done
+}
+
 /// Whether a file names a role of the serving processes, or is near enough to one that its mistakes
 /// are best told as theirs.
 fn is_serving(file: &std::path::Path) -> bool {
