--- a/crates/quota/tests/model.rs
+++ b/crates/quota/tests/model.rs
@@ -142,12 +142,13 @@
         let for_ms = 200 + number(random, 9_000);
         let store = number(random, 10) as usize;
         let gateway = number(random, 50) as usize;
-        match number(random, 6) {
+        match number(random, 7) {
             0 => Fault::KillStore { at_ms, store, for_ms },
             1 => Fault::CutStore { at_ms, store, for_ms },
             2 => Fault::FreezeStore { at_ms, store, for_ms },
             3 => Fault::LoseLeader { at_ms, gap_ms: 300 + for_ms / 3 },
             4 => Fault::CutGateway { at_ms, gateway, for_ms },
+            5 => Fault::StallBackEnds { at_ms, for_ms: for_ms / 3 },
             _ => Fault::FreezeGateway { at_ms, gateway, for_ms },
         }
     };
@@ -166,17 +167,25 @@
     }
 }
 
-/// Kills of the same accountants again and again: each new life begins with empty buckets.
+/// Requests with tokens that all wait for the same back ends are not sent together long afterwards.
+#[test]
+fn tokens_do_not_outlive_a_stall_of_back_ends() {
+    for for_ms in [500, 1_500, 2_500] {
+        let faults = vec![Fault::StallBackEnds { at_ms: 6_000, for_ms }];
+        play(plan(7, 50, senders(12, 6, 20.0), faults));
+    }
+}
+
+/// Kills of all accountants again and again: each new life begins with empty buckets.
 #[test]
 fn lives_that_end_soon_grant_no_more_than_one_that_lasts() {
     fn kills(interval_ms: u16) -> bool {
-        let interval = 900 + u64::from(interval_ms % 2_000);
-        let kill = |number: u64| Fault::KillStore {
-            at_ms: 4_000 + number * interval,
-            store: (number % 10) as usize,
-            for_ms: 300,
+        let interval = 2_100 + u64::from(interval_ms % 1_500);
+        let kill_all = |number: u64| {
+            let at_ms = 4_000 + number * interval;
+            (0..10).map(move |store| Fault::KillStore { at_ms, store, for_ms: 300 })
         };
-        play(plan(6, 20, senders(12, 6, 20.0), (0..8).map(kill).collect()));
+        play(plan(6, 20, senders(12, 6, 20.0), (0..5).flat_map(kill_all).collect()));
         true
     }
     QuickCheck::new()
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/quota/tests/support/mod.rs
@@ -59,6 +59,8 @@
     CutGateway { at_ms: u64, gateway: usize, for_ms: u64 },
     /// A gateway stands still, with tokens in hand.
     FreezeGateway { at_ms: u64, gateway: usize, for_ms: u64 },
+    /// Back ends have no room; what has a token is held, and all of it is sent when they have.
+    StallBackEnds { at_ms: u64, for_ms: u64 },
     /// All limits are this part of what they were; gateways learn of it within the time.
     SetLimits { at_ms: u64, percent: u64, within_ms: u64 },
 }
@@ -188,6 +190,7 @@
     reference: Vec<(u64, u64)>,
     limit_percent: u64,
     version: u64,
+    stalled_until: u64,
     outcome: Outcome,
     bounds: QuotaBounds,
 }
@@ -240,6 +243,7 @@
             reference,
             limit_percent: 100,
             version: 1,
+            stalled_until: 0,
             outcome: Outcome::default(),
             bounds,
         }
@@ -548,6 +552,11 @@
             self.at(wake, Event::Send { request, expires_at });
             return;
         }
+        if self.stalled_until > self.now {
+            let free = self.stalled_until + self.random.random_range(0..50);
+            self.at(free, Event::Send { request, expires_at });
+            return;
+        }
         if self.now >= expires_at {
             held.refused.clear();
             self.step(request);
@@ -683,6 +692,7 @@
             Fault::FreezeGateway { gateway, for_ms, .. } => {
                 self.gateways[gateway].frozen_until = self.now + for_ms;
             }
+            Fault::StallBackEnds { for_ms, .. } => self.stalled_until = self.now + for_ms,
             Fault::SetLimits { percent, within_ms, .. } => {
                 self.version += 1;
                 self.limit_percent = percent;
@@ -723,6 +733,7 @@
         | Fault::LoseLeader { at_ms, .. }
         | Fault::CutGateway { at_ms, .. }
         | Fault::FreezeGateway { at_ms, .. }
+        | Fault::StallBackEnds { at_ms, .. }
         | Fault::SetLimits { at_ms, .. } => at_ms,
     }
 }
