A list of the platform's store goes on where a call was turned away

Cause, by reading: 3,000 servers are 61 pages under one time limit of 1.5 s, and any refusal began the list anew; after a loss of all processes every process lists at once. Test: follow.rs a_list_goes_on_after_a_call_that_was_turned_away (the port has pages now, so that it could not be run on the code before).

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod identity;
 pub mod job;
 pub mod lateness;
+pub mod listing;
 pub mod model;
 pub mod news;
 pub mod news_exchange;
@@ -35,6 +36,6 @@
 };
 pub use outcomes::Outcomes;
 pub use source::{
-    Change, Claim, Listing, Platform, Registry, Retirement, Source, SourceError, Watched,
+    Change, Claim, ListPage, Listing, Platform, Registry, Retirement, Source, SourceError, Watched,
 };
 pub use yokefall_types::{KeyDigest, Policy, RateLimit, Tenant, TenantName};
--- a/crates/serving/src/source.rs
+++ b/crates/serving/src/source.rs
@@ -16,6 +16,17 @@
     pub revision: Revision,
 }
 
+/// A part of a list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListPage<T> {
+    /// Objects of the page, each with its name.
+    pub items: Vec<Change<T>>,
+    /// Revision of the store as it gave the page.
+    pub revision: Revision,
+    /// Name after which the next page begins; `None` on the last page.
+    pub next: Option<String>,
+}
+
 /// An object as it is now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change<T> {
@@ -78,8 +89,11 @@
     /// Name of the kind, for figures.
     fn kind(&self) -> &'static str;
 
-    /// Reads every object.
-    fn list(&mut self) -> impl Future<Output = Result<Listing<T>, SourceError>>;
+    /// Reads the objects after a name, or the first ones: one call.
+    fn list(
+        &mut self,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<ListPage<T>, SourceError>>;
 
     /// Waits for changes after `revision`, for `wait` at most.
     fn watch(
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -15,6 +15,7 @@
 
 use crate::catalog::{Catalog, CatalogCell};
 use crate::duty::Duty;
+use crate::listing::PartialList;
 use crate::model::{Backend, BackendState, Configuration};
 use crate::news::Known;
 use crate::news_exchange::{BackendNews, NamedBackend, NewsAnswer, NewsRequest};
@@ -28,7 +29,7 @@
 const GATHER_PAUSE: Duration = Duration::from_millis(200);
 /// Time beyond the wait after which an unanswered watch counts as lost.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
-/// Time after which an unanswered list counts as lost.
+/// Time after which an unanswered page of a list counts as lost.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -293,6 +294,7 @@
 ) {
     let mut pause = FIRST_PAUSE;
     let mut failed = false;
+    let mut list = PartialList::default();
     loop {
         duty.begun().await;
         let listed = || {
@@ -300,7 +302,9 @@
                 other.notify_one();
             }
         };
-        match follow_once(&mut source, &sink, listed, &mut pause, &refresh, &mut duty).await {
+        let once =
+            follow_once(&mut source, &mut list, &sink, listed, &mut pause, &refresh, &mut duty);
+        match once.await {
             Ok(()) => {}
             Err(error) => {
                 failed = true;
@@ -316,15 +320,20 @@
 
 async fn follow_once<T, S: Source<T>>(
     source: &mut S,
+    list: &mut PartialList<T>,
     sink: &impl Sink<T>,
     listed: impl FnOnce(),
     pause: &mut Duration,
     refresh: &Notify,
     duty: &mut Duty,
 ) -> Result<(), SourceError> {
-    let listing = within(LIST_TIMEOUT, source.list()).await;
-    count(source.kind(), "list", &listing);
-    let listing = listing?;
+    while !list.is_complete() {
+        let page = within(LIST_TIMEOUT, source.list(list.after())).await;
+        count(source.kind(), "list", &page);
+        list.add(page?);
+        *pause = FIRST_PAUSE;
+    }
+    let listing = list.take();
     let mut revision = listing.revision;
     sink.replace(listing);
     sink.ended(None);
--- a/crates/serving/tests/follow.rs
+++ b/crates/serving/tests/follow.rs
@@ -9,7 +9,7 @@
 use yokefall_serving::duty::Duty;
 use yokefall_serving::source::{Revision, Source, SourceError, Watched};
 use yokefall_serving::watch::{follow, Sink};
-use yokefall_serving::{Change, Listing};
+use yokefall_serving::{Change, ListPage, Listing};
 
 /// What a watch does next; without one it waits for ever.
 enum Step {
@@ -31,8 +31,8 @@
         "numbers"
     }
 
-    async fn list(&mut self) -> Result<Listing<u64>, SourceError> {
-        Ok(Listing { items: Vec::new(), revision: 1 })
+    async fn list(&mut self, _after: Option<&str>) -> Result<ListPage<u64>, SourceError> {
+        Ok(ListPage { items: Vec::new(), revision: 1, next: None })
     }
 
     async fn watch(
@@ -121,3 +121,72 @@
     let least = watches.windows(2).map(|pair| pair[1] - pair[0]).min().expect("watches");
     assert!(least >= Duration::from_millis(100) && least <= Duration::from_millis(500));
 }
+
+/// A store that holds `PAGES` pages and turns every third call away.
+struct Paged {
+    calls: u32,
+    asked: Rc<RefCell<Vec<Option<String>>>>,
+}
+
+const PAGES: u64 = 5;
+
+impl Source<u64> for Paged {
+    fn kind(&self) -> &'static str {
+        "numbers"
+    }
+
+    async fn list(&mut self, after: Option<&str>) -> Result<ListPage<u64>, SourceError> {
+        self.asked.borrow_mut().push(after.map(str::to_owned));
+        self.calls += 1;
+        if self.calls.is_multiple_of(3) {
+            return Err(SourceError::Refused { status: 429 });
+        }
+        let number = after.map_or(0, |name| name.parse::<u64>().expect("a number") + 1);
+        let item = Change { name: number.to_string(), revision: number, value: Some(number) };
+        let next = (number + 1 < PAGES).then(|| number.to_string());
+        Ok(ListPage { items: vec![item], revision: 100 + number, next })
+    }
+
+    async fn watch(
+        &mut self,
+        _from: Revision,
+        _wait: Duration,
+    ) -> Result<Watched<u64>, SourceError> {
+        std::future::pending().await
+    }
+
+    fn reset(&mut self) {}
+}
+
+/// Keeps what it was given.
+#[derive(Clone, Default)]
+struct Kept(Rc<RefCell<Vec<Listing<u64>>>>);
+
+impl Sink<u64> for Kept {
+    fn replace(&self, listing: Listing<u64>) {
+        self.0.borrow_mut().push(listing);
+    }
+
+    fn apply(&self, _changes: Vec<Change<u64>>, _revision: Revision) {}
+
+    fn ended(&self, _error: Option<&SourceError>) {}
+}
+
+/// The list of a large fleet takes many calls. One that is turned away must not cost those before it.
+#[tokio::test(start_paused = true)]
+async fn a_list_goes_on_after_a_call_that_was_turned_away() {
+    let asked: Rc<RefCell<Vec<Option<String>>>> = Rc::default();
+    let kept = Kept::default();
+    let source = Paged { calls: 0, asked: asked.clone() };
+    let following = follow(source, kept.clone(), Rc::default(), Rc::default(), Duty::always());
+    tokio::select! {
+        () = following => {}
+        () = tokio::time::sleep(Duration::from_secs(5)) => {}
+    }
+    let lists = kept.0.borrow();
+    assert_eq!(lists.len(), 1);
+    assert_eq!(lists[0].items.len() as u64, PAGES);
+    assert_eq!(lists[0].revision, 100, "a watch goes on from the first page");
+    let first_pages = asked.borrow().iter().filter(|after| after.is_none()).count();
+    assert_eq!((first_pages, asked.borrow().len()), (1, 7), "five pages, two of them twice");
+}
--- a/crates/standalone/src/catalog.rs
+++ b/crates/standalone/src/catalog.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use yokefall_serving::source::Revision;
 use yokefall_serving::{
-    Backend, BackendState, BatchPolicy, Change, Configuration, KeyDigest, Listing, RateLimit,
+    Backend, BackendState, BatchPolicy, Change, Configuration, KeyDigest, ListPage, RateLimit,
     RequestLimits, Retirement, Route, RouteKind, Service, Source, SourceError, SplitPart, Tenant,
     TenantName, Watched,
 };
@@ -285,14 +285,14 @@
         "catalog"
     }
 
-    async fn list(&mut self) -> Result<Listing<T>, SourceError> {
+    async fn list(&mut self, _after: Option<&str>) -> Result<ListPage<T>, SourceError> {
         self.seen = Some(self.modified()?);
         let file = read(&self.path).map_err(|error| self.failed("read", error))?;
         self.revision += 1;
         let revision = self.revision;
         let change = |(name, value)| Change { name, revision, value: Some(value) };
         let items = (self.extract)(&file).into_iter().map(change).collect();
-        Ok(Listing { items, revision })
+        Ok(ListPage { items, revision, next: None })
     }
 
     async fn watch(
