After a start of all those read back ends that watch; the others learn them

Cause, by reading: every process that knew no back ends read the list, 61 calls at 3,000 servers, and the store turned most of the 18,000 calls away. Now the first two of a zone read it, standbys where these are silent, and everybody else after 2.5 to 4 s. Test: duty.rs after_a_start_of_all_few_read_back_ends_*.

--- a/crates/quota/tests/parts.rs
+++ b/crates/quota/tests/parts.rs
@@ -85,8 +85,10 @@
     let later = START.plus_millis(4_000);
     tokens(accountant.take(later, &ask(low, 2, 1)));
     // Four tokens beyond the burst are the most that a part without a burst holds.
-    let much_later = START.plus_millis(5_900);
+    let much_later = START.plus_millis(5_800);
     assert!(tokens(accountant.take(much_later, &ask(LIMIT, 1, 100))) <= 4);
+    let later_still = much_later.plus_millis(50);
+    assert_eq!(tokens(accountant.take(later_still, &ask(LIMIT, 1, 100))), 0, "one a second");
 }
 
 #[test]
--- a/crates/serving/src/discovery.rs
+++ b/crates/serving/src/discovery.rs
@@ -58,7 +58,7 @@
         let shared = shared.clone();
         Box::new(move |answer| shared.take_news(answer))
     };
-    let (news, duty) = News::new(knowledge.clone(), take, roster);
+    let (news, duties) = News::new(knowledge.clone(), take, roster);
     let (configuration, backends) = (news.refresh.configuration(), news.refresh.backends());
     let news_port = ports.news.local_addr().map_or(0, |address| address.port());
     tokio::task::spawn_local(serve(
@@ -80,7 +80,13 @@
         shared.clone(),
         configuration.clone(),
         backends.clone(),
-        duty.clone(),
+        duties.configuration,
+    ));
+    tokio::task::spawn_local(follow(
+        platform.backends(),
+        shared,
+        backends,
+        configuration,
+        duties.backends,
     ));
-    tokio::task::spawn_local(follow(platform.backends(), shared, backends, configuration, duty));
 }
--- a/crates/serving/src/duty.rs
+++ b/crates/serving/src/duty.rs
@@ -34,6 +34,11 @@
 /// The same where the whole system starts for the first time, before there are callers.
 const FIRST_START_PATIENCE_MS: u64 = 1_500;
 const FIRST_START_SPREAD_MS: u64 = 3_000;
+/// Time from its start for which a process waits for back ends from peers where others read them, in
+/// milliseconds, and the spread of it: a list of 3,000 takes a reader under a second, and its way to 300
+/// members five exchanges.
+const BACKENDS_PATIENCE_MS: u64 = 2_500;
+const BACKENDS_SPREAD_MS: u64 = 1_500;
 /// Time for which a process reads the store after peers could not give what they know, in
 /// milliseconds: a list and what follows it.
 const CATCH_UP_MS: u64 = 2_000;
@@ -112,6 +117,8 @@
     started: Timestamp,
     /// When this process asks the store itself if it knows no configuration until then.
     ask_at: Timestamp,
+    /// The same for back ends, where others are to read them.
+    ask_backends_at: Timestamp,
     ranking: Ranking,
     ranked_at: Timestamp,
     /// When watchers were last heard, by name.
@@ -130,6 +137,9 @@
         Self {
             started: now,
             ask_at: now.plus_millis(patience),
+            ask_backends_at: now
+                .plus_millis(patience + BACKENDS_PATIENCE_MS)
+                .plus_millis((BACKENDS_SPREAD_MS as f64 * spread) as u64),
             ranking: Ranking::default(),
             ranked_at: now,
             heard: HashMap::new(),
@@ -173,6 +183,19 @@
         }
     }
 
+    /// Whether this process reads back ends now. Unlike the configuration they take many calls: after a
+    /// start of all, those read them that watch, and the others learn them from these.
+    pub fn reads_backends(&mut self, now: Timestamp, knows_backends: bool) -> bool {
+        if self.watches(now, true) {
+            return true;
+        }
+        if knows_backends {
+            return false;
+        }
+        let is_first = self.ranking.rank < WATCHERS && now >= self.ask_at;
+        is_first || now >= self.ask_backends_at
+    }
+
     /// Whether a standby hears of too few watchers.
     fn lacks_watchers(&mut self, now: Timestamp) -> bool {
         self.heard.retain(|_, at| now.millis_since(*at) < HEARTBEAT_LIFETIME_MS);
@@ -191,11 +214,16 @@
     }
 
     /// When `watches` may change without news.
-    pub fn next_look(&self, now: Timestamp, knows_configuration: bool) -> Timestamp {
+    pub fn next_look(
+        &self,
+        now: Timestamp,
+        knows_configuration: bool,
+        knows_backends: bool,
+    ) -> Timestamp {
         let regular = now.plus_millis(HEARTBEAT_INTERVAL_MS);
         let is_standby = (WATCHERS..WATCHERS + STANDBYS).contains(&self.ranking.rank);
         let begins = self.started.plus_millis(START_GRACE_MS);
-        if !knows_configuration && now < self.ask_at {
+        if !(knows_configuration && knows_backends) && now < self.ask_at {
             return self.ask_at;
         }
         if now < begins {
@@ -204,6 +232,7 @@
         match self.catch_up_until {
             Some(until) if now < until => until,
             _ if is_standby => regular,
+            _ if !knows_backends => regular,
             // Ranks change with the members, which wake the process by themselves.
             _ => now.plus_millis(3_600_000),
         }
--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -106,6 +106,14 @@
     failed: bool,
 }
 
+/// What this process reads of the platform's store.
+pub struct Duties {
+    /// Configurations.
+    pub configuration: Duty,
+    /// Back ends.
+    pub backends: Duty,
+}
+
 /// Takes what a peer told; returns whether its whole list is needed.
 pub type TakeNews = Box<dyn Fn(NewsAnswer) -> bool>;
 
@@ -118,6 +126,8 @@
     roster: RefCell<Roster>,
     /// Whether this process watches the platform's store.
     watches: watch::Sender<bool>,
+    /// Whether it reads back ends there.
+    reads_backends: watch::Sender<bool>,
     changed: Rc<Notify>,
     /// Ends the present watches, so that the store is asked again.
     pub refresh: Refresh,
@@ -143,14 +153,15 @@
 }
 
 impl News {
-    /// News about what is known, with the duty that follows from it.
+    /// News about what is known, with the duties that follow from it.
     pub fn new(
         knowledge: Rc<RefCell<Knowledge>>,
         take: TakeNews,
         roster: Roster,
-    ) -> (Rc<Self>, Duty) {
+    ) -> (Rc<Self>, Duties) {
         let changed = knowledge.borrow().changed();
-        let (watches, duty) = Duty::told();
+        let (watches, configuration) = Duty::told();
+        let (reads_backends, backends) = Duty::told();
         let news = Self {
             knowledge,
             take,
@@ -158,10 +169,11 @@
             sources: RefCell::new(Sources { asking: false, next: None, failed: false }),
             roster: RefCell::new(roster),
             watches,
+            reads_backends,
             changed,
             refresh: Refresh::default(),
         };
-        (Rc::new(news), duty)
+        (Rc::new(news), Duties { configuration, backends })
     }
 
     /// What this process knows.
@@ -241,6 +253,8 @@
         }
         let knows = self.knows_configuration();
         let watches = self.roster.borrow_mut().watches(now, knows);
+        let reads = self.roster.borrow_mut().reads_backends(now, self.knows_backends());
+        self.reads_backends.send_if_modified(|held| std::mem::replace(held, reads) != reads);
         let changed =
             self.watches.send_if_modified(|held| std::mem::replace(held, watches) != watches);
         if changed {
@@ -257,6 +271,10 @@
         self.knowledge.borrow().configuration().is_some()
     }
 
+    fn knows_backends(&self) -> bool {
+        self.knowledge.borrow().known().backends_revision > 0
+    }
+
     /// Members to which it is to be said now that this process watches; none where it does not, or
     /// where the store does not answer it.
     pub fn standbys(&self) -> Vec<String> {
@@ -273,7 +291,8 @@
 
     /// When `tick` has something to do.
     pub fn next_look(&self, now: Timestamp) -> Timestamp {
-        let look = self.roster.borrow().next_look(now, self.knows_configuration());
+        let (configuration, backends) = (self.knows_configuration(), self.knows_backends());
+        let look = self.roster.borrow().next_look(now, configuration, backends);
         self.comparison.borrow().next_look().map_or(look, |comparison| comparison.min(look))
     }
 
--- a/crates/serving/tests/duty.rs
+++ b/crates/serving/tests/duty.rs
@@ -189,3 +189,38 @@
     assert!(roster.watches(Timestamp(5_100), true));
     assert!(!roster.watches(Timestamp(8_000), true));
 }
+
+/// After a start of all nobody knows back ends. A list of 3,000 takes 61 calls: few read it.
+#[test]
+fn after_a_start_of_all_few_read_back_ends_and_each_does_in_the_end() {
+    let (count, zones) = (300, 3);
+    let members: Vec<FleetMember> = (0..count).map(|index| member(index, zones)).collect();
+    let roster = |index: usize| Roster::new(Timestamp(0), false, index as f64 / count as f64);
+    let mut rosters: Vec<Roster> = (0..count).map(roster).collect();
+    let mut readers: BTreeSet<usize> = BTreeSet::new();
+    for now in (0..6_000).step_by(STEP_MS as usize) {
+        for (index, member) in members.iter().enumerate() {
+            let roster = &mut rosters[index];
+            roster.rank(Timestamp(now), Ranking::new(&members, &member.zone, &member.name));
+            if roster.reads_backends(Timestamp(now), false) {
+                readers.insert(index);
+            }
+        }
+        if now == 450 {
+            assert_eq!(readers.len(), WATCHERS * zones, "the first of each zone, at once");
+        }
+        if now == 2_400 {
+            assert_eq!(readers.len(), (WATCHERS + STANDBYS) * zones, "nobody said it watches");
+        }
+    }
+    assert_eq!(readers.len(), count, "whom no peer tells reads for itself");
+    // Who knows back ends reads only where it watches.
+    let mut idle = 0;
+    for (member, roster) in members.iter().zip(&mut rosters) {
+        roster.rank(Timestamp(6_000), Ranking::new(&members, &member.zone, &member.name));
+        if !roster.reads_backends(Timestamp(6_000), true) {
+            idle += 1;
+        }
+    }
+    assert_eq!(idle, count - (WATCHERS + STANDBYS) * zones);
+}
