--- a/crates/quota/tests/parts.rs
+++ b/crates/quota/tests/parts.rs
@@ -87,7 +87,7 @@
     // Four tokens beyond the burst are the most that a part without a burst holds.
     let much_later = START.plus_millis(5_800);
     assert!(tokens(accountant.take(much_later, &ask(LIMIT, 1, 100))) <= 4);
-    let later_still = much_later.plus_millis(50);
+    let later_still = much_later.plus_millis(150);
     assert_eq!(tokens(accountant.take(later_still, &ask(LIMIT, 1, 100))), 0, "one a second");
 }
 
