Watches that begin again together end apart

Each of these calls was lost, and nothing showed it for 12.7 s; a configuration acknowledged meanwhile was in force nowhere. Change: the first watch after a list or a change waits 1.5 to 6 s, drawn anew; later ones 12 s.

--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -24,6 +24,12 @@
 
 /// Longest time for which one watch waits.
 pub const WATCH_WAIT: Duration = Duration::from_millis(12_000);
+/// Shortest and longest time for which the first watch after a list or a change waits, drawn anew each
+/// time. All watchers begin again at the same moment then; where the store falls silent just after, each of
+/// these calls is lost, and nothing shows it before its wait ends. Drawn apart, the first of them ends soon,
+/// and in time for the rule: 6 s is the time by which a store that was down may delay a configuration.
+const FIRST_WATCH_WAIT: std::ops::Range<Duration> =
+    Duration::from_millis(1_500)..Duration::from_millis(6_000);
 /// Pause after a watch that told changes before the next one: changes come together, as when a service
 /// starts or is replaced, and each call is paid for by every process.
 const GATHER_PAUSE: Duration = Duration::from_millis(200);
@@ -339,9 +345,10 @@
     sink.ended(None);
     listed();
     *pause = FIRST_PAUSE;
+    let mut wait = first_watch_wait();
     loop {
         let watched = tokio::select! {
-            watched = within(WATCH_WAIT + WATCH_SLACK, source.watch(revision, WATCH_WAIT)) => {
+            watched = within(wait + WATCH_SLACK, source.watch(revision, wait)) => {
                 Some(watched)
             }
             () = refresh.notified() => None,
@@ -357,7 +364,9 @@
                 revision = revision.max(next);
                 let changed = !changes.is_empty();
                 sink.apply(changes, revision);
+                wait = WATCH_WAIT;
                 if changed {
+                    wait = first_watch_wait();
                     tokio::time::sleep(GATHER_PAUSE).await;
                 }
             }
@@ -366,6 +375,10 @@
     }
 }
 
+fn first_watch_wait() -> Duration {
+    rand::random_range(FIRST_WATCH_WAIT)
+}
+
 /// Counts a call to the platform's store by its outcome.
 fn count<T>(kind: &'static str, call: &'static str, answer: &Result<T, SourceError>) {
     let outcome = match answer {
