--- a/crates/serving/tests/follow.rs
+++ b/crates/serving/tests/follow.rs
@@ -146,12 +146,9 @@
         Ok(ListPage { items: vec![item], revision: 100 + number, next })
     }
 
-    async fn watch(
-        &mut self,
-        _from: Revision,
-        _wait: Duration,
-    ) -> Result<Watched<u64>, SourceError> {
-        std::future::pending().await
+    async fn watch(&mut self, from: Revision, wait: Duration) -> Result<Watched<u64>, SourceError> {
+        tokio::time::sleep(wait).await;
+        Ok(Watched::Changes { changes: Vec::new(), revision: from })
     }
 
     fn reset(&mut self) {}
