--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -8,7 +8,6 @@
 
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 use yokefall_serving::admission::{load_limit, Held, HoldQueue, Terms};
 use yokefall_telemetry::EventName;
 use yokefall_upstream::Place;
@@ -77,12 +76,8 @@
     }
     let ticket = admission.next_ticket.get();
     admission.next_ticket.set(ticket + 1);
-    let terms = Terms {
-        rank: order.rank,
-        tenant: tenant_of(shared, order),
-        target,
-        time: order.deadline.duration_since(order.arrived),
-    };
+    let terms =
+        Terms { rank: order.rank, target, time: order.deadline.duration_since(order.arrived) };
     let (grant, granted) = oneshot::channel();
     let held = shared.places.with(|_, now| Held::new(ticket, now, terms));
     admission.hold(&order.service, held, Waiter { grant, affinity, target });
@@ -102,14 +97,6 @@
     outcome.map(Some)
 }
 
-/// What tenants take turns by; the same for all where the policy does not have them take turns.
-fn tenant_of(shared: &Shared, order: &Order) -> u64 {
-    match shared.policy.fair_tenants {
-        true => xxh3_64(order.caller.name().as_bytes()),
-        false => 0,
-    }
-}
-
 impl Admission {
     fn is_empty(&self, service: &str) -> bool {
         self.services.borrow().get(service).is_none_or(|service| service.queue.is_empty())
@@ -209,7 +196,6 @@
             return false;
         }
         service.queue.remove(held.ticket);
-        service.queue.sent(held.tenant);
         service.waiters.remove(&held.ticket)
     };
     // One whose caller has just left has no waiter any more.
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -1,6 +1,5 @@
 //! Which request goes to a back end next where there is room for few: requests that can still be
-//! answered in time, the newest first, then late ones, the oldest first. Among these tenants take turns
-//! (start-time fair queueing, Goyal, Vin and Cheng, 1996), so that one that sends much delays itself.
+//! answered in time, the newest first, then late ones, the oldest first.
 //!
 //! A back end serves what it has in the order of arrival. What is beyond its room is therefore held
 //! here, where the order can still change. After "Flow control for Latency-Critical RPCs" (Kogias
@@ -8,7 +7,6 @@
 //! there, and from the time that requests were observed to take.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::time::Duration;
 
 use yokefall_core::Timestamp;
@@ -30,8 +28,6 @@
     pub ticket: u64,
     /// Rank of its route, 0 the highest.
     pub rank: u32,
-    /// Hash of the tenant that sent it; one value for all where tenants do not take turns.
-    pub tenant: u64,
     /// When it arrived.
     pub arrived: Timestamp,
     /// Until when it can be sent and be answered in time.
@@ -45,8 +41,6 @@
 pub struct Terms {
     /// Rank of its route, 0 the highest.
     pub rank: u32,
-    /// Hash of the tenant that sent it; one value for all where tenants do not take turns.
-    pub tenant: u64,
     /// Target for latency of its route.
     pub target: Duration,
     /// Time that its caller, or its route, gives it.
@@ -61,7 +55,6 @@
         Self {
             ticket,
             rank: terms.rank,
-            tenant: terms.tenant,
             arrived,
             in_time_until: after(terms.target.mul_f64(IN_TIME_SHARE).min(longest)),
             give_up_at: after(longest),
@@ -91,10 +84,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct HoldQueue {
     held: Vec<Held>,
-    /// Turn of the request that was sent last.
-    turn: u64,
-    /// Next turn of each tenant that is ahead of it.
-    turns: HashMap<u64, u64>,
 }
 
 impl HoldQueue {
@@ -104,29 +93,12 @@
     }
 
     /// The request that is sent next. Invariant: none of a lower rank comes before one of a higher
-    /// rank, and none that is late before one of its rank that can be in time.
+    /// rank.
     pub fn next(&self, now: Timestamp) -> Option<Held> {
-        let order = |held: &&Held| {
-            let urgency = held.urgency(now);
-            let is_late = matches!(urgency, Urgency::Late(_));
-            (held.rank, is_late, self.turn_of(held.tenant), urgency, held.ticket)
-        };
+        let order = |held: &&Held| (held.rank, held.urgency(now), held.ticket);
         self.held.iter().min_by_key(order).copied()
     }
 
-    /// A tenant that has sent nothing for a while begins at the present turn: it saves up no turns.
-    fn turn_of(&self, tenant: u64) -> u64 {
-        self.turns.get(&tenant).map_or(self.turn, |turn| (*turn).max(self.turn))
-    }
-
-    /// Notes that a request of a tenant was sent.
-    pub fn sent(&mut self, tenant: u64) {
-        self.turn = self.turn_of(tenant);
-        let turn = self.turn;
-        self.turns.insert(tenant, turn + 1);
-        self.turns.retain(|_, next| *next > turn);
-    }
-
     /// Removes a request; `None` where it is not held.
     pub fn remove(&mut self, ticket: u64) -> Option<Held> {
         let position = self.held.iter().position(|held| held.ticket == ticket)?;
--- a/crates/serving/tests/admission.rs
+++ b/crates/serving/tests/admission.rs
@@ -9,12 +9,7 @@
 const NOW: Timestamp = Timestamp(10_000);
 
 fn terms(rank: u32) -> Terms {
-    Terms {
-        rank,
-        tenant: 0,
-        target: Duration::from_millis(300),
-        time: Duration::from_millis(5_000),
-    }
+    Terms { rank, target: Duration::from_millis(300), time: Duration::from_millis(5_000) }
 }
 
 fn queue(arrivals: &[(u64, u32)]) -> HoldQueue {
@@ -108,54 +103,3 @@
     }
     false
 }
-
-/// Holds `(tenant, arrived)` of one rank; tickets by position.
-fn of_tenants(arrivals: &[(u64, u64)]) -> HoldQueue {
-    let mut queue = HoldQueue::default();
-    for (ticket, (tenant, arrived)) in (0..).zip(arrivals) {
-        let terms = Terms { tenant: *tenant, ..terms(0) };
-        queue.hold(Held::new(ticket, Timestamp(*arrived), terms));
-    }
-    queue
-}
-
-/// Sends everything that is held; the tenants in order.
-fn send_all(queue: &mut HoldQueue) -> Vec<u64> {
-    let mut order = Vec::new();
-    while let Some(next) = queue.next(NOW) {
-        queue.remove(next.ticket);
-        queue.sent(next.tenant);
-        order.push(next.tenant);
-    }
-    order
-}
-
-#[test]
-fn tenants_take_turns_however_much_one_sends() {
-    let mut queue =
-        of_tenants(&[(1, 9_990), (1, 9_991), (1, 9_992), (1, 9_993), (2, 9_950), (3, 9_951)]);
-    let order = send_all(&mut queue);
-    let mut first: Vec<u64> = order[..3].to_vec();
-    first.sort_unstable();
-    assert_eq!(first, [1, 2, 3]);
-    assert_eq!(order[3..], [1, 1, 1]);
-}
-
-#[test]
-fn a_tenant_saves_up_no_turns() {
-    let mut queue = of_tenants(&[(1, 9_990); 10]);
-    send_all(&mut queue);
-    let late_comer = [(2, 9_950), (2, 9_951), (2, 9_952), (1, 9_953), (1, 9_954), (1, 9_955)];
-    for (ticket, (tenant, arrived)) in (100..).zip(late_comer) {
-        let terms = Terms { tenant, ..terms(0) };
-        queue.hold(Held::new(ticket, Timestamp(arrived), terms));
-    }
-    let order = send_all(&mut queue);
-    assert_eq!(order.iter().take(4).filter(|tenant| **tenant == 2).count(), 2, "{order:?}");
-}
-
-#[test]
-fn a_turn_does_not_send_what_is_late_before_what_can_be_in_time() {
-    let mut queue = of_tenants(&[(1, 9_990), (1, 9_991), (2, 9_000)]);
-    assert_eq!(send_all(&mut queue), [1, 1, 2]);
-}
--- a/crates/types/src/policy.rs
+++ b/crates/types/src/policy.rs
@@ -22,8 +22,6 @@
     pub silence: bool,
     /// Items are preempted by online requests.
     pub give_way: bool,
-    /// Tenants take turns among the requests that are held.
-    pub fair_tenants: bool,
     /// Items that can be in time go before those that cannot.
     pub due_order: bool,
 }
@@ -39,7 +37,6 @@
             ejection: true,
             silence: true,
             give_way: true,
-            fair_tenants: true,
             due_order: true,
         }
     }
