--- a/crates/jobstore/src/connections.rs
+++ b/crates/jobstore/src/connections.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc::{channel, Receiver, Sender};
 use yokefall_serving::FleetCell;
 
+use crate::addresses::Addresses;
 use crate::protocol::{encode, send_frame, Frame};
 
 /// Frames that may wait for one member.
@@ -28,13 +29,15 @@
 #[derive(Debug)]
 pub struct Links {
     fleet: FleetCell,
+    /// Where members were before this process started.
+    hints: Addresses,
     links: RefCell<HashMap<String, Sender<Bytes>>>,
 }
 
 impl Links {
-    /// No connections yet; addresses come from the fleet.
-    pub fn new(fleet: FleetCell) -> Self {
-        Self { fleet, links: RefCell::default() }
+    /// No connections yet; addresses come from the fleet, and from `hints` where it does not know one.
+    pub fn new(fleet: FleetCell, hints: Addresses) -> Self {
+        Self { fleet, hints, links: RefCell::default() }
     }
 
     /// Sends a frame to a member, or drops it.
@@ -42,7 +45,9 @@
         let mut links = self.links.borrow_mut();
         let link = links.entry(name.to_owned()).or_insert_with(|| {
             let (sender, receiver) = channel(QUEUE_FRAMES);
-            tokio::task::spawn_local(serve(name.to_owned(), self.fleet.clone(), receiver));
+            let hint = self.hints.get(name).copied();
+            let serving = serve(name.to_owned(), self.fleet.clone(), hint, receiver);
+            tokio::task::spawn_local(serving);
             sender
         });
         let _ = link.try_send(encode(frame));
@@ -54,8 +59,13 @@
     fleet.load().members.iter().find(|member| member.name == name).map(|member| member.address)
 }
 
-async fn serve(name: String, fleet: FleetCell, mut frames: Receiver<Bytes>) {
-    let mut address = None;
+async fn serve(
+    name: String,
+    fleet: FleetCell,
+    hint: Option<SocketAddr>,
+    mut frames: Receiver<Bytes>,
+) {
+    let mut address = hint;
     let mut stream: Option<OwnedWriteHalf> = None;
     while let Some(frame) = frames.recv().await {
         let current = address_of(&fleet, &name).or(address);
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::store::{Store, StoreLimits, StoreObserver};
 use crate::wal::Wal;
 use crate::worker::Worker;
-use crate::{aggregators, group, server};
+use crate::{addresses, aggregators, group, server};
 
 /// Parts in which replicas differ in when they rewrite their disks.
 const STAGGER_PARTS: u64 = 64;
@@ -142,7 +142,8 @@
         let catalog = empty_catalog();
         let state = opened.recovered.snapshot.state.clone();
         let core = Consensus::new(me.clone(), opened.recovered, 0, rand::random());
-        let links = Links::new(fleet.clone());
+        let links = Links::new(fleet.clone(), addresses::load(&options.folder));
+        tokio::task::spawn_local(addresses::keep(options.folder.clone(), fleet.clone()));
         let limits = StoreLimits {
             copies: options.tolerated_losses + 1,
             log_bytes: staggered(options.log_bytes, &options.name),
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -6,6 +6,7 @@
 //! job stores for it, whose `worker` does it, each by a `run`; `loads` adds load reports up, and
 //! `aggregators` exchanges the sums.
 
+pub mod addresses;
 pub mod aggregators;
 pub mod client;
 pub mod connections;
