--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -12,7 +12,7 @@
 use yokefall_telemetry::EventName;
 use yokefall_upstream::Place;
 
-use crate::forward::Order;
+use crate::order::Order;
 use crate::shared::Shared;
 
 /// Longest pause between two looks at what is held: back ends may come, and loads grow old.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,27 +4,22 @@
 //! it, and is never refused as "not run" then. Proof of "not run" is a connection that did not come
 //! up, a request of which nothing was written, or a back end's own statement; nothing else.
 
-use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::request::Parts;
-use http::{header, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{HeaderMap, HeaderName, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
-use yokefall_serving::{Caller, Outcome, Route, RouteKind};
+use yokefall_serving::{Caller, Outcome};
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{exchange, ConnectFailure, Connection, Place, SendFailure};
 
 use crate::admission::{admit, choose, GivenUp};
 use crate::answer::{plain, refusal, Answer};
-use crate::body::HeldBody;
-use crate::quota::{self, NoToken, Token, Wanted};
+use crate::order::{may_repeat, Order};
+use crate::quota::{self, NoToken, Wanted};
 use crate::relay;
+use crate::request::{affinity, request_for};
 use crate::shared::Shared;
 
 /// Longest time for a connection to a back end to come up.
@@ -45,94 +40,6 @@
 const LEAST_REPEAT_AFTER: Duration = Duration::from_millis(800);
 /// Connections to one back end that are always allowed.
 const LEAST_CONNECTIONS: usize = 4;
-/// Shared tokens of a prompt from which it is worth going where they are in memory.
-const AFFINITY_TOKENS: u64 = 1_000;
-
-/// Headers of one connection, which are not passed on.
-const CONNECTION_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-];
-
-/// A request that is to be forwarded.
-pub struct Order {
-    /// Its route.
-    pub route: Arc<Route>,
-    /// Who sent it.
-    pub caller: Caller,
-    /// Its rank, 0 the highest.
-    pub rank: u32,
-    /// The right to send it, where its tenant has a limit.
-    pub token: Option<Token>,
-    /// Service that gets it.
-    pub service: String,
-    /// Method, path and headers as the client sent them.
-    pub parts: Parts,
-    /// Its body.
-    pub body: HeldBody,
-    /// Version of the configuration that gave its route.
-    pub version: u64,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// When the client's time, or the route's, ends.
-    pub deadline: Instant,
-    /// Back ends that were tried.
-    pub tried: Vec<String>,
-    /// Back ends that may have run it.
-    pub may_have_run: u32,
-    /// Id of the request.
-    pub id: String,
-    /// Whether a line has told its end.
-    pub told: Cell<bool>,
-}
-
-impl Order {
-    /// A line about this request, with what decided about it.
-    pub fn line(&self, event: EventName) -> Line {
-        Line::new(event)
-            .id(&self.id)
-            .field("route", self.route.name.as_str())
-            .field("service", self.service.as_str())
-            .field("tenant", self.caller.name())
-            .field("version", self.version)
-            .field("tried", self.tried.clone())
-            .field("may_have_run", self.may_have_run)
-            .field("age_ms", self.arrived.elapsed().as_millis() as u64)
-            .field("left_ms", self.deadline.duration_since(Instant::now()).as_millis() as u64)
-    }
-}
-
-impl Order {
-    /// A back end may have run it. The token is spent: each run counts.
-    fn note_may_have_run(&mut self) {
-        self.may_have_run += 1;
-        self.token = None;
-    }
-
-    /// The line about the end of this request.
-    pub fn end_line(&self, event: EventName) -> Line {
-        self.told.set(true);
-        let seconds = self.arrived.elapsed().as_secs_f64();
-        metrics::histogram!("gateway_request_seconds", "route" => self.route.name.clone())
-            .record(seconds);
-        self.line(event)
-    }
-}
-
-impl Drop for Order {
-    /// An order that is dropped without an end is one whose client left.
-    fn drop(&mut self) {
-        if !self.told.get() {
-            self.line(EventName::ClientLeft).write();
-        }
-    }
-}
 
 /// A back end's answer with the place and the connection that it uses.
 pub struct Taken {
@@ -237,16 +144,6 @@
     }
 }
 
-/// Whether the request may be sent once more after a back end may have run it.
-pub fn may_repeat(order: &Order) -> bool {
-    let repeatable = match order.route.kind {
-        RouteKind::Repeatable => true,
-        RouteKind::Stream => order.route.resumable,
-        RouteKind::AtMostOnce | RouteKind::Batch => false,
-    };
-    repeatable && order.may_have_run < order.route.max_attempts && Instant::now() < order.deadline
-}
-
 /// Finds a back end that answers. `after_event` is the event after which a stream continues, 0 for
 /// what the client itself asks.
 pub async fn send(
@@ -454,54 +351,3 @@
     let processes = shared.fleet.load().members.len().max(1);
     (from_all as usize / processes).max(LEAST_CONNECTIONS)
 }
-
-/// A hash of the shared part of a prompt that is long enough to matter.
-fn affinity(shared: &Shared, headers: &HeaderMap) -> Option<u64> {
-    let parts = shared.dialect.parse_prefix(headers.get(&shared.dialect.headers().prefix)?);
-    let (_, shared_parts) = parts.split_last()?;
-    let tokens: u64 = shared_parts.iter().map(|part| part.tokens).sum();
-    let last = shared_parts.last()?;
-    (tokens >= AFFINITY_TOKENS).then(|| xxh3_64(last.id.as_bytes()))
-}
-
-/// Copies headers that belong to the message, not to one connection.
-pub fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
-    let named: Vec<&str> = from
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(str::trim)
-        .collect();
-    for (name, value) in from {
-        let of_connection = CONNECTION_HEADERS.contains(name)
-            || name.as_str() == "keep-alive"
-            || name.as_str() == "proxy-connection"
-            || named.iter().any(|named| name.as_str().eq_ignore_ascii_case(named));
-        if !of_connection {
-            to.append(name.clone(), value.clone());
-        }
-    }
-}
-
-fn request_for(
-    shared: &Shared,
-    order: &Order,
-    backend: &str,
-    after_event: u64,
-) -> Option<Request<Full<Bytes>>> {
-    let names = shared.dialect.headers();
-    let path = order.parts.uri.path_and_query()?.as_str();
-    let mut request = Request::builder().method(order.parts.method.clone()).uri(path);
-    let headers = request.headers_mut()?;
-    copy_headers(&order.parts.headers, headers);
-    headers.remove(header::CONTENT_LENGTH);
-    order.caller.mark(&names.tenant, headers);
-    let left = order.deadline.duration_since(Instant::now()).as_millis().max(1) as u64;
-    headers.insert(&names.deadline_ms, HeaderValue::from(left));
-    headers.insert(&names.expected_backend, HeaderValue::try_from(backend).ok()?);
-    if after_event > 0 {
-        headers.insert(&names.resume_after, HeaderValue::from(after_event));
-    }
-    request.body(Full::new(order.body.bytes.clone())).ok()
-}
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -20,7 +20,8 @@
 
 use crate::answer::{plain, refusal, Answer};
 use crate::connection::{LimitedStream, PhaseCell, TimeLimits};
-use crate::forward::{forward, no_token, Order};
+use crate::forward::{forward, no_token};
+use crate::order::Order;
 use crate::quota::{self, NoToken, Token, Wanted};
 use crate::shared::Shared;
 use crate::{body, directory, jobs};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,9 +3,9 @@
 //!
 //! Two threads: control (members, configuration, back ends) publishes snapshots; traffic (sockets,
 //! requests, answers) reads them. A request passes, in this order: `connection` (time limits),
-//! `ingress` (which kind of call it is, and whose), `body` (size limits), `quota` (the
-//! tenant's limit), `admission` (holds what back ends have
-//! no room for), `forward` (attempts), `relay` (the answer) or `jobs`.
+//! `ingress` (which kind of call it is, and whose), `body` (size limits), `quota` (the tenant's limit),
+//! `admission` (holds what back ends have no free slots for), `forward` (attempts), `relay` (the answer) or
+//! `jobs`. `order` is a request on this way; `request` is what a back end gets of it.
 
 pub mod admission;
 pub mod answer;
@@ -18,9 +18,11 @@
 pub mod ingress;
 pub mod jobs;
 pub mod load;
+pub mod order;
 pub mod quota;
 pub mod relay;
 pub mod relay_port;
+pub mod request;
 pub mod shared;
 
 pub use daemon::{Gateway, GatewayOptions};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,9 @@
 use yokefall_upstream::{Connection, Place};
 
 use crate::answer::{Answer, AnswerBody, BrokenAnswer};
-use crate::forward::{copy_headers, may_repeat, send, tell_silent, Order, Taken, SILENCE};
+use crate::forward::{send, tell_silent, Taken, SILENCE};
+use crate::order::{may_repeat, Order};
+use crate::request::copy_headers;
 use crate::shared::Shared;
 
 /// Most bytes of an answer that is read whole before it is passed on.
--- a/crates/gateway/src/relay_port.rs
+++ b/crates/gateway/src/relay_port.rs
@@ -32,7 +32,7 @@
     while let Some(Ok(bytes)) = frames.next().await {
         let Ok(Frame::Request { call, request }) = decode(&bytes) else { return };
         let reply = match request {
-            Request::TakeTokens(asks) => Reply::Tokens(quota::relay(&shared, asks).await),
+            Request::TakeTokens(asks) => Reply::Tokens(quota::relays::relay(&shared, asks).await),
             Request::Accountants => Reply::Accountants(shared.quota.assignment()),
             _ => return,
         };
--- a/crates/quota/tests/parts.rs
+++ b/crates/quota/tests/parts.rs
@@ -210,7 +210,8 @@
     meter.failed(&accountant);
     let next = meter.next(later, &tenant(), &[Refused { part, wait_ms: None }]);
     assert!(matches!(next, NextStep::Ask { part: other, .. } if other != part));
-    assert_eq!(meter.failing(), [accountant.clone()]);
+    assert_eq!(meter.failing().len(), 1);
+    assert_eq!(meter.failing()[0], accountant);
     meter.answered(&accountant);
     assert!(meter.failing().is_empty());
 }
