--- a/crates/serving/tests/follow.rs
+++ b/crates/serving/tests/follow.rs
@@ -137,7 +137,7 @@
     async fn list(&mut self, after: Option<&str>) -> Result<ListPage<u64>, SourceError> {
         self.asked.borrow_mut().push(after.map(str::to_owned));
         self.calls += 1;
-        if self.calls.is_multiple_of(3) {
+        if self.calls % 3 == 0 {
             return Err(SourceError::Refused { status: 429 });
         }
         let number = after.map_or(0, |name| name.parse::<u64>().expect("a number") + 1);
