Relays are asked for parts in the gateway's own order

Read again: the way through other gateways went through the parts by itself, always from the first, where the meter has an order that uses all evenly. A doc text that stood twice is gone. Tests of the crates and clippy pass.

--- a/crates/gateway/src/quota/asks.rs
+++ b/crates/gateway/src/quota/asks.rs
@@ -51,8 +51,7 @@
     answered.await.unwrap_or(Answer::None)
 }
 
-/// Sends what is queued for one accountant, for ever. What comes while an answer is awaited goes
-/// together, so that a gateway has one ask on its way however many requests arrive.
+/// Sends what is queued for one accountant, for ever.
 async fn serve_queue(
     shared: Rc<Shared>,
     accountant: String,
--- a/crates/gateway/src/quota/relays.rs
+++ b/crates/gateway/src/quota/relays.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 use yokefall_jobstore::{Reply, Request};
-use yokefall_quota::{Part, TokenAsk, TokenGrant, PARTS};
+use yokefall_quota::{TokenAsk, TokenGrant};
 
 use super::asks::{ask_accountant, Answer, ASK_TIMEOUT};
 use super::{NoToken, Token, Wanted};
@@ -22,7 +22,8 @@
 ) -> Result<Token, NoToken> {
     for address in relays(shared) {
         let mut shortest_wait: Option<u64> = None;
-        for part in (0..PARTS).map(Part) {
+        let order = shared.quota.meter.borrow().order(wanted.tenant);
+        for part in order {
             let asked_at = Instant::now();
             let asks = vec![wanted.ask(part)];
             let deadline = asked_at + ASK_TIMEOUT;
--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -70,11 +70,16 @@
         }
     }
 
+    /// The parts of a tenant's limit in the order in which this gateway asks for them.
+    pub fn order(&self, tenant: &TenantName) -> impl Iterator<Item = Part> {
+        order_of(&self.gateway, tenant)
+    }
+
     /// What to do for a request of a tenant to which some parts gave no token.
     pub fn next(&self, now: Timestamp, tenant: &TenantName, refused: &[Refused]) -> NextStep {
         let mut earliest: Option<u64> = None;
         let mut is_unknown = false;
-        for part in order_of(&self.gateway, tenant) {
+        for part in self.order(tenant) {
             let asked = refused.iter().find(|refused| refused.part == part);
             let spent = self.spent_until.get(&(tenant.clone(), part));
             let spent = spent.filter(|until| **until > now).map(|until| until.millis_since(now));
