--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderName, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use yokefall_serving::{Caller, Outcome};
+use yokefall_serving::Outcome;
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{exchange, ConnectFailure, Connection, Place, SendFailure};
 
@@ -88,11 +88,10 @@
 /// Makes sure of a token that is valid at the moment of sending. Invariant: no request of a limited
 /// tenant is sent without one, and none is spent twice.
 async fn renew_token(shared: &Rc<Shared>, order: &mut Order) -> Result<(), NoToken> {
-    let Caller::Tenant(tenant) = &order.caller else { return Ok(()) };
-    let Some(limit) = tenant.limit else { return Ok(()) };
+    let Some(wanted) = Wanted::of(&order.caller, &order.route, order.version) else {
+        return Ok(());
+    };
     if order.token.is_none_or(|token| !token.is_valid()) {
-        let target = Duration::from_millis(order.route.target_latency_ms);
-        let wanted = Wanted { tenant: &tenant.name, limit, version: order.version, target };
         order.token = Some(quota::take(shared, wanted).await?);
     }
     Ok(())
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -274,22 +274,20 @@
     version: u64,
     id: &str,
 ) -> Result<Option<Token>, NoToken> {
-    let Some(tenant) = caller.tenant() else { return Ok(None) };
-    let Some(limit) = tenant.limit else { return Ok(None) };
-    let target = Duration::from_millis(route.target_latency_ms);
-    let wanted = Wanted { tenant: &tenant.name, limit, version, target };
+    let Some(wanted) = Wanted::of(caller, route, version) else { return Ok(None) };
+    let Wanted { tenant, limit, .. } = wanted;
     let taken = quota::take(shared, wanted).await;
     if let Err(cause) = taken {
         let (event, wait) = match cause {
             NoToken::OverLimit { wait } => (EventName::QuotaExceeded, wait),
             NoToken::Unknown { wait } => (EventName::QuotaUnknown, wait),
         };
-        let (name, cause) = (tenant.name.as_str().to_owned(), event.text());
+        let (name, cause) = (tenant.as_str().to_owned(), event.text());
         metrics::counter!("gateway_quota_refusals_total", "tenant" => name, "cause" => cause)
             .increment(1);
         Line::new(event)
             .id(id)
-            .field("tenant", tenant.name.as_str())
+            .field("tenant", tenant.as_str())
             .field("version", version)
             .field("rate_per_1000_s", limit.per_1000_seconds)
             .field("burst", limit.burst)
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 use yokefall_core::Timestamp;
 use yokefall_quota::{Assignment, Meter, NextStep, Part, QuotaBounds, Refused, TokenAsk};
-use yokefall_serving::{RateLimit, TenantName};
+use yokefall_serving::{Caller, RateLimit, Route, TenantName};
 
 use self::asks::{ask_accountant, Answer, Waiting};
 use self::relays::take_by_relay;
@@ -109,7 +109,14 @@
     pub target: Duration,
 }
 
-impl Wanted<'_> {
+impl<'a> Wanted<'a> {
+    /// What a request of a caller on a route needs; `None` where no limit holds for it.
+    pub fn of(caller: &'a Caller, route: &Route, version: u64) -> Option<Self> {
+        let tenant = caller.tenant()?;
+        let target = Duration::from_millis(route.target_latency_ms);
+        Some(Self { tenant: &tenant.name, limit: tenant.limit?, version, target })
+    }
+
     fn ask(&self, part: Part) -> TokenAsk {
         let tenant = self.tenant.clone();
         TokenAsk { tenant, part, limit: self.limit, version: self.version, tokens: 1 }
