What keeps items from running is told

Cause: no line or figure told how many items wait, how many the leader believes to run, how many gateways it hears and what holds the items; runs of ended jobs ended without a line. Change: events items-held, aggregator-changed and item-stopped, three gauges; no change of logic.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -12,6 +12,7 @@
     BackendCount, BackendOutcomes, LoadAnswer, LoadReport, Reply, Request, ServiceRate,
 };
 use yokefall_serving::{InFlight, Outcomes};
+use yokefall_telemetry::{EventName, Line};
 
 use crate::shared::Shared;
 
@@ -64,6 +65,10 @@
     let aggregator = aggregator_of(&fleet, known.leader.as_deref(), gateway);
     let Some(aggregator) = aggregator else { return };
     if aggregator.name != known.aggregator {
+        Line::new(EventName::AggregatorChanged)
+            .id(&aggregator.name)
+            .field("leader", known.leader.clone())
+            .write();
         known.aggregator = aggregator.name.clone();
         known.is_current = false;
     }
--- a/crates/jobstore/src/room.rs
+++ b/crates/jobstore/src/room.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
     /// All slots.
-    slots: u32,
+    pub slots: u32,
     /// Slots that nothing has.
     pub free: u32,
     /// Part of the slots that stays free when an item starts.
@@ -41,7 +41,7 @@
     }
 
     /// Slots that stay free when an item starts.
-    fn reserve(&self) -> u32 {
+    pub fn reserve(&self) -> u32 {
         (f64::from(self.slots) * self.reserved_share).ceil() as u32
     }
 
@@ -63,12 +63,19 @@
     room: Room,
     /// Back ends with a free slot.
     backends: Vec<Arc<Backend>>,
+    /// Items that found no slot in this pass.
+    pub held: usize,
 }
 
 impl ServiceSlots {
     /// The slots of a service, of which these back ends have some that are free.
     pub fn new(room: Room, backends: Vec<Arc<Backend>>) -> Self {
-        Self { room, backends }
+        Self { room, backends, held: 0 }
+    }
+
+    /// The slots of all its back ends.
+    pub fn room(&self) -> &Room {
+        &self.room
     }
 
     /// Items that may start.
@@ -100,4 +107,9 @@
     pub fn of(&mut self, service: &str, find: impl FnOnce() -> ServiceSlots) -> &mut ServiceSlots {
         self.services.entry(service.to_owned()).or_insert_with(find)
     }
+
+    /// The services that were met, with their slots.
+    pub fn services(&self) -> impl Iterator<Item = (&String, &ServiceSlots)> {
+        self.services.iter()
+    }
 }
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -13,6 +13,7 @@
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::Place;
 
+use crate::backlog::{Backlog, PassFigures};
 use crate::delegation::{preemption, Delegation};
 use crate::protocol::RunOrder;
 use crate::room::{FreeSlots, Room, ServiceSlots};
@@ -45,6 +46,7 @@
     running: RefCell<HashMap<ItemKey, Running>>,
     /// How fast items are done.
     pace: Cell<Pace>,
+    backlog: Backlog,
     options: RunnerOptions,
 }
 
@@ -68,7 +70,8 @@
         options: RunnerOptions,
     ) -> Self {
         let (running, pace) = (RefCell::default(), Cell::default());
-        Self { store, worker, delegation, running, pace, options }
+        let backlog = Backlog::default();
+        Self { store, worker, delegation, running, pace, backlog, options }
     }
 
     /// Runs for ever: waits for the lead, then runs items until it is lost.
@@ -129,9 +132,17 @@
     fn stop_closed(&self) {
         self.running.borrow_mut().retain(|(job, item), running| {
             let is_open = self.store.with_job(job, |job| job.open.contains_key(item));
+            let was_ended = self.store.with_job(job, |job| job.ended);
             if is_open != Some(true) {
                 running.task.abort();
             }
+            if was_ended == Some(true) {
+                Line::new(EventName::ItemStopped)
+                    .id(format_args!("{job} item {item}"))
+                    .text("job", job)
+                    .field("backend", running.backend.as_ref().map(|backend| backend.id.clone()))
+                    .write();
+            }
             is_open == Some(true)
         });
     }
@@ -155,12 +166,15 @@
             let mut order: Vec<&WaitingJob> = jobs.iter().collect();
             order.sort_unstable_by(|left, right| left.order(right, late));
             for job in order {
-                if self.running.borrow().len() >= self.options.most_runs {
-                    return;
-                }
                 self.start_items_of(job, late, &mut services);
             }
         }
+        let figures = PassFigures {
+            running: self.running.borrow().len(),
+            most_runs: self.options.most_runs,
+            gateways_heard: self.store.loads.reporters(),
+        };
+        self.backlog.note(services.services(), figures);
     }
 
     /// Jobs with items that do not run yet. Items that have waited for longer than their route allows
@@ -201,16 +215,20 @@
         let mut waiting = waiting.unwrap_or_default();
         waiting.retain(|item| job.is_late(item.left) == late);
         waiting.sort_unstable_by_key(|item| (item.left, item.index));
-        for item in waiting {
+        for (started, item) in waiting.iter().enumerate() {
             let key = (job.id.clone(), item.index);
             // An item whose route is unknown must not hold up the items of others.
             let Some(service) = self.service_of(&key) else { continue };
             let free = services.of(&service, || self.free_slots(&service));
             if free.items() == 0 || self.running.borrow().len() >= self.options.most_runs {
+                free.held += waiting.len() - started;
                 return;
             }
             let chosen = self.worker.places.with(|balancer, now| free.choose(balancer, now));
-            let Some(backend) = chosen else { return };
+            let Some(backend) = chosen else {
+                free.held += waiting.len() - started;
+                return;
+            };
             self.start(key, backend.clone());
             let items = self.worker.places.with(|balancer, _| balancer.in_flight(&backend.id));
             if !self.has_free_slot(&backend, items) {
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -123,6 +123,12 @@
     ItemFinished = "item-finished", Info, SUCCESS_BUDGET;
     /// An item did not finish and is tried again.
     ItemRetried = "item-retried", Warn, FAILURE_BUDGET;
+    /// A run of an item was stopped: its job was ended meanwhile.
+    ItemStopped = "item-stopped", Info, SUCCESS_BUDGET;
+    /// Items wait for a slot.
+    ItemsHeld = "items-held", Info, FAILURE_BUDGET;
+    /// A gateway reports its load to another job store.
+    AggregatorChanged = "aggregator-changed", Info, FAILURE_BUDGET;
     /// An item was given up.
     ItemAbandoned = "item-abandoned", Warn, FAILURE_BUDGET;
     /// The role of a replica changed.
