Gateways without requests report that, and a leader knows how many it hears

Cause: a gateway without a request sent no report; after 1.5 s the leader could not tell a fleet without online requests from one that it does not hear, and left 70 % of the slots free. The other way round, one gateway that was heard stood for all. Change: idle gateways report every 1.5 s, which counts for 4.5 s; the leader compares the gateways it hears with those of the fleet and leaves free what the others may have; a process that has just started takes nobody for heard until each gateway had time to report.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::Instant;
 use yokefall_jobstore::aggregators::ReportTarget;
-use yokefall_jobstore::loads::{report_interval, THOUSANDTHS};
+use yokefall_jobstore::loads::{report_interval, BUSY_INTERVAL, IDLE_INTERVAL, THOUSANDTHS};
 use yokefall_jobstore::{
     BackendCount, BackendOutcomes, LoadAnswer, LoadReport, Reply, Request, ServiceRate,
 };
@@ -16,9 +16,6 @@
 
 use crate::shared::Shared;
 
-/// Longest interval between two reports while requests are in flight; a third of the time for which a
-/// report counts.
-const LONGEST_INTERVAL: Duration = Duration::from_millis(500);
 /// Reports after which back ends that are gone are forgotten, about half a minute.
 const REPORTS_TO_FORGET: u32 = 256;
 /// Longest wait for an answer, three of the longest intervals between reports.
@@ -43,20 +40,17 @@
         totals: HashMap::new(),
         is_current: false,
     };
-    let mut reported_anything = false;
+    let mut longest_interval = Duration::ZERO;
     let mut reports: u32 = 0;
     loop {
-        if reported_anything {
-            let changed = shared.places.changed.notified();
-            let _ = tokio::time::timeout(LONGEST_INTERVAL, changed).await;
-        } else {
-            shared.places.changed.notified().await;
-        }
+        let changed = shared.places.changed.notified();
+        let _ = tokio::time::timeout(longest_interval, changed).await;
         let gateways = shared.fleet.load().gateways().count();
         tokio::time::sleep(report_interval(gateways)).await;
-        let counts = counts(&shared);
-        reported_anything = !counts.is_empty();
-        report_once(&shared, &mut known, counts).await;
+        longest_interval = match report_once(&shared, &mut known).await {
+            Reported::Nothing => IDLE_INTERVAL,
+            Reported::Load | Reported::NotTaken => BUSY_INTERVAL,
+        };
         reports += 1;
         if reports % REPORTS_TO_FORGET == 0 {
             forget_gone(&shared);
@@ -64,9 +58,19 @@
     }
 }
 
-async fn report_once(shared: &Shared, known: &mut Known, counts: Vec<BackendCount>) {
+/// What a report came to.
+enum Reported {
+    /// Requests, or what is left of their rates and outcomes.
+    Load,
+    /// That there is nothing to report.
+    Nothing,
+    /// No job store took it.
+    NotTaken,
+}
+
+async fn report_once(shared: &Shared, known: &mut Known) -> Reported {
     let fleet = shared.fleet.load_full();
-    let Some(aggregator) = known.target.choose(&fleet) else { return };
+    let Some(aggregator) = known.target.choose(&fleet) else { return Reported::NotTaken };
     if aggregator.name != known.aggregator {
         Line::new(EventName::AggregatorChanged)
             .id(&aggregator.name)
@@ -75,6 +79,7 @@
         known.aggregator = aggregator.name.clone();
         known.is_current = false;
     }
+    let counts = counts(shared);
     let report = LoadReport {
         gateway: known.target.gateway().to_owned(),
         counts: counts.clone(),
@@ -82,16 +87,22 @@
         outcomes: outcomes(shared),
         answer_all: !known.is_current,
     };
+    let reported = match report.is_idle() {
+        true => Reported::Nothing,
+        false => Reported::Load,
+    };
     let limit = Instant::now() + ANSWER_TIMEOUT;
     match shared.jobs.call_member(aggregator.address, Request::Load(report), limit).await {
         Some(Reply::Load(answer)) => {
             known.target.answered(&aggregator.name, answer.leader.clone());
             take_answer(shared, known, answer, &counts);
+            reported
         }
         // What a lost answer said is asked for again; the aggregator may be gone, or not lead.
         Some(_) | None => {
             known.is_current = false;
             known.target.failed(&aggregator.name);
+            Reported::NotTaken
         }
     }
 }
@@ -119,7 +130,7 @@
             service: service.to_owned(),
             per_1000_seconds: (per_ms * MILLISECONDS_IN_1000_SECONDS) as u64,
         };
-        balancer.own_arrivals(now).map(rate).collect()
+        balancer.own_arrivals(now).map(rate).filter(|rate| rate.per_1000_seconds > 0).collect()
     })
 }
 
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -211,7 +211,8 @@
             most_runs: options.most_runs,
             policy: options.policy,
         };
-        let runner = Runner::new(store.clone(), worker.clone(), delegation, runner_options);
+        let runner =
+            Runner::new(store.clone(), worker.clone(), delegation, fleet.clone(), runner_options);
         tokio::task::spawn_local(Rc::new(runner).run());
         let serving =
             server::serve(listener, store.clone(), worker, quota.clone(), options.page_bytes);
--- a/crates/jobstore/src/loads.rs
+++ b/crates/jobstore/src/loads.rs
@@ -15,9 +15,18 @@
     BackendOutcomes, BackendTotal, LoadAnswer, LoadReport, LoadSums, ServiceRate,
 };
 
-/// Time for which a report counts; reporters repeat theirs every 500 ms while anything is in flight,
-/// so that two may be lost.
+/// Longest interval between two reports of a gateway that has something to report.
+pub const BUSY_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two reports of a gateway that has nothing to report. It still reports: a gateway that
+/// says nothing at all may be cut off, and have any number of requests.
+pub const IDLE_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time for which a report counts: two of the next ones may be lost.
 const LIFETIME: Duration = Duration::from_millis(1_500);
+/// The same for a report that holds nothing.
+const IDLE_LIFETIME: Duration = Duration::from_millis(4_500);
+/// Part of a service's slots that online requests of all gateways may have while none of them reports. A
+/// guess, in force for moments after a start or while all gateways are cut off.
+const UNHEARD_SLOT_SHARE: f64 = 0.7;
 /// Interval between two passes that drop expired reports.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Back ends in one answer at most: about 1.5 KB. The largest changes go first, the others with the
@@ -44,7 +53,7 @@
 /// The last report of one gateway, or the last sums of one job store.
 #[derive(Debug)]
 struct Source {
-    at: Instant,
+    expires_at: Instant,
     counts: Vec<BackendTotal>,
     arrivals: Vec<ServiceRate>,
     outcomes: Vec<BackendOutcomes>,
@@ -91,16 +100,58 @@
 }
 
 /// Requests and items in flight, by back end.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Loads {
     sums: RefCell<Sums>,
     steps: Cell<u64>,
+    /// When this process began to listen.
+    since: Instant,
+}
+
+/// How many of the gateways a process hears.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Coverage {
+    /// Gateways in the fleet, as far as known.
+    pub gateways: u32,
+    /// Gateways whose reports count.
+    pub heard: u32,
+    /// Time for which this process has listened.
+    pub listening: Duration,
+}
+
+impl Coverage {
+    /// Part of the gateways that this process does not hear, from 0 to 1.
+    fn unheard_share(self) -> f64 {
+        if self.heard == 0 {
+            return 1.0;
+        }
+        let all = self.gateways.max(self.heard);
+        let unheard = 1.0 - f64::from(self.heard) / f64::from(all);
+        // A process that has just started may not know all gateways; each of them reports once in the
+        // longest interval.
+        let not_yet = 1.0 - self.listening.div_duration_f64(IDLE_INTERVAL);
+        unheard.max(not_yet).clamp(0.0, 1.0)
+    }
+
+    /// Part of a service's slots that online requests may have which are in no report.
+    pub fn unreported_slot_share(self) -> f64 {
+        UNHEARD_SLOT_SHARE * self.unheard_share()
+    }
+}
+
+impl Default for Loads {
+    fn default() -> Self {
+        Self { sums: RefCell::default(), steps: Cell::default(), since: Instant::now() }
+    }
 }
 
 impl Loads {
     /// Takes the report of a gateway in the place of the one before, and answers it with the totals
     /// that changed since its last answer.
     pub fn report(&self, report: LoadReport, leader: Option<String>) -> LoadAnswer {
+        // A gateway that is idle says so; else nobody could tell it from one that is cut off, and most slots would
+        // stay free for requests that do not exist.
+        let lifetime = if report.is_idle() { IDLE_LIFETIME } else { LIFETIME };
         let LoadReport { gateway, counts, arrivals, outcomes, answer_all } = report;
         let sums = &mut *self.sums.borrow_mut();
         self.expire(sums);
@@ -111,7 +162,8 @@
         });
         let counts: Vec<BackendTotal> = counts.collect();
         self.count_steps(counts.len());
-        let source = Source { at: Instant::now(), counts, arrivals, outcomes, gateways: 1 };
+        let expires_at = Instant::now() + lifetime;
+        let source = Source { expires_at, counts, arrivals, outcomes, gateways: 1 };
         sums.add(&source);
         if let Some(before) = sums.gateways.insert(gateway.clone(), source) {
             sums.subtract(&before);
@@ -170,7 +222,8 @@
         let sums = &mut *self.sums.borrow_mut();
         self.expire(sums);
         self.count_steps(counts.len());
-        let source = Source { at: Instant::now(), counts, arrivals, outcomes, gateways };
+        let expires_at = Instant::now() + LIFETIME;
+        let source = Source { expires_at, counts, arrivals, outcomes, gateways };
         sums.add(&source);
         if let Some(before) = sums.job_stores.insert(from, source) {
             sums.subtract(&before);
@@ -245,7 +298,18 @@
         self.sums.borrow().totals.get(backend).map_or(0, |total| total.items)
     }
 
-    /// Online requests at a back end; `None` where no gateway reported lately.
+    /// How many of the fleet's gateways this process hears.
+    pub fn coverage(&self, gateways: usize) -> Coverage {
+        let sums = &mut *self.sums.borrow_mut();
+        self.expire(sums);
+        Coverage {
+            gateways: u32::try_from(gateways).unwrap_or(u32::MAX),
+            heard: sums.reporters,
+            listening: self.since.elapsed(),
+        }
+    }
+
+    /// Online requests at a back end, of the gateways that are heard; `None` where none is.
     pub fn online(&self, backend: &str) -> Option<u32> {
         let sums = &mut *self.sums.borrow_mut();
         self.expire(sums);
@@ -298,7 +362,7 @@
 
 /// Removes the sources whose reports no longer count.
 fn take_expired(sources: &mut HashMap<String, Source>, now: Instant) -> Vec<(String, Source)> {
-    let is_expired = |source: &Source| now.duration_since(source.at) >= LIFETIME;
+    let is_expired = |source: &Source| now >= source.expires_at;
     let names: Vec<String> = sources
         .iter()
         .filter(|(_, source)| is_expired(source))
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -101,6 +101,13 @@
     pub answer_all: bool,
 }
 
+impl LoadReport {
+    /// Whether the gateway has nothing in flight and had nothing lately.
+    pub fn is_idle(&self) -> bool {
+        self.counts.is_empty() && self.arrivals.is_empty() && self.outcomes.is_empty()
+    }
+}
+
 /// What all processes have in flight, as far as it changed since the gateway's last answer.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct LoadAnswer {
--- a/crates/jobstore/src/room.rs
+++ b/crates/jobstore/src/room.rs
@@ -7,6 +7,8 @@
 use yokefall_core::Timestamp;
 use yokefall_serving::{Backend, Balancer};
 
+use crate::loads::Coverage;
+
 /// Time in which a burst of online requests is taken to fill all slots of a service. As many slots
 /// stay free as it fills before items are preempted, one at least.
 const FILL_TIME: Duration = Duration::from_millis(1_200);
@@ -23,15 +25,23 @@
     pub slots: u32,
     /// Slots that nothing has.
     pub free: u32,
-    /// Part of the slots that stays free when an item starts.
-    reserved_share: f64,
+    /// Part of the slots that a burst of online requests fills before items are preempted.
+    burst_share: f64,
+    /// Part of the slots that online requests may have which no gateway has reported.
+    unreported_share: f64,
 }
 
 impl Room {
     /// No back ends yet, where gateways report their load at an interval.
     pub fn new(report_interval: Duration) -> Self {
         let reaction = report_interval + PREEMPTION_TIME;
-        Self { slots: 0, free: 0, reserved_share: reaction.div_duration_f64(FILL_TIME) }
+        let burst_share = reaction.div_duration_f64(FILL_TIME);
+        Self { slots: 0, free: 0, burst_share, unreported_share: 0.0 }
+    }
+
+    /// The same where only a part of the gateways is heard.
+    pub fn heard(self, coverage: Coverage) -> Self {
+        Self { unreported_share: coverage.unreported_slot_share(), ..self }
     }
 
     /// Adds a back end with requests and items in some of its slots.
@@ -42,7 +52,10 @@
 
     /// Slots that stay free when an item starts.
     pub fn reserve(&self) -> u32 {
-        (f64::from(self.slots) * self.reserved_share).ceil() as u32
+        let slots = f64::from(self.slots);
+        let burst = (slots * self.burst_share).ceil() as u32;
+        let unreported = (slots * self.unreported_share).floor() as u32;
+        burst.max(unreported)
     }
 
     /// Items that may start.
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use yokefall_serving::{Backend, InFlight, ItemState, JobItem, Policy, RouteKind};
+use yokefall_serving::{Backend, FleetCell, InFlight, ItemState, JobItem, Policy, RouteKind};
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::Place;
 
@@ -24,9 +24,6 @@
 use crate::urgency::{Pace, WaitingItem, WaitingJob};
 use crate::worker::Worker;
 
-/// Part of a back end's slots that items may take where no gateway reports its load: online requests
-/// may have the others. A guess, in force for moments after a start.
-const BLIND_SLOT_SHARE: f64 = 0.3;
 /// Pause before an item that could not run is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the output of running items is made durable.
@@ -43,6 +40,7 @@
     store: Rc<Store>,
     worker: Rc<Worker>,
     delegation: Delegation,
+    fleet: FleetCell,
     running: RefCell<HashMap<ItemKey, Running>>,
     /// How fast items are done.
     pace: Cell<Pace>,
@@ -67,11 +65,12 @@
         store: Rc<Store>,
         worker: Rc<Worker>,
         delegation: Delegation,
+        fleet: FleetCell,
         options: RunnerOptions,
     ) -> Self {
         let (running, pace) = (RefCell::default(), Cell::default());
         let backlog = Backlog::default();
-        Self { store, worker, delegation, running, pace, backlog, options }
+        Self { store, worker, delegation, fleet, running, pace, backlog, options }
     }
 
     /// Runs for ever: waits for the lead, then runs items until it is lost.
@@ -290,12 +289,13 @@
     fn room(&self, service: &str) -> Room {
         let catalog = self.worker.catalog.load();
         self.worker.places.with(|balancer, now| {
-            let mut room = Room::new(self.store.loads.report_interval());
+            let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
+            let mut room = Room::new(self.store.loads.report_interval()).heard(coverage);
             for backend in catalog.ready(service) {
                 if balancer.is_ejected(now, &backend.id) {
                     continue;
                 }
-                let online = self.store.loads.online(&backend.id).unwrap_or(0);
+                let online = self.reported_online(&backend.id);
                 room.add(backend.slots, online + balancer.in_flight(&backend.id));
             }
             room
@@ -304,10 +304,13 @@
 
     /// Whether a back end with this many items has a free slot.
     fn has_free_slot(&self, backend: &Backend, items: u32) -> bool {
-        let Some(online) = self.store.loads.online(&backend.id) else {
-            return f64::from(items) < (f64::from(backend.slots) * BLIND_SLOT_SHARE).max(1.0);
-        };
-        online + items < backend.slots
+        self.reported_online(&backend.id) + items < backend.slots
+    }
+
+    /// Online requests at a back end of the gateways that are heard. Those of the others are in the
+    /// reserve of the service (`Coverage`), at which back end is not known.
+    fn reported_online(&self, backend: &str) -> u32 {
+        self.store.loads.online(backend).unwrap_or(0)
     }
 
     /// Where online requests need the slots of items, the newest items are preempted.
@@ -324,9 +327,9 @@
         }
         let mut kept: HashMap<&str, Vec<&Running>> = HashMap::new();
         for (id, mut runs) in by_backend {
-            let Some(online) = self.store.loads.online(id) else { continue };
             let Some(backend) = runs[0].backend.as_ref() else { continue };
-            let over = (runs.len() as u32 + online).saturating_sub(backend.slots) as usize;
+            let over = (runs.len() as u32 + self.reported_online(id)).saturating_sub(backend.slots)
+                as usize;
             sort_for_preemption(&mut runs);
             let rest = runs.split_off(over.min(runs.len()));
             runs.iter().for_each(|run| run.preempted.notify_one());
--- a/crates/jobstore/tests/loads.rs
+++ b/crates/jobstore/tests/loads.rs
@@ -6,6 +6,7 @@
 use quickcheck::quickcheck;
 use yokefall_jobstore::aggregators::{aggregator_of, aggregators, ReportTarget};
 use yokefall_jobstore::loads::Loads;
+use yokefall_jobstore::room::Room;
 use yokefall_jobstore::{
     BackendCount, BackendOutcomes, BackendTotal, LoadReport, LoadSums, ServiceRate,
 };
@@ -235,6 +236,61 @@
     assert!(moved.len() <= 2 * own + 10, "{} of {own}", moved.len());
 }
 
+fn idle(gateway: usize) -> LoadReport {
+    LoadReport { arrivals: vec![], ..report(gateway, &[]) }
+}
+
+/// Slots of 100 that stay free for online requests where `loads` hears some of 6 gateways.
+fn reserve(loads: &Loads) -> u32 {
+    let mut room = Room::new(Duration::from_millis(24)).heard(loads.coverage(6));
+    room.add(100, 0);
+    room.reserve()
+}
+
+/// Longer than the longest interval between two reports of any gateway.
+const LISTENING: Duration = Duration::from_millis(1_600);
+
+#[tokio::test(start_paused = true)]
+async fn a_gateway_that_says_it_is_idle_is_heard_until_its_next_report() {
+    let loads = Loads::default();
+    (0..6).for_each(|gateway| drop(loads.report(idle(gateway), None)));
+    tokio::time::sleep(Duration::from_millis(3_100)).await;
+    assert_eq!((loads.reporters(), loads.online("i-1")), (6, Some(0)));
+    // All slots but those that a burst fills before items are preempted.
+    assert_eq!(reserve(&loads), 8);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!((loads.coverage(6).heard, loads.online("i-1")), (0, None));
+    assert_eq!(reserve(&loads), 70);
+}
+
+/// Found by reading: one gateway that was heard stood for all, and items took the slots of the others.
+#[tokio::test(start_paused = true)]
+async fn slots_of_gateways_that_are_not_heard_stay_free() {
+    let loads = Loads::default();
+    assert_eq!(reserve(&loads), 70);
+    tokio::time::sleep(LISTENING).await;
+    let mut reserves = Vec::new();
+    for gateway in 0..6 {
+        loads.report(report(gateway, &[(1, 1)]), None);
+        reserves.push(reserve(&loads));
+    }
+    assert_eq!(reserves, [58, 46, 35, 23, 11, 8]);
+}
+
+/// A process that has just started may know of one gateway, the one that it heard.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_has_just_started_does_not_take_the_gateways_it_knows_for_all() {
+    let loads = Loads::default();
+    let share = || loads.coverage(1).unreported_slot_share();
+    loads.report(report(0, &[(1, 1)]), None);
+    assert!(share() > 0.69, "{}", share());
+    tokio::time::sleep(LISTENING / 2).await;
+    assert!((0.2..0.5).contains(&share()), "{}", share());
+    loads.report(report(0, &[(1, 1)]), None);
+    tokio::time::sleep(LISTENING / 2).await;
+    assert_eq!(share(), 0.0);
+}
+
 /// Symptom: items waited while traffic went on, and the job store that led heard no gateway for 8 s.
 /// Sequence: the leader was cut off from the other job stores, not from the gateways. Another one took the
 /// lead. All gateways went on to report to the one that was cut off. Cause: its answer, which named no leader,
