Load reports leave a job store that does not know who leads

Cause: a job store that is cut off from the group took reports and answered without a leader; gateways took that for a good answer, and without a leader all of them chose the same job store. The leader heard no gateway for as long as the cut lasted, kept 70 % of the slots free and preempted nothing for online requests. A leader whose lease had ended named itself for 1.1 s more. Change: a job store that fails or names no leader gets no report for 2 s; a replica names itself only while its lease holds.

--- a/crates/jobstore/src/aggregators.rs
+++ b/crates/jobstore/src/aggregators.rs
@@ -1,6 +1,7 @@
 //! Which job stores add up load reports, and the exchange of their sums.
 
 use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// Gateways for each aggregator, from the arithmetic of work: with `g` gateways an aggregator takes
 /// `g / k` reports in an interval and `k - 1` sums, and both stay below 40 up to 500 gateways.
 const GATEWAYS_PER_AGGREGATOR: usize = 32;
+/// Time for which a gateway reports to another job store after one failed or knew no leader: longer than an
+/// election, so that a job store which is still without a leader then is cut off.
+const AVOIDANCE_TIME: Duration = Duration::from_millis(2_000);
 /// Key by which every process finds the same aggregators.
 const AGGREGATOR_KEY: &[u8] = b"load-aggregators";
 /// Interval at which sums that have not changed are repeated; a third of the time for which they
@@ -51,12 +55,14 @@
     gateway: String,
     /// Who leads, by the last answer.
     leader: Option<String>,
+    /// Job stores that get no report until then.
+    avoided: HashMap<String, Instant>,
 }
 
 impl ReportTarget {
     /// Nothing is known of who leads yet.
     pub fn new(gateway: String) -> Self {
-        Self { gateway, leader: None }
+        Self { gateway, leader: None, avoided: HashMap::new() }
     }
 
     /// Name of the gateway.
@@ -69,20 +75,44 @@
         self.leader.as_deref()
     }
 
-    /// The job store that gets the next report.
+    /// The job store that gets the next report: an aggregator, or any job store where all aggregators
+    /// are avoided.
     pub fn choose<'a>(&self, fleet: &'a Fleet) -> Option<&'a FleetMember> {
-        aggregator_of(fleet, self.leader.as_deref(), &self.gateway)
+        let now = Instant::now();
+        let may_report = |member: &&FleetMember| {
+            self.avoided.get(&member.name).is_none_or(|until| *until <= now)
+        };
+        let score = rendezvous_score(self.gateway.as_bytes());
+        let best = |member: &&FleetMember| score(&member.name);
+        let aggregators = aggregators(fleet, self.leader()).into_iter();
+        let others = fleet.job_stores().filter(|member| member.accepting);
+        aggregators
+            .filter(may_report)
+            .max_by_key(best)
+            .or_else(|| others.filter(may_report).max_by_key(best))
+            .or_else(|| aggregator_of(fleet, self.leader(), &self.gateway))
     }
 
-    /// A job store took a report, and told who leads as far as it knows.
-    pub fn answered(&mut self, _name: &str, leader: Option<String>) {
+    /// A job store took a report, and told who leads as far as it knows. What it adds up reaches the
+    /// leader only where it knows one: one that is cut off takes reports to no use.
+    pub fn answered(&mut self, name: &str, leader: Option<String>) {
+        if leader.is_none() {
+            self.avoid(name);
+        }
         self.leader = leader;
     }
 
     /// A job store gave no answer.
-    pub fn failed(&mut self, _name: &str) {
+    pub fn failed(&mut self, name: &str) {
+        self.avoid(name);
         self.leader = None;
     }
+
+    fn avoid(&mut self, name: &str) {
+        let now = Instant::now();
+        self.avoided.retain(|_, until| *until > now);
+        self.avoided.insert(name.to_owned(), now + AVOIDANCE_TIME);
+    }
 }
 
 /// Sends this process's sums to the other aggregators and to the leader, for ever: when they change,
--- a/crates/jobstore/src/server.rs
+++ b/crates/jobstore/src/server.rs
@@ -138,7 +138,7 @@
     // Loads are no part of the log: any job store adds them up, so that they stay known while
     // nobody leads.
     if let Request::Load(report) = request {
-        let answer = store.loads.report(report, store.leader());
+        let answer = store.loads.report(report, store.leader_in_touch());
         store.loads_changed.notify_one();
         store.work_changed.notify_one();
         return Reply::Load(answer);
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -407,6 +407,13 @@
         hint.map(|(name, _)| name.clone())
     }
 
+    /// Who leads, unless it is this replica and its lease has ended: it may be cut off, and another one
+    /// may lead already.
+    pub fn leader_in_touch(&self) -> Option<String> {
+        let own_name = self.inner.borrow().core.id().name.clone();
+        self.leader().filter(|leader| *leader != own_name || self.serves())
+    }
+
     /// Another member tells who leads.
     pub fn note_leader(&self, name: String) {
         self.inner.borrow_mut().leader_hint = Some((name, Instant::now()));
--- a/crates/jobstore/tests/loads.rs
+++ b/crates/jobstore/tests/loads.rs
@@ -310,3 +310,27 @@
     }
     assert_eq!(target.choose(&fleet).expect("a job store").name, leader.name);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_job_store_that_knows_the_leader_again_gets_reports_again() {
+    let fleet = fleet(80, 45);
+    let mut target = ReportTarget::new("edge-1".into());
+    let own = target.choose(&fleet).expect("a job store").name.clone();
+    target.answered(&own, None);
+    let second = target.choose(&fleet).expect("a job store").name.clone();
+    assert!(second != own && aggregators(&fleet, None).iter().any(|store| store.name == second));
+    target.answered(&second, Some("store-1".into()));
+    tokio::time::sleep(Duration::from_millis(2_100)).await;
+    assert_eq!(target.choose(&fleet).expect("a job store").name, own);
+}
+
+/// During an election no job store knows a leader: reports go on.
+#[tokio::test(start_paused = true)]
+async fn reports_go_on_while_nobody_leads() {
+    let fleet = fleet(6, 3);
+    let mut target = ReportTarget::new("edge-1".into());
+    for _ in 0..10 {
+        let asked = target.choose(&fleet).expect("a job store").name.clone();
+        target.failed(&asked);
+    }
+}
