--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -171,6 +171,8 @@
         known.totals.clear();
         known.is_current = true;
     }
+    let gateways = shared.fleet.load().gateways().count();
+    let is_informed = answer.covers_most_of(gateways);
     for change in answer.changes {
         let total = InFlight { online: change.online, items: change.items };
         if total == InFlight::default() {
@@ -180,10 +182,12 @@
         }
     }
     leave_out_failing(shared, &answer.failing);
+    if !is_informed {
+        return;
+    }
     let own = |id: &str| {
         reported.iter().find(|count| count.backend == id).map_or(0, |count| count.requests)
     };
-    let gateways = shared.fleet.load().gateways().count();
     let totals = known.totals.iter().map(|(id, total)| (id.as_str(), *total));
     shared.places.with(|balancer, now| {
         balancer.set_choosers(gateways, report_interval(gateways).as_millis() as u64);
--- a/crates/jobstore/src/loads.rs
+++ b/crates/jobstore/src/loads.rs
@@ -178,8 +178,9 @@
         };
         let arrivals = arrivals.map(rate).collect();
         let failing = sums.failing();
+        let gateways = sums.reporters;
         let changes = self.changes(sums, gateway);
-        LoadAnswer { changes, arrivals, failing, leader }
+        LoadAnswer { changes, arrivals, failing, leader, gateways }
     }
 
     /// Totals that differ from what a gateway was answered, the largest differences first.
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -119,6 +119,16 @@
     pub failing: Vec<String>,
     /// The job store that leads, as far as known.
     pub leader: Option<String>,
+    /// Gateways whose requests are in it.
+    pub gateways: u32,
+}
+
+impl LoadAnswer {
+    /// Whether it is of most gateways of a fleet with so many. One of a job store that hears few says
+    /// nothing of the others, and is not to be taken for all that is in flight.
+    pub fn covers_most_of(&self, gateways: usize) -> bool {
+        self.gateways as usize * 2 > gateways
+    }
 }
 
 /// The sums of one job store over the gateways that report to it, with the items that it runs.
--- a/crates/jobstore/tests/loads.rs
+++ b/crates/jobstore/tests/loads.rs
@@ -277,6 +277,18 @@
     assert_eq!(reserves, [58, 46, 35, 23, 11, 8]);
 }
 
+/// Found by reading: the answer of a job store that hears one gateway was taken for what all have in flight.
+#[tokio::test(start_paused = true)]
+async fn an_answer_says_how_many_gateways_it_is_of() {
+    let loads = Loads::default();
+    let covers = (0..6).map(|gateway| {
+        let answer = loads.report(report(gateway, &[(1, 1)]), None);
+        (answer.gateways, answer.covers_most_of(6))
+    });
+    let covers: Vec<(u32, bool)> = covers.collect();
+    assert_eq!(covers, [(1, false), (2, false), (3, false), (4, true), (5, true), (6, true)]);
+}
+
 /// A process that has just started may know of one gateway, the one that it heard.
 #[tokio::test(start_paused = true)]
 async fn a_process_that_has_just_started_does_not_take_the_gateways_it_knows_for_all() {
