--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -3,7 +3,8 @@
 //! `state` is the replicated state machine; `wal` the log on disk; `protocol` what processes say to
 //! a job store; `client` the gateways' side of it; `store` ties consensus, disk and state together;
 //! `runner` decides while the process leads which item runs at which back end; `delegation` asks other
-//! job stores for it, whose `worker` does it, each by a `run`; `backlog` tells what waits; `loads` adds
+//! job stores for it, whose `worker` does it, each by a `run`; `preemption` takes slots back for online requests; `backlog` tells what
+//! waits; `loads` adds
 //! load reports up, and `aggregators` exchanges the sums.
 
 pub mod addresses;
@@ -18,6 +19,7 @@
 pub mod intake;
 pub mod loads;
 pub mod packed;
+pub mod preemption;
 pub mod protocol;
 pub mod quota;
 pub mod room;
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -15,10 +15,11 @@
 
 use crate::backlog::{Backlog, PassFigures};
 use crate::delegation::{preemption, Delegation};
+use crate::preemption::{preempted, Phase, PlacedRun};
 use crate::protocol::RunOrder;
 use crate::room::{FreeSlots, Room, ServiceSlots};
 use crate::run::{ItemSender, Progress, RunEnd};
-use crate::running::{sort_for_preemption, take_output, CountedItem, ItemKey, Running};
+use crate::running::{take_output, CountedItem, ItemKey, Running};
 use crate::state::{Command, OpenItem, Run};
 use crate::store::Store;
 use crate::urgency::{Pace, WaitingItem, WaitingJob};
@@ -59,6 +60,14 @@
     pub policy: Policy,
 }
 
+/// The slot of an item that starts.
+struct PlacedItem {
+    place: Place,
+    phase: Rc<Cell<Phase>>,
+    /// Tells it to give its slot to an online request.
+    preempted: Rc<Notify>,
+}
+
 impl Runner {
     /// A runner that gives items to `worker`, and through `delegation` to other job stores.
     pub fn new(
@@ -269,6 +278,7 @@
             progress: Rc::default(),
             backend: None,
             started: Instant::now(),
+            phase: Rc::new(Cell::new(Phase::Ended)),
             preempted: Rc::default(),
         };
         self.running.borrow_mut().insert(key, running);
@@ -319,26 +329,15 @@
             return;
         }
         let running = self.running.borrow();
-        let mut by_backend: HashMap<&str, Vec<&Running>> = HashMap::new();
-        for run in running.values() {
-            if let Some(backend) = &run.backend {
-                by_backend.entry(&backend.id).or_default().push(run);
-            }
-        }
-        let mut kept: HashMap<&str, Vec<&Running>> = HashMap::new();
-        for (id, mut runs) in by_backend {
-            let Some(backend) = runs[0].backend.as_ref() else { continue };
-            let over = (runs.len() as u32 + self.reported_online(id)).saturating_sub(backend.slots)
-                as usize;
-            sort_for_preemption(&mut runs);
-            let rest = runs.split_off(over.min(runs.len()));
-            runs.iter().for_each(|run| run.preempted.notify_one());
-            kept.entry(&backend.service).or_default().extend(rest);
-        }
-        for (service, mut runs) in kept {
-            let lacking = self.room(service).lacking() as usize;
-            sort_for_preemption(&mut runs);
-            runs.iter().take(lacking).for_each(|run| run.preempted.notify_one());
+        let placed: Vec<(&Running, &Arc<Backend>)> = running
+            .values()
+            .filter_map(|run| run.backend.as_ref().map(|backend| (run, backend)))
+            .collect();
+        let runs: Vec<PlacedRun> = placed.iter().map(|(run, backend)| run.at(backend)).collect();
+        let online = |backend: &str| self.reported_online(backend);
+        let lacking = |service: &str| self.room(service).lacking() as usize;
+        for position in preempted(&runs, online, lacking) {
+            placed[position].0.preempt();
         }
     }
 
@@ -355,16 +354,17 @@
         let progress = Rc::new(RefCell::new(progress));
         let place = self.worker.places.take(backend.clone());
         let preempted = Rc::new(Notify::new());
+        let phase = Rc::new(Cell::new(Phase::Placed));
         let task = tokio::task::spawn_local(self.clone().run_item(
             key.clone(),
             sender,
             item,
             progress.clone(),
-            place,
-            preempted.clone(),
+            PlacedItem { place, phase: phase.clone(), preempted: preempted.clone() },
         ));
         let started = Instant::now();
-        let running = Running { task, progress, backend: Some(backend), started, preempted };
+        let backend = Some(backend);
+        let running = Running { task, progress, backend, started, phase, preempted };
         self.running.borrow_mut().insert(key, running);
     }
 
@@ -374,9 +374,9 @@
         sender: ItemSender,
         item: Arc<JobItem>,
         progress: Rc<RefCell<Progress>>,
-        mut place: Place,
-        preempted: Rc<Notify>,
+        placed: PlacedItem,
     ) {
+        let PlacedItem { mut place, phase, preempted } = placed;
         let worker = self.delegation.worker_for(&place.backend);
         Line::new(EventName::ItemStarted)
             .id(&item.id)
@@ -412,6 +412,7 @@
         };
         drop(place);
         drop(counted);
+        phase.set(Phase::Ended);
         if end == RunEnd::Completed {
             let events = progress.borrow().last_event;
             let mut pace = self.pace.get();
--- a/crates/jobstore/src/running.rs
+++ b/crates/jobstore/src/running.rs
@@ -1,7 +1,6 @@
 //! Items that run, and what the runner does with their output.
 
-use std::cell::RefCell;
-use std::cmp::Reverse;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,6 +8,7 @@
 use tokio::time::Instant;
 use yokefall_serving::Backend;
 
+use crate::preemption::{Phase, PlacedRun};
 use crate::run::Progress;
 use crate::state::Command;
 use crate::store::Store;
@@ -24,15 +24,28 @@
     pub progress: Rc<RefCell<Progress>>,
     /// Back end at which it runs; none for an item that is being given up.
     pub backend: Option<Arc<Backend>>,
-    /// When it started: among those with output, the newest is preempted first.
+    /// When it started.
     pub started: Instant,
+    /// Whether it has its slot.
+    pub phase: Rc<Cell<Phase>>,
     /// Tells it to give its slot to an online request.
     pub preempted: Rc<Notify>,
 }
 
-/// The run that is preempted first is the newest one with output: one without any would begin anew.
-pub fn sort_for_preemption(runs: &mut [&Running]) {
-    runs.sort_by_key(|run| (run.progress.borrow().last_event == 0, Reverse(run.started)));
+impl Running {
+    /// The run as preemption sees it.
+    pub fn at<'a>(&self, backend: &'a Backend) -> PlacedRun<'a> {
+        let has_output = self.progress.borrow().last_event > 0;
+        PlacedRun { backend, has_output, started: self.started, phase: self.phase.get() }
+    }
+
+    /// Tells it to give its slot to an online request.
+    pub fn preempt(&self) {
+        if self.phase.get() == Phase::Placed {
+            self.phase.set(Phase::Leaving);
+        }
+        self.preempted.notify_one();
+    }
 }
 
 /// An item that counts at its back end, until it is dropped.
