--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -285,8 +285,10 @@
         let (name, cause) = (tenant.as_str().to_owned(), event.text());
         metrics::counter!("gateway_quota_refusals_total", "tenant" => name, "cause" => cause)
             .increment(1);
+        let parts = (event == EventName::QuotaUnknown).then(|| shared.quota.describe(tenant));
         Line::new(event)
             .id(id)
+            .field("parts", parts)
             .field("tenant", tenant.as_str())
             .field("version", version)
             .field("rate_per_1000_s", limit.per_1000_seconds)
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -90,6 +90,11 @@
         Token { expires_at: asked_at + self.lifetime }
     }
 
+    /// What is known of each part of a tenant's limit, for a line.
+    pub fn describe(&self, tenant: &TenantName) -> String {
+        self.meter.borrow().describe(self.now(), tenant)
+    }
+
     /// Who the accountants are, for another gateway.
     pub fn assignment(&self) -> Assignment {
         self.meter.borrow().assignment().clone()
--- a/crates/quota/src/meter.rs
+++ b/crates/quota/src/meter.rs
@@ -109,6 +109,24 @@
         (!self.failing.contains(&holder.name)).then(|| holder.name.clone())
     }
 
+    /// What is known of each part of a tenant's limit, for a line.
+    pub fn describe(&self, now: Timestamp, tenant: &TenantName) -> String {
+        let part = |part: Part| {
+            let Some(holder) = self.assignment.holder(SlotId::of(tenant, part)) else {
+                return format!("part {}: nobody", part.0);
+            };
+            let is_spent =
+                self.spent_until.get(&(tenant.clone(), part)).is_some_and(|at| *at > now);
+            let state = match (self.failing.contains(&holder.name), is_spent) {
+                (true, _) => "gave no answer",
+                (false, true) => "has no token",
+                (false, false) => "answers",
+            };
+            format!("part {}: {} {state}", part.0, holder.name)
+        };
+        self.order(tenant).map(part).collect::<Vec<String>>().join(", ")
+    }
+
     /// A part has no token for a while.
     pub fn spent(&mut self, now: Timestamp, tenant: &TenantName, part: Part, wait_ms: u64) {
         self.spent_until.insert((tenant.clone(), part), now.plus_millis(wait_ms.max(1)));
