Accountants that gave no answer are tried on a schedule of their own

Cause: every refused request asked who the accountants are, and that began the wait for the next probe anew. With two refused requests a second at a gateway no probe was ever sent, and refusals lasted for as long as callers came: the trigger had gone, the state stayed. Change: probes run on their own, 150 ms after a failure and every 700 ms then, all at once.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -163,6 +163,7 @@
         tokio::task::spawn_local(admission::run(shared.clone()));
         tokio::task::spawn_local(relay_port::serve(relay, shared.clone()));
         tokio::task::spawn_local(quota::assignment::maintain(shared.clone()));
+        tokio::task::spawn_local(quota::assignment::try_failing(shared.clone()));
         tokio::task::spawn_local(load::report(shared.clone(), options.name.clone()));
         while !*stop.borrow() {
             if stop.changed().await.is_err() {
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -63,6 +63,8 @@
     queues: RefCell<HashMap<String, UnboundedSender<Waiting>>>,
     /// Woken when another assignment is wanted.
     refresh: Notify,
+    /// Woken when an accountant gave no answer.
+    failed: Notify,
     /// Woken when accountants are known that were not, or answer again.
     found: Notify,
     lifetime: Duration,
@@ -76,6 +78,7 @@
             meter: RefCell::new(Meter::new(gateway)),
             queues: RefCell::default(),
             refresh: Notify::new(),
+            failed: Notify::new(),
             found: Notify::new(),
             lifetime: bounds.token_lifetime(),
             origin: Instant::now(),
--- a/crates/gateway/src/quota/asks.rs
+++ b/crates/gateway/src/quota/asks.rs
@@ -70,6 +70,9 @@
                 None => meter.failed(&accountant),
             }
         }
+        if grants.is_none() {
+            shared.quota.failed.notify_one();
+        }
         let grants = grants.unwrap_or_default();
         let mut grants = grants.into_iter();
         for group in groups {
--- a/crates/gateway/src/quota/assignment.rs
+++ b/crates/gateway/src/quota/assignment.rs
@@ -10,7 +10,10 @@
 use super::relays::relays;
 use crate::shared::Shared;
 
-/// Interval at which accountants that gave no answer are tried again.
+/// Pause before an accountant that gave no answer is tried again for the first time: one that has only
+/// lost a frame, or stood still for a tenth of a second, is back by then.
+const FIRST_PROBE_PAUSE: Duration = Duration::from_millis(150);
+/// Interval at which it is tried after that.
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
 /// Time for the leader to tell who the accountants are.
 const ASSIGNMENT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -18,15 +21,17 @@
 const ASSIGNMENT_INTERVAL: Duration = Duration::from_secs(30);
 /// Shortest interval between two such questions of a process that knows an answer.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which a process whose configuration limits nobody looks whether that has changed.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(700);
 /// Interval at which a process that has just started looks whether it knows a configuration.
 const START_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Keeps the assignment current and tries accountants that gave no answer, for ever.
+/// Keeps the assignment current, for ever.
 pub async fn maintain(shared: Rc<Shared>) {
     loop {
         match has_limits(&shared) {
             None => tokio::time::sleep(START_INTERVAL).await,
-            Some(false) => tokio::time::sleep(PROBE_INTERVAL).await,
+            Some(false) => tokio::time::sleep(LIMITS_INTERVAL).await,
             Some(true) => maintain_once(&shared).await,
         }
     }
@@ -35,6 +40,8 @@
 async fn maintain_once(shared: &Shared) {
     if refresh(shared).await {
         shared.quota.found.notify_waiters();
+        // One that did not answer before may be an accountant again.
+        shared.quota.failed.notify_one();
     }
     let now = shared.quota.now();
     shared.quota.meter.borrow_mut().forget(now);
@@ -44,15 +51,19 @@
     }
     tokio::time::sleep(REFRESH_INTERVAL).await;
     let wanted = shared.quota.refresh.notified();
-    tokio::pin!(wanted);
-    let rested = tokio::time::sleep(ASSIGNMENT_INTERVAL);
-    tokio::pin!(rested);
+    // Without a reason it is asked for now and then all the same.
+    let _ = tokio::time::timeout(ASSIGNMENT_INTERVAL, wanted).await;
+}
+
+/// Tries accountants that gave no answer until they answer, for ever. On a schedule of its own: were it
+/// put off by each request that is refused meanwhile, refusals would last for as long as callers ask.
+pub async fn try_failing(shared: Rc<Shared>) {
     loop {
-        let probing = !shared.quota.meter.borrow().failing().is_empty();
-        tokio::select! {
-            () = &mut wanted => return,
-            () = &mut rested => return,
-            () = tokio::time::sleep(PROBE_INTERVAL), if probing => probe(shared).await,
+        shared.quota.failed.notified().await;
+        tokio::time::sleep(FIRST_PROBE_PAUSE).await;
+        while !shared.quota.meter.borrow().failing().is_empty() {
+            probe(&shared).await;
+            tokio::time::sleep(PROBE_INTERVAL).await;
         }
     }
 }
@@ -83,13 +94,14 @@
     false
 }
 
-/// Tries accountants that gave no answer: an ask for nothing.
+/// Tries all accountants that gave no answer at once: an ask for nothing.
 async fn probe(shared: &Shared) {
     let failing = shared.quota.meter.borrow().failing();
-    for accountant in failing {
-        if call(shared, &accountant, Vec::new()).await.is_some() {
-            shared.quota.meter.borrow_mut().answered(&accountant);
+    let tries = failing.iter().map(|accountant| async move {
+        if call(shared, accountant, Vec::new()).await.is_some() {
+            shared.quota.meter.borrow_mut().answered(accountant);
             shared.quota.found.notify_waiters();
         }
-    }
+    });
+    futures::future::join_all(tries).await;
 }
