Figures of held items fall back to zero; a gateway names the job store that took its last report

From reading the diff: the gauge of held items kept its last value when none was held, and a gateway that went on from a job store which had not answered named that one, so that the one before it was not told to forget.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -80,7 +80,10 @@
             .field("leader", known.target.leader())
             .write();
         let before = std::mem::replace(&mut known.aggregator, aggregator.name.clone());
-        known.moved_from = (!before.is_empty()).then_some(before);
+        // One that took no report has nothing to forget.
+        let taken_by = known.moved_from.take().unwrap_or(before);
+        known.moved_from =
+            (!taken_by.is_empty() && taken_by != aggregator.name).then_some(taken_by);
         known.is_current = false;
     }
     let counts = counts(shared);
--- a/crates/jobstore/src/backlog.rs
+++ b/crates/jobstore/src/backlog.rs
@@ -66,7 +66,16 @@
     ) {
         let now = Instant::now();
         let told = &mut *self.told.borrow_mut();
-        for (service, slots) in services.filter(|(_, slots)| slots.held > 0) {
+        let held: HashMap<&String, &ServiceSlots> =
+            services.filter(|(_, slots)| slots.held > 0).collect();
+        told.retain(|service, _| {
+            let is_held = held.contains_key(service);
+            if !is_held {
+                held_items(service).set(0.0);
+            }
+            is_held
+        });
+        for (service, slots) in held {
             let limit = limit(slots, figures);
             let is_due = told.get(service).is_none_or(|(before, at)| {
                 let since = now.duration_since(*at);
@@ -82,6 +91,10 @@
     }
 }
 
+fn held_items(service: &str) -> metrics::Gauge {
+    metrics::gauge!("job_store_items_held", "service" => service.to_owned())
+}
+
 fn limit(slots: &ServiceSlots, figures: PassFigures) -> Limit {
     if figures.running >= figures.most_runs {
         return Limit::Runs;
@@ -98,7 +111,7 @@
 
 fn tell(service: &str, slots: &ServiceSlots, limit: Limit, figures: PassFigures) {
     let room = slots.room();
-    metrics::gauge!("job_store_items_held", "service" => service.to_owned()).set(slots.held as f64);
+    held_items(service).set(slots.held as f64);
     Line::new(EventName::ItemsHeld)
         .id(service)
         .field("held", slots.held)
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -3,9 +3,9 @@
 //! `state` is the replicated state machine; `wal` the log on disk; `protocol` what processes say to
 //! a job store; `client` the gateways' side of it; `store` ties consensus, disk and state together;
 //! `runner` decides while the process leads which item runs at which back end; `delegation` asks other
-//! job stores for it, whose `worker` does it, each by a `run`; `preemption` takes slots back for online requests; `backlog` tells what
-//! waits; `loads` adds
-//! load reports up, and `aggregators` exchanges the sums.
+//! job stores for it, whose `worker` does it, each by a `run`; `preemption` takes slots back for online
+//! requests; `backlog` tells what waits; `loads` adds load reports up, and `aggregators` exchanges the
+//! sums.
 
 pub mod addresses;
 pub mod aggregators;
