The soak ends its faults before its clients, and keeps results for longer than a run

Traced by lines: every item was finished in the job stores; a gateway that stood still at the end of the faults went on only after the reader, which waited 6 s for each of its answers, and jobs are forgotten after the 120 s of the default.

--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -20,6 +20,8 @@
 /// Time that a process has for a planned stop, in seconds, and the time after which it is killed.
 const STOP_SECONDS: u64 = 4;
 const STOP_LIMIT: Duration = Duration::from_secs(8);
+/// Time for which results of finished jobs are kept, in seconds: longer than a run.
+const RETENTION_SECONDS: u64 = 3_600;
 /// Job stores that may lose their disks at once.
 const TOLERATED_LOSSES: usize = 1;
 
@@ -210,7 +212,10 @@
         Role::JobStore => {
             let data = folder.join(format!("{}.data", process.name));
             let bootstrap = process.starts == 0;
-            let text = format!("[data]\nfolder = {data:?}\nbootstrap = {bootstrap}\n");
+            let retention = RETENTION_SECONDS;
+            let text = format!(
+                "[data]\nfolder = {data:?}\nbootstrap = {bootstrap}\nretention_seconds = {retention}\n"
+            );
             ("job-store", store_ports.as_slice(), text)
         }
     };
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -76,10 +76,11 @@
     let until = Instant::now() + options.duration;
     let load = clients.start(until);
     let faults = faults::play(&mut fleet, &oracle, options.seed, until).await?;
+    // Before the clients end: a reader that waits for a process that stands still would not come to an end.
+    fleet.heal().await?;
     for task in load {
         task.await.map_err(|error| format!("a client failed: {error}"))?;
     }
-    fleet.heal().await?;
     settle(&clients, &oracle).await;
     fleet.end().await;
     let violations = oracle.judge(&ledger);
