From reading the diff: one choice by hash, one place where items are held back

What is done twice goes: the job store with the highest hash was chosen in three ways, held items were counted at two exits of the same loop, and a run that is told to give its slot back was checked for having one by both sides. No change of what is decided; clippy, the tests of the job store and platform/tests/jobs.rs pass.

--- a/crates/jobstore/src/aggregators.rs
+++ b/crates/jobstore/src/aggregators.rs
@@ -45,8 +45,12 @@
     leader: Option<&str>,
     gateway: &str,
 ) -> Option<&'a FleetMember> {
+    nearest(aggregators(fleet, leader), gateway)
+}
+
+fn nearest<'a>(members: Vec<&'a FleetMember>, gateway: &str) -> Option<&'a FleetMember> {
     let score = rendezvous_score(gateway.as_bytes());
-    aggregators(fleet, leader).into_iter().max_by_key(|member| score(&member.name))
+    members.into_iter().max_by_key(|member| score(&member.name))
 }
 
 /// The job store to which one gateway reports.
@@ -84,15 +88,12 @@
         let may_report = |member: &&FleetMember| {
             self.avoided.get(&member.name).is_none_or(|until| *until <= now)
         };
-        let score = rendezvous_score(self.gateway.as_bytes());
-        let best = |member: &&FleetMember| score(&member.name);
-        let aggregators = aggregators(fleet, self.leader()).into_iter();
-        let others = fleet.job_stores().filter(|member| member.accepting);
-        aggregators
-            .filter(may_report)
-            .max_by_key(best)
-            .or_else(|| others.filter(may_report).max_by_key(best))
-            .or_else(|| aggregator_of(fleet, self.leader(), &self.gateway))
+        let nearest = |members: Vec<&'a FleetMember>| nearest(members, &self.gateway);
+        let aggregators = aggregators(fleet, self.leader());
+        let accepting = fleet.job_stores().filter(|member| member.accepting);
+        nearest(aggregators.iter().copied().filter(may_report).collect())
+            .or_else(|| nearest(accepting.filter(may_report).collect()))
+            .or_else(|| nearest(aggregators))
     }
 
     /// A job store took a report, and told who leads as far as it knows. What it adds up reaches the
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -228,12 +228,10 @@
             // An item whose route is unknown must not hold up the items of others.
             let Some(service) = self.service_of(&key) else { continue };
             let free = services.of(&service, || self.free_slots(&service));
-            if free.items() == 0 || self.running.borrow().len() >= self.options.most_runs {
-                free.held += waiting.len() - started;
-                return;
-            }
-            let chosen = self.worker.places.with(|balancer, now| free.choose(balancer, now));
-            let Some(backend) = chosen else {
+            let may_start =
+                free.items() > 0 && self.running.borrow().len() < self.options.most_runs;
+            let choose = || self.worker.places.with(|balancer, now| free.choose(balancer, now));
+            let Some(backend) = may_start.then(choose).flatten() else {
                 free.held += waiting.len() - started;
                 return;
             };
--- a/crates/jobstore/src/running.rs
+++ b/crates/jobstore/src/running.rs
@@ -39,11 +39,9 @@
         PlacedRun { backend, has_output, started: self.started, phase: self.phase.get() }
     }
 
-    /// Tells it to give its slot to an online request.
+    /// Tells it to give its slot, which it has, to an online request.
     pub fn preempt(&self) {
-        if self.phase.get() == Phase::Placed {
-            self.phase.set(Phase::Leaving);
-        }
+        self.phase.set(Phase::Leaving);
         self.preempted.notify_one();
     }
 }
