--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! The bench: stand-ins as processes, load, and measurements.
 
 mod commands;
+mod soak;
 
 use clap::{Parser, Subcommand};
 
@@ -26,6 +27,8 @@
     Load(load::LoadArguments),
     /// Load a fleet while its parts die, hang, lie and come back; lost and doubled must stay 0.
     Chaos(chaos::ChaosArguments),
+    /// Run the real programs as processes while they are stopped, paused, killed and cut off.
+    Soak(commands::soak::SoakArguments),
 }
 
 fn main() -> std::process::ExitCode {
@@ -44,6 +47,7 @@
             Command::Overhead(arguments) => measure::overhead(arguments).await,
             Command::Load(arguments) => load::run(arguments).await,
             Command::Chaos(arguments) => chaos::run(arguments).await,
+            Command::Soak(arguments) => commands::soak::run(arguments).await,
         }
     });
     runtime.shutdown_background();
--- /dev/null
+++ b/crates/bench/src/soak/clients.rs
@@ -0,0 +1,243 @@
+//! Clients of the soak: calls that may be repeated, calls that run once, and jobs that are sent, read and ended.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::back_end::{answer_to, ITEM_PATH};
+use super::oracle::{CallEnd, Oracle};
+
+/// Time that a client waits for one answer.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// Calls of one client, and how many clients there are.
+const CALL_PAUSE: Duration = Duration::from_millis(60);
+const CALLERS: u64 = 4;
+/// Pause between two jobs, and between two reads.
+const JOB_PAUSE: Duration = Duration::from_millis(900);
+const READ_PAUSE: Duration = Duration::from_millis(700);
+/// Tries of a submission.
+const SUBMISSIONS: u32 = 12;
+/// Time after a try.
+const AGAIN_PAUSE: Duration = Duration::from_millis(300);
+/// Most items of a job.
+const MOST_ITEMS: usize = 24;
+/// One job in so many is ended by its client.
+const ENDED: u64 = 6;
+
+/// The clients.
+#[derive(Clone)]
+pub struct Clients {
+    seed: u64,
+    gateways: Vec<SocketAddr>,
+    oracle: Arc<Oracle>,
+}
+
+/// An answer.
+struct Seen {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl Clients {
+    /// Clients of these gateways.
+    pub fn new(seed: u64, gateways: Vec<SocketAddr>, oracle: Arc<Oracle>) -> Self {
+        Self { seed, gateways, oracle }
+    }
+
+    /// Calls until a gateway answers and a job is taken.
+    pub async fn wait_until_served(&self, until: Instant) -> Result<(), String> {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        while Instant::now() < until {
+            let path = "/first";
+            let seen = self.ask(&mut random, Method::GET, path, "first", Bytes::new()).await;
+            let call_served = seen.is_some_and(|seen| seen.status == StatusCode::OK);
+            let body = job_body(&["first-item".to_owned()]);
+            let seen = self.ask(&mut random, Method::POST, "/work/jobs", "first-job", body).await;
+            if call_served && seen.is_some_and(|seen| seen.status == StatusCode::ACCEPTED) {
+                return Ok(());
+            }
+            tokio::time::sleep(AGAIN_PAUSE).await;
+        }
+        Err("the fleet served nothing after its start".to_owned())
+    }
+
+    /// Starts the load; it ends at a moment.
+    pub fn start(&self, until: Instant) -> Vec<JoinHandle<()>> {
+        let mut tasks: Vec<JoinHandle<()>> = (0..CALLERS)
+            .map(|number| tokio::spawn(self.clone().call_until(number, until)))
+            .collect();
+        tasks.push(tokio::spawn(self.clone().send_jobs_until(until)));
+        let reader = self.clone();
+        tasks.push(tokio::spawn(async move {
+            while Instant::now() < until {
+                reader.read_all().await;
+                tokio::time::sleep(READ_PAUSE).await;
+            }
+        }));
+        tasks
+    }
+
+    async fn call_until(self, number: u64, until: Instant) {
+        let mut random = StdRng::seed_from_u64(self.seed ^ (number + 1));
+        let mut call = 0;
+        while Instant::now() < until {
+            call += 1;
+            let runs_once = random.random_range(0..2) == 0;
+            let id = format!("call-{number}-{call}");
+            let path = if runs_once { format!("/once/{id}") } else { format!("/call/{id}") };
+            let seen = self.ask(&mut random, Method::POST, &path, &id, Bytes::new()).await;
+            let end = match seen {
+                Some(Seen { status: StatusCode::OK, body }) => {
+                    if body != answer_to(&id) {
+                        self.oracle.violated(format!("call {id} got another answer: {body:?}"));
+                    }
+                    CallEnd::Answered
+                }
+                Some(seen) if is_refusal(seen.status) => CallEnd::Refused,
+                Some(_) | None => CallEnd::Unknown,
+            };
+            self.oracle.call_ended(id, runs_once, end);
+            tokio::time::sleep(CALL_PAUSE.mul_f64(random.random_range(0.2..2.0))).await;
+        }
+    }
+
+    async fn send_jobs_until(self, until: Instant) {
+        let mut random = StdRng::seed_from_u64(self.seed.rotate_left(17));
+        let mut number = 0;
+        while Instant::now() < until {
+            number += 1;
+            let client = self.clone();
+            let seed = random.random();
+            tokio::spawn(async move { client.send_job(number, seed).await });
+            tokio::time::sleep(JOB_PAUSE.mul_f64(random.random_range(0.1..2.0))).await;
+        }
+    }
+
+    /// Sends a job as a client does: again, to any gateway, until it is taken.
+    async fn send_job(&self, number: u64, seed: u64) {
+        let mut random = StdRng::seed_from_u64(seed);
+        let id = format!("job-{number}");
+        let count = random.random_range(1..=MOST_ITEMS);
+        let items: Vec<String> = (0..count).map(|item| format!("{id}-item-{item}")).collect();
+        let body = job_body(&items);
+        let (mut is_taken, mut is_refused) = (false, true);
+        for _ in 0..SUBMISSIONS {
+            let seen = self.ask(&mut random, Method::POST, "/work/jobs", &id, body.clone()).await;
+            match seen.map(|seen| seen.status) {
+                Some(StatusCode::ACCEPTED) => is_taken = true,
+                Some(status) if is_refusal(status) => {}
+                Some(_) | None => is_refused = false,
+            }
+            if is_taken {
+                break;
+            }
+            tokio::time::sleep(AGAIN_PAUSE).await;
+        }
+        self.oracle.job_sent(id.clone(), items, is_taken, is_refused && !is_taken);
+        if is_taken && number % ENDED == 0 {
+            self.end_job(&mut random, &id).await;
+        }
+    }
+
+    async fn end_job(&self, random: &mut StdRng, id: &str) {
+        tokio::time::sleep(JOB_PAUSE).await;
+        self.oracle.job_ended(id, None);
+        let path = format!("/yokefall/jobs/{id}");
+        for _ in 0..SUBMISSIONS {
+            let seen = self.ask(random, Method::DELETE, &path, "end", Bytes::new()).await;
+            if seen.is_some_and(|seen| seen.status == StatusCode::OK) {
+                self.oracle.job_ended(id, Some(Instant::now()));
+                return;
+            }
+            tokio::time::sleep(AGAIN_PAUSE).await;
+        }
+    }
+
+    /// Reads what is new of every job that was taken, and now and then all of it again.
+    pub async fn read_all(&self) {
+        let mut random = StdRng::from_rng(&mut rand::rng());
+        for (id, known) in self.oracle.taken_jobs() {
+            let from = if random.random_range(0..8) == 0 { 0 } else { known };
+            let path = format!("/yokefall/jobs/{id}/results?from={from}");
+            let seen = self.ask(&mut random, Method::GET, &path, "read", Bytes::new()).await;
+            match seen {
+                Some(Seen { status: StatusCode::OK, body }) => self.note_results(&id, from, &body),
+                Some(Seen { status: StatusCode::NOT_FOUND, .. }) => {
+                    self.oracle.violated(format!("job {id} was taken and is not known any more"));
+                }
+                Some(_) | None => {}
+            }
+        }
+    }
+
+    fn note_results(&self, id: &str, from: usize, body: &[u8]) {
+        let Ok(page) = serde_json::from_slice::<Value>(body) else {
+            self.oracle.violated(format!("job {id}: results that are no JSON"));
+            return;
+        };
+        let results = page["results"].as_array().cloned().unwrap_or_default();
+        for (position, result) in (from as u64..).zip(&results) {
+            let field = |name: &str| result[name].as_str().unwrap_or_default();
+            self.oracle.result_read(id, position, field("item"), field("outcome"), field("text"));
+        }
+    }
+
+    /// Asks any gateway on a new connection; `None` where there is no whole answer.
+    async fn ask(
+        &self,
+        random: &mut StdRng,
+        method: Method,
+        path: &str,
+        id: &str,
+        body: Bytes,
+    ) -> Option<Seen> {
+        let gateway = self.gateways[random.random_range(0..self.gateways.len())];
+        tokio::time::timeout(PATIENCE, ask(gateway, method, path, id, body)).await.ok()?
+    }
+}
+
+fn is_refusal(status: StatusCode) -> bool {
+    [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&status)
+}
+
+fn job_body(items: &[String]) -> Bytes {
+    let item = |id: &String| json!({ "id": id, "path": format!("{ITEM_PATH}{id}"), "tokens": 100 });
+    json!({ "items": items.iter().map(item).collect::<Vec<Value>>() }).to_string().into()
+}
+
+async fn ask(
+    gateway: SocketAddr,
+    method: Method,
+    path: &str,
+    id: &str,
+    body: Bytes,
+) -> Option<Seen> {
+    let stream = TcpStream::connect(gateway).await.ok()?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let connection = tokio::spawn(connection);
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("Host", "soak.example")
+        .header("Yokefall-Request", id)
+        .header("Yokefall-Deadline-Ms", "5000")
+        .body(Full::new(body))
+        .ok()?;
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    connection.abort();
+    Some(Seen { status, body })
+}
--- /dev/null
+++ b/crates/bench/src/soak/fleet.rs
@@ -0,0 +1,249 @@
+//! The processes of the soak, with their settings, logs and data in one folder.
+
+use std::fmt::Write as _;
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use tokio::process::{Child, Command};
+
+use super::back_end::{self, Ledger};
+use super::proxy::{Link, LinkState};
+use super::SoakOptions;
+use yokefall_bench::standin::http::HttpServer;
+
+/// Time that a process has for a planned stop, in seconds, and the time after which it is killed.
+const STOP_SECONDS: u64 = 4;
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+/// Job stores that may lose their disks at once.
+const TOLERATED_LOSSES: usize = 1;
+
+/// What a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Serves clients.
+    Gateway,
+    /// Keeps jobs.
+    JobStore,
+}
+
+/// One process.
+pub struct RealProcess {
+    /// Its name.
+    pub name: String,
+    /// What it is.
+    pub role: Role,
+    ports: Vec<u16>,
+    starts: u32,
+    child: Option<Child>,
+}
+
+/// The processes and the links to back ends.
+pub struct ProcessFleet {
+    program: PathBuf,
+    folder: PathBuf,
+    /// The processes.
+    pub processes: Vec<RealProcess>,
+    /// The links.
+    pub links: Vec<Link>,
+    _back_ends: Vec<Arc<HttpServer>>,
+}
+
+impl ProcessFleet {
+    /// Writes settings and starts everything.
+    pub async fn start(options: &SoakOptions, ledger: Arc<Ledger>) -> Result<Self, String> {
+        let at = |step: &'static str| move |error: std::io::Error| format!("{step}: {error}");
+        std::fs::create_dir_all(&options.folder).map_err(at("make the folder"))?;
+        let folder = options.folder.canonicalize().map_err(at("find the folder"))?;
+        let (mut links, mut back_ends) = (Vec::new(), Vec::new());
+        for number in 0..options.sizes.back_ends {
+            let back_end = back_end::start(format!("model-{number}"), ledger.clone()).await?;
+            links.push(Link::open(back_end.address()).await?);
+            back_ends.push(back_end);
+        }
+        std::fs::write(folder.join("catalog.toml"), catalog(&links))
+            .map_err(at("write catalog"))?;
+        let mut processes = Vec::new();
+        let roles = [
+            (Role::Gateway, "gateway", options.sizes.gateways, 6),
+            (Role::JobStore, "store", options.sizes.job_stores, 3),
+        ];
+        for (role, word, count, ports) in roles {
+            for number in 0..count {
+                let ports = free_ports(ports)?;
+                let name = format!("{word}-{number}");
+                processes.push(RealProcess { name, role, ports, starts: 0, child: None });
+            }
+        }
+        let program = options.program.clone();
+        let mut fleet = Self { program, folder, processes, links, _back_ends: back_ends };
+        for number in 0..fleet.processes.len() {
+            fleet.start_process(number)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Addresses of the gateways for clients.
+    pub fn ingresses(&self) -> Vec<SocketAddr> {
+        let gateways = self.processes.iter().filter(|process| process.role == Role::Gateway);
+        gateways.map(|gateway| local(gateway.ports[0])).collect()
+    }
+
+    /// Starts a process that does not run.
+    pub fn start_process(&mut self, number: usize) -> Result<(), String> {
+        let seeds: Vec<String> = self.processes.iter().map(peer).collect();
+        let process = &mut self.processes[number];
+        if process.child.is_some() {
+            return Ok(());
+        }
+        let settings = self.folder.join(format!("{}.toml", process.name));
+        let failed = |error: std::io::Error| format!("start {}: {error}", process.name);
+        let text = settings_of(process, &self.folder, &seeds);
+        std::fs::write(&settings, text).map_err(failed)?;
+        let log = format!("{}.{}.log", process.name, process.starts);
+        let log = File::create(self.folder.join(log)).map_err(failed)?;
+        let word = match process.role {
+            Role::Gateway => "gateway",
+            Role::JobStore => "job-store",
+        };
+        let child = Command::new(&self.program)
+            .args([word, "--settings"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().map_err(failed)?)
+            .stdout(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(failed)?;
+        process.starts += 1;
+        process.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to a process, if it runs.
+    pub fn signal(&self, number: usize, signal: Signal) -> Result<(), String> {
+        let process = &self.processes[number];
+        let Some(id) = process.child.as_ref().and_then(Child::id) else { return Ok(()) };
+        let id = i32::try_from(id).map_err(|error| format!("signal {}: {error}", process.name))?;
+        kill(Pid::from_raw(id), signal).map_err(|error| format!("signal {}: {error}", process.name))
+    }
+
+    /// Ends a process at once.
+    pub async fn kill(&mut self, number: usize) -> Result<(), String> {
+        let process = &mut self.processes[number];
+        let Some(mut child) = process.child.take() else { return Ok(()) };
+        child.kill().await.map_err(|error| format!("kill {}: {error}", process.name))
+    }
+
+    /// Asks a process to stop, and waits for its end.
+    pub async fn stop(&mut self, number: usize) -> Result<(), String> {
+        self.signal(number, Signal::SIGTERM)?;
+        let process = &mut self.processes[number];
+        let Some(mut child) = process.child.take() else { return Ok(()) };
+        match tokio::time::timeout(STOP_LIMIT, child.wait()).await {
+            Ok(_) => Ok(()),
+            Err(_) => Err(format!("{} did not stop within {STOP_LIMIT:?}", process.name)),
+        }
+    }
+
+    /// Removes the data of a job store that does not run.
+    pub fn wipe(&self, number: usize) -> Result<(), String> {
+        let name = &self.processes[number].name;
+        match std::fs::remove_dir_all(self.folder.join(format!("{name}.data"))) {
+            Ok(()) => Ok(()),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(()),
+            Err(error) => Err(format!("wipe {name}: {error}")),
+        }
+    }
+
+    /// Ends all faults.
+    pub async fn heal(&mut self) -> Result<(), String> {
+        self.links.iter().for_each(|link| link.set(LinkState::Whole));
+        for number in 0..self.processes.len() {
+            self.signal(number, Signal::SIGCONT)?;
+            self.start_process(number)?;
+        }
+        Ok(())
+    }
+
+    /// Ends every process.
+    pub async fn end(&mut self) {
+        for number in 0..self.processes.len() {
+            // One that has ended by itself needs no end.
+            let _ = self.kill(number).await;
+        }
+    }
+}
+
+fn local(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Address of a process for others.
+fn peer(process: &RealProcess) -> String {
+    match process.role {
+        Role::Gateway => local(process.ports[3]).to_string(),
+        Role::JobStore => local(process.ports[0]).to_string(),
+    }
+}
+
+/// Ports that nobody uses; they are held until all are found.
+fn free_ports(count: usize) -> Result<Vec<u16>, String> {
+    let open = || TcpListener::bind(local(0)).map_err(|error| format!("find a port: {error}"));
+    let held = (0..count).map(|_| open()).collect::<Result<Vec<TcpListener>, String>>()?;
+    let port = |listener: &TcpListener| listener.local_addr().map(|address| address.port());
+    held.iter().map(port).collect::<Result<_, _>>().map_err(|error| format!("find a port: {error}"))
+}
+
+fn settings_of(process: &RealProcess, folder: &Path, seeds: &[String]) -> String {
+    let ports: Vec<String> = process.ports.iter().map(|port| local(*port).to_string()).collect();
+    let quoted: Vec<String> = seeds.iter().map(|seed| format!("{seed:?}")).collect();
+    let gateway_ports = ["ingress", "readiness", "directory", "peer", "metrics", "news"];
+    let store_ports = ["peer", "metrics", "news"];
+    let (role, listen, data) = match process.role {
+        Role::Gateway => ("gateway", gateway_ports.as_slice(), String::new()),
+        Role::JobStore => {
+            let data = folder.join(format!("{}.data", process.name));
+            let bootstrap = process.starts == 0;
+            let text = format!("[data]\nfolder = {data:?}\nbootstrap = {bootstrap}\n");
+            ("job-store", store_ports.as_slice(), text)
+        }
+    };
+    let listen = listen.iter().zip(&ports).map(|(name, address)| format!("{name} = {address:?}\n"));
+    format!(
+        "role = {role:?}\n[node]\nname = {:?}\nzone = \"hall-1\"\nregion = \"region-1\"\n\
+         [listen]\n{}[fleet]\nseeds = [{}]\ntolerated_losses = {TOLERATED_LOSSES}\n\
+         [platform]\ncatalog = {:?}\n{data}[limits]\nmemory_mb = 256\n[stop]\nseconds = {STOP_SECONDS}\n",
+        process.name,
+        listen.collect::<String>(),
+        quoted.join(", "),
+        folder.join("catalog.toml"),
+    )
+}
+
+/// Routes and back ends.
+fn catalog(links: &[Link]) -> String {
+    let mut text = "version = 1\n".to_owned();
+    let routes = [("calls", "/", "repeatable"), ("once", "/once/", "at_most_once")];
+    for (name, prefix, kind) in routes.into_iter().chain([("jobs", "/work/", "batch")]) {
+        let _ = write!(
+            text,
+            "[[route]]\nname = {name:?}\nhost = \"soak.example\"\npath_prefix = {prefix:?}\n\
+             kind = {kind:?}\nservice = \"models\"\ntimeout_ms = 5000\n"
+        );
+    }
+    for (number, link) in links.iter().enumerate() {
+        let _ = write!(
+            text,
+            "[[backend]]\nid = \"model-{number}\"\nservice = \"models\"\naddress = \"{}\"\n\
+             zone = \"hall-1\"\n",
+            link.address
+        );
+    }
+    text
+}
