--- a/crates/app/src/commands/serving.rs
+++ b/crates/app/src/commands/serving.rs
@@ -14,6 +14,7 @@
 use yokefall_gateway::{Gateway, GatewayOptions};
 use yokefall_jobstore::{JobStore, JobStoreOptions};
 use yokefall_platform::MetadataPlatform;
+use yokefall_serving::ZoneMap;
 use yokefall_settings::{LogLevel, ServingRole, ServingSettings};
 use yokefall_standalone::Standalone;
 use yokefall_telemetry::{init_lines, EventName, HealthState, Level, Line, MetricsServer};
@@ -204,6 +205,8 @@
         name: settings.node.name,
         zone: settings.node.zone,
         region: settings.node.region,
+        zones: Arc::new(ZoneMap::new(settings.zones)),
+        placement: settings.placement,
         // The settings were checked: a gateway has all of its ports.
         ingress: listen.ingress.unwrap_or(listen.peer),
         readiness: listen.readiness.unwrap_or(listen.peer),
@@ -250,6 +253,8 @@
         name: settings.node.name,
         zone: settings.node.zone,
         region: settings.node.region,
+        zones: Arc::new(ZoneMap::new(settings.zones)),
+        placement: settings.placement,
         peer: settings.listen.peer,
         news: settings.listen.news(),
         seeds,
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use yokefall_serving::admission::{load_limit, Held, HoldQueue, Terms};
+use yokefall_serving::{Need, Residency};
 use yokefall_telemetry::EventName;
 use yokefall_upstream::Place;
 
@@ -27,6 +28,7 @@
     grant: oneshot::Sender<Result<Place, GivenUp>>,
     affinity: Option<u64>,
     target: Duration,
+    residency: Residency,
 }
 
 #[derive(Default)]
@@ -70,9 +72,9 @@
     let is_first = admission.is_empty(&order.service);
     if !shared.policy.hold_requests
         || target.is_zero()
-        || (is_first && has_room(shared, &order.service, target))
+        || (is_first && has_room(shared, &order.need(), target))
     {
-        return Ok(choose(shared, &order.service, &[], affinity));
+        return Ok(choose(shared, &order.need(), &[], affinity));
     }
     let ticket = admission.next_ticket.get();
     admission.next_ticket.set(ticket + 1);
@@ -80,7 +82,8 @@
         Terms { rank: order.rank, target, time: order.deadline.duration_since(order.arrived) };
     let (grant, granted) = oneshot::channel();
     let held = shared.places.with(|_, now| Held::new(ticket, now, terms));
-    admission.hold(&order.service, held, Waiter { grant, affinity, target });
+    let residency = order.residency.clone();
+    admission.hold(&order.service, held, Waiter { grant, affinity, target, residency });
     // Whoever waits for room must hear of the new one, which may have to be given up first.
     shared.places.room.notify_one();
     let began = Instant::now();
@@ -117,11 +120,12 @@
 
 /// Whether the emptiest back ends of a service are below the load up to which requests with a target
 /// are sent. Where none is known to live, requests are not held: the choice says what is wrong.
-fn has_room(shared: &Shared, service: &str, target: Duration) -> bool {
+fn has_room(shared: &Shared, need: &Need, target: Duration) -> bool {
     let catalog = shared.catalog.load();
+    let candidates = shared.eligibility.candidates(&catalog, need);
     shared.places.with(|balancer, now| {
-        let Some(service_ms) = balancer.service_ms(service) else { return true };
-        let level = balancer.online_level(now, catalog.ready(service));
+        let Some(service_ms) = balancer.service_ms(need.service) else { return true };
+        let level = balancer.online_level(now, &candidates);
         level.is_none_or(|level| level <= load_limit(target, service_ms))
     })
 }
@@ -129,14 +133,14 @@
 /// A place at a back end of a service that is not in `tried`; `None` where there is none.
 pub fn choose(
     shared: &Shared,
-    service: &str,
+    need: &Need,
     tried: &[String],
     affinity: Option<u64>,
 ) -> Option<Place> {
     let catalog = shared.catalog.load_full();
-    let candidates = catalog.ready(service);
+    let candidates = shared.eligibility.candidates(&catalog, need);
     let backend =
-        shared.places.with(|balancer, now| balancer.choose(now, candidates, tried, affinity))?;
+        shared.places.with(|balancer, now| balancer.choose(now, &candidates, tried, affinity))?;
     Some(shared.places.take(backend))
 }
 
@@ -191,8 +195,11 @@
         let Some(service) = services.get_mut(name) else { return false };
         let next = shared.places.with(|_, now| service.queue.next(now));
         let Some(held) = next else { return false };
-        let target = service.waiters.get(&held.ticket).map(|waiter| waiter.target);
-        if target.is_some_and(|target| !has_room(shared, name, target)) {
+        let lacks_room = service.waiters.get(&held.ticket).is_some_and(|waiter| {
+            let need = Need { service: name, residency: &waiter.residency };
+            !has_room(shared, &need, waiter.target)
+        });
+        if lacks_room {
             return false;
         }
         service.queue.remove(held.ticket);
@@ -200,7 +207,8 @@
     };
     // One whose caller has just left has no waiter any more.
     let Some(waiter) = waiter else { return true };
-    let place = choose(shared, name, &[], waiter.affinity).ok_or(GivenUp);
+    let need = Need { service: name, residency: &waiter.residency };
+    let place = choose(shared, &need, &[], waiter.affinity).ok_or(GivenUp);
     let _ = waiter.grant.send(place);
     true
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -32,6 +32,7 @@
         is_first_start: options.bootstrap,
         notices,
         clock: ElapsedClock::new(options.suspension),
+        zones: options.zones,
     };
     discovery::start(&platform, discovery, ports, catalog, fleet, || {}, stop);
     std::future::pending().await
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
@@ -15,7 +16,9 @@
 use yokefall_serving::discovery::PeerPorts;
 use yokefall_serving::fleet::Notices;
 use yokefall_serving::table::Splitter;
-use yokefall_serving::{empty_catalog, empty_fleet, Balancer, Platform, Policy};
+use yokefall_serving::{
+    empty_catalog, empty_fleet, Balancer, Eligibility, PlacementBounds, Platform, Policy, ZoneMap,
+};
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{Places, Pool};
@@ -45,6 +48,10 @@
     pub zone: String,
     /// Region of the zone.
     pub region: String,
+    /// Regions of all zones.
+    pub zones: Arc<ZoneMap>,
+    /// What is promised of zones, and of back ends that are not warm yet.
+    pub placement: PlacementBounds,
     /// Address for clients.
     pub ingress: SocketAddr,
     /// Address for checks of readiness.
@@ -190,6 +197,7 @@
     let balancer = Balancer::new(options.zone.clone(), rand::random(), options.policy);
     Shared {
         catalog: catalog.clone(),
+        eligibility: Eligibility::new(catalog.clone()),
         fleet: fleet.clone(),
         dialect: platform.dialect(),
         places: Places::new(balancer, clock()),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -183,7 +183,7 @@
         }
         let catalog = shared.catalog.load_full();
         let place =
-            admitted.take().or_else(|| choose(shared, &order.service, &order.tried, affinity));
+            admitted.take().or_else(|| choose(shared, &order.need(), &order.tried, affinity));
         let Some(mut place) = place else { break };
         let backend = place.backend.clone();
         order.tried.push(backend.id.clone());
@@ -223,7 +223,16 @@
         };
         let names = shared.dialect.headers();
         let id_header = shared.dialect.marks_answers().then_some(&names.request_id);
-        let sent = exchange(&mut connection, request, id_header);
+        let permit = match shared.eligibility.permit(&backend, &order.need()) {
+            Ok(permit) => permit,
+            Err(cause) => {
+                shared.pool.put_back(connection);
+                last = format!("{}: {cause}", backend.id);
+                tell_attempt(order, &backend.id, &last);
+                continue;
+            }
+        };
+        let sent = exchange(&mut connection, request, id_header, permit);
         let limit = patience(order);
         let answer = match wait_for(&place, limit, sent).await {
             Ok(Ok(answer)) => answer,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use yokefall_serving::identity::{self, identify, KeyError};
-use yokefall_serving::{Caller, Catalog, RequestLimits, Route, RouteKind};
+use yokefall_serving::{Caller, Catalog, RequestLimits, Residency, Route, RouteKind};
 use yokefall_telemetry::{EventName, Line};
 
 use crate::answer::{plain, refusal, Answer};
@@ -228,7 +228,10 @@
         return plain(StatusCode::BAD_GATEWAY, "the route has no service");
     };
     let rank = caller.rank(route.priority);
+    let tenant_regions = caller.tenant().map_or(&[][..], |tenant| &tenant.allowed_regions);
+    let residency = Residency::of(&route.allowed_regions, tenant_regions);
     let order = Order {
+        residency,
         route,
         caller,
         rank,
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -5,7 +5,7 @@
 
 use http::request::Parts;
 use tokio::time::Instant;
-use yokefall_serving::{Caller, Route, RouteKind};
+use yokefall_serving::{Caller, Need, Residency, Route, RouteKind};
 use yokefall_suspects::{AloneRun, RequestDigest, RequestIdentity};
 use yokefall_telemetry::{EventName, Line};
 
@@ -24,6 +24,8 @@
     pub token: Option<Token>,
     /// Service that gets it.
     pub service: String,
+    /// Where it may be served.
+    pub residency: Residency,
     /// Method, path and headers as the client sent them.
     pub parts: Parts,
     /// Its body.
@@ -49,6 +51,11 @@
 }
 
 impl Order {
+    /// What it asks of a back end.
+    pub fn need(&self) -> Need<'_> {
+        Need { service: &self.service, residency: &self.residency }
+    }
+
     /// The digest that it has in common with other attempts of the same request.
     pub fn digest(&self) -> RequestDigest {
         let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use yokefall_jobstore::JobClient;
 use yokefall_serving::table::Splitter;
-use yokefall_serving::{CatalogCell, Dialect, FleetCell, Policy};
+use yokefall_serving::{CatalogCell, Dialect, Eligibility, FleetCell, Policy};
 use yokefall_suspects::Registry;
 use yokefall_upstream::{Places, Pool};
 
@@ -18,6 +18,8 @@
 pub struct Shared {
     /// Routes and back ends.
     pub catalog: CatalogCell,
+    /// Which back ends may take a request.
+    pub eligibility: Eligibility,
     /// The system's processes.
     pub fleet: FleetCell,
     /// Names and formats.
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
@@ -13,7 +14,9 @@
 use yokefall_quota::QuotaBounds;
 use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
 use yokefall_serving::fleet::{start_number, Identity, Notices};
-use yokefall_serving::{empty_catalog, empty_fleet, Balancer, Platform, Policy};
+use yokefall_serving::{
+    empty_catalog, empty_fleet, Balancer, PlacementBounds, Platform, Policy, ZoneMap,
+};
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::Places;
@@ -43,6 +46,10 @@
     pub zone: String,
     /// Region of the zone.
     pub region: String,
+    /// Regions of all zones.
+    pub zones: Arc<ZoneMap>,
+    /// What is promised of zones, and of back ends that are not warm yet.
+    pub placement: PlacementBounds,
     /// Address for other processes, TCP and UDP.
     pub peer: SocketAddr,
     /// Address at which other processes ask for configuration and back ends.
@@ -167,6 +174,7 @@
             is_first_start: options.bootstrap,
             notices,
             clock: clock(),
+            zones: options.zones.clone(),
         };
         let changed = {
             let store = store.clone();
--- a/crates/jobstore/src/room.rs
+++ b/crates/jobstore/src/room.rs
@@ -1,11 +1,11 @@
 //! How many items may start at a service, with slots kept free for online requests.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use yokefall_core::Timestamp;
-use yokefall_serving::{Backend, Balancer};
+use yokefall_serving::{Backend, Balancer, Residency};
 
 use crate::loads::Coverage;
 
@@ -70,7 +70,16 @@
     }
 }
 
-/// Free slots of one service during a scheduling pass.
+/// The back ends that an item may use: those of a service, in the regions where it may be served.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SlotPool {
+    /// The service.
+    pub service: String,
+    /// Where the item may be served.
+    pub residency: Residency,
+}
+
+/// Free slots of one pool during a scheduling pass.
 #[derive(Debug)]
 pub struct ServiceSlots {
     room: Room,
@@ -109,20 +118,24 @@
     }
 }
 
-/// Free slots of the services that a scheduling pass has met.
+/// Free slots of the pools that a scheduling pass has met.
 #[derive(Debug, Default)]
 pub struct FreeSlots {
-    services: HashMap<String, ServiceSlots>,
+    pools: BTreeMap<SlotPool, ServiceSlots>,
 }
 
 impl FreeSlots {
-    /// The slots of a service; `find` looks for them the first time.
-    pub fn of(&mut self, service: &str, find: impl FnOnce() -> ServiceSlots) -> &mut ServiceSlots {
-        self.services.entry(service.to_owned()).or_insert_with(find)
+    /// The slots of a pool; `find` looks for them the first time.
+    pub fn of(
+        &mut self,
+        pool: &SlotPool,
+        find: impl FnOnce() -> ServiceSlots,
+    ) -> &mut ServiceSlots {
+        self.pools.entry(pool.clone()).or_insert_with(find)
     }
 
-    /// The services that were met, with their slots.
+    /// The pools that were met, with their slots, by name of the service.
     pub fn services(&self) -> impl Iterator<Item = (&String, &ServiceSlots)> {
-        self.services.iter()
+        self.pools.iter().map(|(pool, slots)| (&pool.service, slots))
     }
 }
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -12,7 +12,7 @@
 use http::{header, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use yokefall_serving::identity::mark_tenant;
-use yokefall_serving::{Backend, Dialect, JobItem, Outcome, TenantName};
+use yokefall_serving::{Backend, Dialect, JobItem, Outcome, Permit, TenantName};
 use yokefall_suspects::{Registry, RequestDigest, RequestIdentity};
 use yokefall_upstream::{exchange, ConnectFailure, Connection, Place, Pool, SendFailure};
 
@@ -128,17 +128,17 @@
         Self { pool: Pool::default(), suspects, dialect }
     }
 
-    /// Runs an item at the back end of a place, from where its output stands. Invariant: `is_wanted` is
-    /// asked at the last moment before the item is sent. A connection may take long to come up, and a
-    /// process without processor time may take longer; meanwhile the job may have been cancelled, the
-    /// lead lost, or the back end have begun to drain.
+    /// Runs an item at the back end of a place, from where its output stands. Invariant: `permit` is asked for
+    /// at the last moment before the item is sent. A connection may take long to come up, and a process
+    /// without processor time may take longer; meanwhile the job may have been cancelled, the lead lost, or
+    /// the back end have begun to drain.
     pub async fn run_at(
         &self,
         place: &mut Place,
         sender: &ItemSender,
         item: &Arc<JobItem>,
         progress: &Rc<RefCell<Progress>>,
-        is_wanted: impl Fn() -> bool,
+        permit: impl Fn() -> Result<Permit, String>,
     ) -> RunEnd {
         let backend = place.backend.clone();
         let again = |cause: String, pause| RunEnd::Again { cause, pause };
@@ -156,14 +156,17 @@
         let Some(request) = self.request(sender, item, &backend, after) else {
             return RunEnd::Impossible;
         };
-        if !is_wanted() {
-            place.outcome = Outcome::Abandoned;
-            self.pool.put_back(connection);
-            return again("not wanted any more when the connection was up".into(), false);
-        }
+        let permit = match permit() {
+            Ok(permit) => permit,
+            Err(cause) => {
+                place.outcome = Outcome::Abandoned;
+                self.pool.put_back(connection);
+                return again(format!("not to be sent when the connection was up: {cause}"), false);
+            }
+        };
         let names = self.dialect.headers();
         let id_header = self.dialect.marks_answers().then_some(&names.request_id);
-        let sent = exchange(&mut connection, request, id_header);
+        let sent = exchange(&mut connection, request, id_header, permit);
         let answer = match tokio::time::timeout(SILENCE_LIMIT, sent).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -9,7 +9,9 @@
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use yokefall_serving::{Backend, FleetCell, InFlight, ItemState, JobItem, Policy, RouteKind};
+use yokefall_serving::{
+    Backend, FleetCell, InFlight, ItemState, JobItem, Need, Permit, Policy, Residency, RouteKind,
+};
 use yokefall_suspects::RequestDigest;
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::Place;
@@ -19,7 +21,7 @@
 use crate::held_items::HeldItems;
 use crate::preemption::{preempted, Phase, PlacedRun};
 use crate::protocol::RunOrder;
-use crate::room::{FreeSlots, Room, ServiceSlots};
+use crate::room::{FreeSlots, Room, ServiceSlots, SlotPool};
 use crate::run::{item_digest, ItemSender, Progress, RunEnd};
 use crate::running::{take_output, CountedItem, ItemKey, Running};
 use crate::state::{Command, OpenItem, Run};
@@ -233,8 +235,8 @@
                 continue;
             }
             // An item whose route is unknown must not hold up the items of others.
-            let Some(service) = self.service_of(&key) else { continue };
-            let free = services.of(&service, || self.free_slots(&service));
+            let Some(pool) = self.pool_of(&key) else { continue };
+            let free = services.of(&pool, || self.free_slots(&pool));
             let may_start =
                 free.items() > 0 && self.running.borrow().len() < self.options.most_runs;
             let choose = || self.worker.places.with(|balancer, now| free.choose(balancer, now));
@@ -263,16 +265,18 @@
         })?
     }
 
-    /// Back ends of a service with a free slot, and how many items may start there.
-    fn free_slots(&self, service: &str) -> ServiceSlots {
+    /// Back ends of a pool with a free slot, and how many items may start there.
+    fn free_slots(&self, pool: &SlotPool) -> ServiceSlots {
         let catalog = self.worker.catalog.load();
-        let room = self.room(service);
+        let room = self.room(pool);
+        let need = Need { service: &pool.service, residency: &pool.residency };
+        let candidates = self.worker.eligibility.candidates(&catalog, &need);
         let backends = self.worker.places.with(|balancer, now| {
             let is_free = |backend: &&Arc<Backend>| {
                 let items = balancer.in_flight(&backend.id);
                 self.has_free_slot(backend, items) && !balancer.is_ejected(now, &backend.id)
             };
-            catalog.ready(service).iter().filter(is_free).cloned().collect()
+            candidates.iter().filter(is_free).cloned().collect()
         });
         ServiceSlots::new(room, backends)
     }
@@ -302,24 +306,29 @@
         self.running.borrow_mut().insert(key, running);
     }
 
-    /// The service that the configuration in force gives an item to.
-    fn service_of(&self, key: &ItemKey) -> Option<String> {
+    /// The slots that the configuration in force gives an item.
+    fn pool_of(&self, key: &ItemKey) -> Option<SlotPool> {
         let catalog = self.worker.catalog.load();
-        let (host, path) = self.store.with_job(&key.0, |job| {
-            job.open.get(&key.1).map(|open| (job.host.clone(), open.item.path.clone()))
+        let (sender, path) = self.store.with_job(&key.0, |job| {
+            let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
+            job.open.get(&key.1).map(|open| (sender, open.item.path.clone()))
         })??;
-        let route = catalog.routes.find(&host, &path)?;
+        let route = catalog.routes.find(&sender.host, &path)?;
         let part = route.split.iter().max_by_key(|part| part.weight)?;
-        (route.kind == RouteKind::Batch).then(|| part.service.clone())
+        let residency = catalog.residency(route, sender.tenant.as_ref());
+        let service = part.service.clone();
+        (route.kind == RouteKind::Batch).then_some(SlotPool { service, residency })
     }
 
-    /// The slots of a service.
-    fn room(&self, service: &str) -> Room {
+    /// The slots of a pool.
+    fn room(&self, pool: &SlotPool) -> Room {
         let catalog = self.worker.catalog.load();
+        let need = Need { service: &pool.service, residency: &pool.residency };
+        let candidates = self.worker.eligibility.candidates(&catalog, &need);
         self.worker.places.with(|balancer, now| {
             let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
             let mut room = Room::new(self.store.loads.report_interval()).heard(coverage);
-            for backend in catalog.ready(service) {
+            for backend in candidates.iter() {
                 if balancer.is_ejected(now, &backend.id) {
                     continue;
                 }
@@ -353,7 +362,10 @@
             .collect();
         let runs: Vec<PlacedRun> = placed.iter().map(|(run, backend)| run.at(backend)).collect();
         let online = |backend: &str| self.reported_online(backend);
-        let lacking = |service: &str| self.room(service).lacking() as usize;
+        let lacking = |service: &str| {
+            let pool = SlotPool { service: service.to_owned(), residency: Residency::Anywhere };
+            self.room(&pool).lacking() as usize
+        };
         for position in preempted(&runs, online, lacking) {
             placed[position].0.preempt();
         }
@@ -419,11 +431,11 @@
                 self.delegation.run(&worker, order, &mut place, &progress, &preempted).await
             }
             None => {
-                let id = place.backend.id.clone();
-                let is_wanted = || self.is_wanted(&key, &id);
+                let backend = place.backend.clone();
+                let permit = || self.permit(&key, &backend, &sender, &item);
                 let items = &self.worker.items;
                 tokio::select! {
-                    end = items.run_at(&mut place, &sender, &item, &progress, is_wanted) => end,
+                    end = items.run_at(&mut place, &sender, &item, &progress, permit) => end,
                     () = preempted.notified() => preemption(),
                 }
             }
@@ -455,10 +467,19 @@
         self.store.work_changed.notify_one();
     }
 
-    /// Whether an item may still be sent to a back end.
-    fn is_wanted(&self, (job, item): &ItemKey, backend: &str) -> bool {
-        let is_open = self.store.with_job(job, |job| job.open.contains_key(item));
-        self.store.serves() && is_open == Some(true) && self.worker.catalog.load().is_ready(backend)
+    /// The right to send an item that is still wanted to a back end; else the cause.
+    fn permit(
+        &self,
+        (job, index): &ItemKey,
+        backend: &Backend,
+        sender: &ItemSender,
+        item: &JobItem,
+    ) -> Result<Permit, String> {
+        let is_open = self.store.with_job(job, |job| job.open.contains_key(index));
+        if !self.store.serves() || is_open != Some(true) {
+            return Err("it is not wanted any more".into());
+        }
+        self.worker.permit(backend, sender, item)
     }
 
     async fn finish(
--- a/crates/jobstore/src/worker.rs
+++ b/crates/jobstore/src/worker.rs
@@ -5,11 +5,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
-use yokefall_serving::{CatalogCell, Outcome};
+use yokefall_serving::{Backend, CatalogCell, Eligibility, JobItem, Need, Outcome, Permit};
 use yokefall_upstream::Places;
 
 use crate::protocol::{Frame, Outgoing, Reply, RunOrder, RunReport};
@@ -23,6 +24,8 @@
 pub struct Worker {
     /// Back ends that are known here.
     pub catalog: CatalogCell,
+    /// Which of them may take an item.
+    pub eligibility: Eligibility,
     /// Runs of this process.
     pub items: ItemRunner,
     /// Load and health of back ends as this process sees them.
@@ -40,7 +43,22 @@
         places: Rc<Places>,
         most_runs: usize,
     ) -> Rc<Self> {
-        Rc::new(Self { catalog, items, places, most_runs, runs: Cell::new(0) })
+        let eligibility = Eligibility::new(catalog.clone());
+        Rc::new(Self { catalog, eligibility, items, places, most_runs, runs: Cell::new(0) })
+    }
+
+    /// The right to send an item to a back end now, as this process knows it; else the cause.
+    pub fn permit(
+        &self,
+        backend: &Backend,
+        sender: &ItemSender,
+        item: &JobItem,
+    ) -> Result<Permit, String> {
+        let catalog = self.catalog.load();
+        let route = catalog.routes.find(&sender.host, &item.path).ok_or("no route has its path")?;
+        let residency = catalog.residency(route, sender.tenant.as_ref());
+        let need = Need { service: &backend.service, residency: &residency };
+        self.eligibility.permit(backend, &need).map_err(|cause| format!("{}: {cause}", backend.id))
     }
 
     async fn run(&self, order: RunOrder, sink: &OutputSink, cancelled: &Notify) -> RunReport {
@@ -50,8 +68,10 @@
         let progress =
             Progress { run, kept_event: after_event, last_event: after_event, text: None };
         let progress = Rc::new(RefCell::new(progress));
-        if !self.catalog.load().is_ready(&backend.id) {
-            let cause = format!("{} takes no work any more, as its worker knows", backend.id);
+        let (backend, item): (Arc<Backend>, Arc<JobItem>) = (backend.into(), item.into());
+        // Before a connection is made as well: one to a back end that left would not come up for a while.
+        if let Err(cause) = self.permit(&backend, &sender, &item) {
+            let cause = format!("as its worker knows, {cause}");
             let end = RunEnd::Again { cause, pause: false };
             return RunReport {
                 end,
@@ -60,12 +80,10 @@
                 text: None,
             };
         }
-        let mut place = self.places.take(backend.into());
-        let item = item.into();
+        let mut place = self.places.take(backend.clone());
         let end = {
-            let id = place.backend.id.clone();
-            let is_wanted = || self.catalog.load().is_ready(&id);
-            let running = self.items.run_at(&mut place, &sender, &item, &progress, is_wanted);
+            let permit = || self.permit(&backend, &sender, &item);
+            let running = self.items.run_at(&mut place, &sender, &item, &progress, permit);
             tokio::pin!(running);
             loop {
                 tokio::select! {
--- a/crates/jobstore/tests/preemption.rs
+++ b/crates/jobstore/tests/preemption.rs
@@ -14,6 +14,7 @@
 fn backend(number: usize) -> Backend {
     Backend {
         id: format!("i-{number}"),
+        started_ms: 0,
         service: "models".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "hall-1".into(),
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -1,13 +1,15 @@
 //! One snapshot of all that routing needs: configuration and back ends.
 
-use std::collections::HashMap;
+use std::borrow::Cow;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 
-use yokefall_types::{KeyIndex, Tenant};
+use yokefall_types::{KeyIndex, Tenant, TenantName};
 
-use crate::model::{Backend, BackendState, Configuration};
+use crate::eligibility::{Residency, ZoneMap};
+use crate::model::{Backend, BackendState, Configuration, Route};
 use crate::table::RouteTable;
 
 /// Configuration and back ends at one moment.
@@ -21,21 +23,59 @@
     pub tenants: Option<KeyIndex<Arc<Tenant>>>,
     /// Service to its back ends that take work.
     pub ready: HashMap<String, Vec<Arc<Backend>>>,
+    /// The same by region, for requests that may be served in some regions alone.
+    ready_by_region: HashMap<String, HashMap<String, Vec<Arc<Backend>>>>,
+    /// Every back end by its id, those too that take no work.
+    pub known: HashMap<String, Arc<Backend>>,
+    /// Zones whose back ends get nothing new.
+    pub evacuated: BTreeSet<String>,
+    /// Regions of zones.
+    pub zones: Arc<ZoneMap>,
+}
+
+/// What is known of zones beside the back ends in them.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneFacts {
+    /// Zones whose back ends get nothing new.
+    pub evacuated: BTreeSet<String>,
+    /// Regions of zones.
+    pub zones: Arc<ZoneMap>,
 }
 
 impl Catalog {
-    /// Builds a snapshot.
+    /// Builds a snapshot of a fleet in which nothing is known of zones.
     pub fn new<'a>(
         configuration: Option<Arc<Configuration>>,
         backends: impl Iterator<Item = &'a Arc<Backend>>,
     ) -> Self {
+        Self::with_zones(configuration, backends, ZoneFacts::default())
+    }
+
+    /// Builds a snapshot.
+    pub fn with_zones<'a>(
+        configuration: Option<Arc<Configuration>>,
+        backends: impl Iterator<Item = &'a Arc<Backend>>,
+        facts: ZoneFacts,
+    ) -> Self {
+        let ZoneFacts { evacuated, zones } = facts;
         let routes = configuration.as_deref().map(RouteTable::new).unwrap_or_default();
         let tenants = configuration.as_deref().and_then(index_tenants);
+        let known: HashMap<String, Arc<Backend>> =
+            backends.map(|backend| (backend.id.clone(), backend.clone())).collect();
+        let takes_work = |backend: &&Arc<Backend>| {
+            backend.state == BackendState::Ready && !evacuated.contains(&backend.zone)
+        };
         let mut ready: HashMap<String, Vec<Arc<Backend>>> = HashMap::new();
-        for backend in backends.filter(|backend| backend.state == BackendState::Ready) {
+        let mut ready_by_region: HashMap<String, HashMap<String, Vec<Arc<Backend>>>> =
+            HashMap::new();
+        for backend in known.values().filter(takes_work) {
             ready.entry(backend.service.clone()).or_default().push(backend.clone());
+            if let Some(region) = zones.region_of(&backend.zone) {
+                let regions = ready_by_region.entry(backend.service.clone()).or_default();
+                regions.entry(region.to_owned()).or_default().push(backend.clone());
+            }
         }
-        Self { configuration, routes, tenants, ready }
+        Self { configuration, routes, tenants, ready, ready_by_region, known, evacuated, zones }
     }
 
     /// Back ends of a service that take work.
@@ -43,9 +83,45 @@
         self.ready.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Back ends of a service that take work, in some regions alone.
+    pub fn ready_within(
+        &self,
+        service: &str,
+        regions: &BTreeSet<String>,
+    ) -> Cow<'_, [Arc<Backend>]> {
+        let Some(by_region) = self.ready_by_region.get(service) else { return Cow::Borrowed(&[]) };
+        let mut parts = regions.iter().filter_map(|region| by_region.get(region));
+        match (parts.next(), parts.next()) {
+            (None, _) => Cow::Borrowed(&[]),
+            (Some(only), None) => Cow::Borrowed(only),
+            (Some(first), Some(second)) => {
+                let all = first.iter().chain(second).chain(parts.flatten());
+                Cow::Owned(all.cloned().collect())
+            }
+        }
+    }
+
     /// Whether a back end takes work.
     pub fn is_ready(&self, id: &str) -> bool {
-        self.ready.values().flatten().any(|backend| backend.id == id)
+        self.known.get(id).is_some_and(|backend| {
+            backend.state == BackendState::Ready && !self.is_evacuated(&backend.zone)
+        })
+    }
+
+    /// Whether the back ends of a zone get nothing new.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.contains(zone)
+    }
+
+    /// Where requests of a tenant on a route may be served. A tenant that the configuration does not name any
+    /// more binds nothing.
+    pub fn residency(&self, route: &Route, tenant: Option<&TenantName>) -> Residency {
+        let tenants = self.configuration.iter().flat_map(|configuration| &configuration.tenants);
+        let owner = tenant.and_then(|name| tenants.clone().find(|tenant| tenant.name == *name));
+        Residency::of(
+            &route.allowed_regions,
+            owner.map_or(&[], |owner| owner.allowed_regions.as_slice()),
+        )
     }
 
     /// Version of the configuration; 0 when none is known.
--- a/crates/serving/src/discovery.rs
+++ b/crates/serving/src/discovery.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch as channel;
@@ -13,6 +14,7 @@
 use yokefall_core::Timestamp;
 
 use crate::duty::Roster;
+use crate::eligibility::ZoneMap;
 use crate::fleet::{run_membership, Identity, Membership, Notices};
 use crate::news::News;
 use crate::news_exchange::serve;
@@ -41,6 +43,8 @@
     pub notices: Notices,
     /// Time of probes, and of what peers told.
     pub clock: ElapsedClock,
+    /// Regions of zones.
+    pub zones: Arc<ZoneMap>,
 }
 
 /// Starts the tasks that keep `catalog` and `fleet` current, on the present `LocalSet`. `changed` is
@@ -54,7 +58,7 @@
     changed: impl Fn() + 'static,
     leaving: channel::Receiver<bool>,
 ) {
-    let knowledge = Rc::new(RefCell::new(Knowledge::new(catalog)));
+    let knowledge = Rc::new(RefCell::new(Knowledge::new(catalog, options.zones)));
     let observer = Rc::new(LineObserver::new(changed));
     let shared = SharedKnowledge { knowledge: knowledge.clone(), observer };
     let roster = Roster::new(Timestamp(0), options.is_first_start, rand::random());
--- /dev/null
+++ b/crates/serving/src/eligibility/mod.rs
@@ -0,0 +1,136 @@
+//! Which back ends may take a request now, and why not the others.
+//!
+//! One place answers this for everything that sends to a back end: first tries, retries, resumed streams, items
+//! of jobs at whichever process runs them. The answer is asked for twice: `Eligibility::candidates` before one is
+//! chosen, and `Eligibility::permit` at the last moment before the request is written, since what is known may
+//! have changed while a connection came up. Only `permit` makes a `Permit`, and nothing is sent without one
+//! (`yokefall_upstream::exchange`), so that a new sender can't forget to ask.
+
+pub mod freshness;
+pub mod residency;
+pub mod zones;
+
+use std::borrow::Cow;
+use std::fmt;
+use std::sync::Arc;
+
+pub use freshness::Freshness;
+pub use residency::Residency;
+pub use zones::ZoneMap;
+
+use crate::catalog::{Catalog, CatalogCell};
+use crate::model::{Backend, BackendLife, BackendState};
+
+/// Why a back end may not take a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ineligible {
+    /// Nobody knows it any more.
+    Unknown,
+    /// Another life of it is running by now.
+    AnotherLife,
+    /// It is leaving.
+    Draining,
+    /// An operator has its zone evacuated.
+    Evacuated,
+    /// The request may not be served in its region.
+    OtherRegion,
+    /// It is cold, or may be, and this process has sent it as much as it may.
+    Cold {
+        /// Milliseconds until this process may send it a request, as far as known.
+        wait_ms: u64,
+    },
+}
+
+impl Ineligible {
+    /// The reason's name, for lines and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Ineligible::Unknown => "unknown",
+            Ineligible::AnotherLife => "another-life",
+            Ineligible::Draining => "draining",
+            Ineligible::Evacuated => "evacuated",
+            Ineligible::OtherRegion => "other-region",
+            Ineligible::Cold { .. } => "cold",
+        }
+    }
+}
+
+impl fmt::Display for Ineligible {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Ineligible::Unknown => formatter.write_str("it is not known any more"),
+            Ineligible::AnotherLife => formatter.write_str("it has started again"),
+            Ineligible::Draining => formatter.write_str("it is leaving"),
+            Ineligible::Evacuated => formatter.write_str("its zone is evacuated"),
+            Ineligible::OtherRegion => {
+                formatter.write_str("the request must stay in other regions")
+            }
+            Ineligible::Cold { wait_ms } => {
+                write!(formatter, "it is cold, and has its share for {wait_ms} ms")
+            }
+        }
+    }
+}
+
+/// What a request asks of a back end.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Service that is to run it.
+    pub service: &'a str,
+    /// Where it may be served.
+    pub residency: &'a Residency,
+}
+
+/// The right to send one request to a back end, right now.
+#[derive(Debug)]
+pub struct Permit {
+    life: BackendLife,
+}
+
+impl Permit {
+    /// Where the request may be sent.
+    pub fn life(&self) -> &BackendLife {
+        &self.life
+    }
+}
+
+/// Which back ends may take a request, as this process knows it.
+#[derive(Clone, Debug)]
+pub struct Eligibility {
+    catalog: CatalogCell,
+}
+
+impl Eligibility {
+    /// Asks the newest catalog in a cell.
+    pub fn new(catalog: CatalogCell) -> Self {
+        Self { catalog }
+    }
+
+    /// Back ends that may take a request, by the facts of one catalog.
+    pub fn candidates<'a>(&self, catalog: &'a Catalog, need: &Need) -> Cow<'a, [Arc<Backend>]> {
+        match need.residency {
+            Residency::Anywhere => Cow::Borrowed(catalog.ready(need.service)),
+            Residency::Within(regions) => catalog.ready_within(need.service, regions),
+        }
+    }
+
+    /// The right to send a request to a back end now, by the newest catalog. To be asked for right before the
+    /// request is written.
+    pub fn permit(&self, backend: &Backend, need: &Need) -> Result<Permit, Ineligible> {
+        let catalog = self.catalog.load();
+        let known = catalog.known.get(&backend.id).ok_or(Ineligible::Unknown)?;
+        if known.started_ms != backend.started_ms {
+            return Err(Ineligible::AnotherLife);
+        }
+        if known.state != BackendState::Ready {
+            return Err(Ineligible::Draining);
+        }
+        if catalog.is_evacuated(&known.zone) {
+            return Err(Ineligible::Evacuated);
+        }
+        if !need.residency.allows(catalog.zones.region_of(&known.zone)) {
+            return Err(Ineligible::OtherRegion);
+        }
+        Ok(Permit { life: backend.life() })
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dialect;
 pub mod discovery;
 pub mod duty;
+pub mod eligibility;
 pub mod fleet;
 pub mod identity;
 pub mod job;
@@ -25,17 +26,18 @@
 pub mod watch;
 
 pub use balance::{Balancer, InFlight, Outcome};
-pub use catalog::{empty_catalog, Catalog, CatalogCell};
+pub use catalog::{empty_catalog, Catalog, CatalogCell, ZoneFacts};
 pub use dialect::{BackendLoad, BadSubmission, Dialect, HeaderNames, JobCall, PrefixPart};
+pub use eligibility::{Eligibility, Freshness, Ineligible, Need, Permit, Residency, ZoneMap};
 pub use fleet::{empty_fleet, Fleet, FleetCell, FleetMember};
 pub use identity::{Caller, Requester};
 pub use job::{ItemHeader, ItemState, JobItem, PositionedResult, ResultPage};
 pub use model::{
-    Backend, BackendState, BatchPolicy, Configuration, RequestLimits, Route, RouteKind, Service,
-    SplitPart,
+    Backend, BackendLife, BackendState, BatchPolicy, Configuration, Evacuation, RequestLimits,
+    Route, RouteKind, Service, SplitPart, WarmUp,
 };
 pub use outcomes::Outcomes;
 pub use source::{
     Change, Claim, ListPage, Listing, Platform, Registry, Retirement, Source, SourceError, Watched,
 };
-pub use yokefall_types::{KeyDigest, Policy, RateLimit, Tenant, TenantName};
+pub use yokefall_types::{KeyDigest, PlacementBounds, Policy, RateLimit, Tenant, TenantName};
--- a/crates/serving/src/model.rs
+++ b/crates/serving/src/model.rs
@@ -65,6 +65,17 @@
     pub batch: Option<BatchPolicy>,
     /// Whether requests need no key.
     pub auth_exempt: bool,
+    /// Regions in which its requests may be served and kept; empty for all.
+    pub allowed_regions: Vec<String>,
+}
+
+/// How slowly a back end is to be given work after its start, until it is warm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct WarmUp {
+    /// Time after its start for which it is cold, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests that it bears while it is cold, in 1,000 seconds.
+    pub per_1000_seconds: u64,
 }
 
 /// A group of back ends that do the same.
@@ -76,6 +87,8 @@
     pub health_path: String,
     /// Connections that one back end accepts from all callers.
     pub max_connections: u32,
+    /// What its back ends bear while they are cold; `None` where it makes no difference.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// What clients may send.
@@ -136,8 +149,11 @@
 /// One process that runs a service.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Backend {
-    /// Identity of this life of the process.
+    /// Identity; a process that starts again may have the same one.
     pub id: String,
+    /// When it started, in milliseconds since the Unix epoch by its own time of day; 0 where it tells none.
+    /// Only compared with that of other lives under the same id.
+    pub started_ms: u64,
     /// Service that it runs.
     pub service: String,
     /// Address for requests.
@@ -151,3 +167,27 @@
     /// Time for which it is still slow, in milliseconds, as told when it was recorded.
     pub cold_remaining_ms: u64,
 }
+
+impl Backend {
+    /// The life of the process that this record is of.
+    pub fn life(&self) -> BackendLife {
+        BackendLife { id: self.id.clone(), started_ms: self.started_ms }
+    }
+}
+
+/// One life of a back end: what is known of it (load, outcomes, connections, what it holds in memory) says
+/// nothing of a later life under the same id.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
+pub struct BackendLife {
+    /// Identity of the back end.
+    pub id: String,
+    /// Its start, in milliseconds since the Unix epoch; 0 where it tells none.
+    pub started_ms: u64,
+}
+
+/// An operator's request that nothing more go to the back ends of a zone. It stands until it is removed.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Evacuation {
+    /// The zone.
+    pub zone: String,
+}
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -13,10 +13,11 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::catalog::{Catalog, CatalogCell};
+use crate::catalog::{Catalog, CatalogCell, ZoneFacts};
 use crate::duty::Duty;
+use crate::eligibility::ZoneMap;
 use crate::listing::PartialList;
-use crate::model::{Backend, BackendState, Configuration};
+use crate::model::{Backend, BackendState, Configuration, Evacuation};
 use crate::news::Known;
 use crate::news_exchange::{BackendNews, NamedBackend, NewsAnswer, NewsRequest};
 use crate::objects::Objects;
@@ -47,6 +48,10 @@
 pub struct Knowledge {
     configuration: Option<Arc<Configuration>>,
     backends: Objects<Backend>,
+    /// Zones that operators have evacuated, by the name of each request.
+    evacuations: Objects<Evacuation>,
+    /// Regions of zones.
+    zones: Arc<ZoneMap>,
     /// Digest of the back ends and their states.
     digest: u64,
     cell: CatalogCell,
@@ -61,10 +66,12 @@
 
 impl Knowledge {
     /// Nothing known yet.
-    pub fn new(cell: CatalogCell) -> Self {
+    pub fn new(cell: CatalogCell, zones: Arc<ZoneMap>) -> Self {
         Self {
             configuration: None,
             backends: Objects::default(),
+            evacuations: Objects::default(),
+            zones,
             digest: 0,
             cell,
             changed: Rc::default(),
@@ -171,7 +178,10 @@
             xxh3_64_with_seed(backend.id.as_bytes(), ready)
         };
         self.digest = self.backends.values().map(hash).fold(0, u64::wrapping_add);
-        let catalog = Catalog::new(self.configuration.clone(), self.backends.values());
+        let evacuated = self.evacuations.values().map(|evacuation| evacuation.zone.clone());
+        let facts = ZoneFacts { evacuated: evacuated.collect(), zones: self.zones.clone() };
+        let catalog =
+            Catalog::with_zones(self.configuration.clone(), self.backends.values(), facts);
         self.cell.store(Arc::new(catalog));
         self.changed.notify_one();
     }
--- a/crates/serving/tests/balance.rs
+++ b/crates/serving/tests/balance.rs
@@ -10,6 +10,7 @@
 fn backends(count: usize) -> Vec<Arc<Backend>> {
     let backend = |index: usize| Backend {
         id: format!("i-{index}"),
+        started_ms: 0,
         service: "models".into(),
         address: format!("127.0.0.1:{}", 1_000 + index).parse().expect("an address"),
         zone: "hall-1".into(),
--- a/crates/serving/tests/catalog.rs
+++ b/crates/serving/tests/catalog.rs
@@ -24,6 +24,7 @@
         split: split.iter().map(part).collect(),
         batch: None,
         auth_exempt: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -66,7 +67,7 @@
 #[test]
 fn an_older_configuration_does_not_come_into_force() {
     let cell = empty_catalog();
-    let mut knowledge = Knowledge::new(cell.clone());
+    let mut knowledge = Knowledge::new(cell.clone(), Default::default());
     assert!(knowledge.take_configuration(configuration(5, Vec::new())));
     assert!(!knowledge.take_configuration(configuration(4, Vec::new())));
     assert!(!knowledge.take_configuration(configuration(5, Vec::new())));
--- a/crates/serving/tests/identity.rs
+++ b/crates/serving/tests/identity.rs
@@ -12,7 +12,13 @@
 
 fn tenant(name: &str, keys: &[&str]) -> Arc<Tenant> {
     let keys = keys.iter().map(|key| KeyDigest::of(key)).collect();
-    Arc::new(Tenant { name: TenantName::new(name), keys, rank: Some(1), limit: None })
+    Arc::new(Tenant {
+        name: TenantName::new(name),
+        keys,
+        rank: Some(1),
+        limit: None,
+        allowed_regions: Vec::new(),
+    })
 }
 
 fn index() -> KeyIndex<Arc<Tenant>> {
--- a/crates/serving/tests/news_exchange.rs
+++ b/crates/serving/tests/news_exchange.rs
@@ -16,7 +16,7 @@
 
 fn process() -> Process {
     SharedKnowledge {
-        knowledge: Rc::new(RefCell::new(Knowledge::new(empty_catalog()))),
+        knowledge: Rc::new(RefCell::new(Knowledge::new(empty_catalog(), Default::default()))),
         observer: Rc::new(LineObserver::new(|| {})),
     }
 }
@@ -24,6 +24,7 @@
 fn backend(id: &str, state: BackendState) -> Backend {
     Backend {
         id: id.into(),
+        started_ms: 0,
         service: "models".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: "hall-1".into(),
--- a/crates/serving/tests/spread.rs
+++ b/crates/serving/tests/spread.rs
@@ -48,6 +48,7 @@
 fn back_ends() -> Vec<Arc<Backend>> {
     let back_end = |index: usize| Backend {
         id: format!("i-{index}"),
+        started_ms: 0,
         service: "models".into(),
         address: format!("127.0.0.1:{}", 1_000 + index).parse().expect("an address"),
         zone: "hall-1".into(),
--- a/crates/settings/src/serving.rs
+++ b/crates/settings/src/serving.rs
@@ -1,11 +1,12 @@
 //! Settings of the serving processes: gateways and job stores.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use serde::{Deserialize, Serialize};
 use yokefall_quota::QuotaBounds;
-use yokefall_types::Policy;
+use yokefall_types::{PlacementBounds, Policy};
 
 use crate::error::SettingsError;
 use crate::model::{LogLevel, NodeSettings};
@@ -137,6 +138,12 @@
     pub stop: ServingStop,
     /// The disk; a job store's.
     pub data: Option<ServingData>,
+    /// Region of each zone of the fleet; requests that must stay in some regions use zones named here alone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
+    /// What is promised of zones, and of back ends that are not warm yet.
+    #[serde(default)]
+    pub placement: PlacementBounds,
     /// Decisions under load.
     #[serde(default)]
     pub policy: Policy,
@@ -209,6 +216,20 @@
             let wanted = "give platform.store or platform.catalog, one of the two";
             return Err(("platform", format!("{:?}", self.platform), wanted));
         }
+        if let Some((zone, _)) =
+            self.zones.iter().find(|(zone, region)| zone.is_empty() || region.is_empty())
+        {
+            return Err(("zones", zone.clone(), "give each zone a name and a region"));
+        }
+        let region = self.zones.get(&self.node.zone);
+        if region.is_some_and(|region| *region != self.node.region) {
+            return Err((
+                "zones",
+                self.node.zone.clone(),
+                "give the node's zone the region of [node]",
+            ));
+        }
+        self.placement.validate()?;
         self.quota.validate()?;
         match self.role {
             ServingRole::Gateway => self.check_gateway(),
--- a/crates/standalone/src/catalog.rs
+++ b/crates/standalone/src/catalog.rs
@@ -52,6 +52,9 @@
     /// Requests beyond the rate that may come at once.
     #[serde(default)]
     pub burst: u64,
+    /// Regions in which its requests may be served and kept; empty for all.
+    #[serde(default)]
+    pub allowed_regions: Vec<String>,
 }
 
 /// A route in the file.
@@ -80,6 +83,9 @@
     /// Whether requests need no key.
     #[serde(default)]
     pub auth_exempt: bool,
+    /// Regions in which its requests may be served and kept; empty for all.
+    #[serde(default)]
+    pub allowed_regions: Vec<String>,
 }
 
 /// What a route allows to be repeated.
@@ -143,6 +149,7 @@
     names.sort_unstable();
     names.dedup();
     let service = |name: &&str| Service {
+        warm_up: None,
         name: (*name).to_owned(),
         health_path: "/health".into(),
         max_connections: MAX_CONNECTIONS,
@@ -182,6 +189,7 @@
         split: vec![SplitPart { service: entry.service.clone(), weight: 1 }],
         batch: (kind == RouteKind::Batch).then_some(policy),
         auth_exempt: entry.auth_exempt,
+        allowed_regions: entry.allowed_regions.clone(),
     }
 }
 
@@ -195,6 +203,7 @@
         keys: entry.key_digests.iter().filter_map(|hex| KeyDigest::parse(hex)).collect(),
         rank: entry.rank,
         limit,
+        allowed_regions: entry.allowed_regions.clone(),
     }
 }
 
@@ -204,6 +213,7 @@
         let state = if entry.draining { BackendState::Draining } else { BackendState::Ready };
         let backend = Backend {
             id: entry.id.clone(),
+            started_ms: 0,
             service: entry.service.clone(),
             address: entry.address,
             zone: entry.zone.clone(),
--- a/crates/suspects/tests/registry.rs
+++ b/crates/suspects/tests/registry.rs
@@ -24,6 +24,7 @@
 fn backend(id: &str, address: std::net::SocketAddr) -> Backend {
     Backend {
         id: id.into(),
+        started_ms: 0,
         service: "models".into(),
         address,
         zone: "hall-1".into(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod key;
 pub mod limits;
 pub mod place;
+pub mod placement;
 pub mod policy;
 pub mod tenant;
 
@@ -21,5 +22,6 @@
 pub use job::{ItemOutcome, ItemResult, JobProgress, JobState};
 pub use key::{KeyDigest, KeyIndex};
 pub use place::{rendezvous_order, rendezvous_score};
+pub use placement::PlacementBounds;
 pub use policy::Policy;
 pub use tenant::{RateLimit, Tenant};
--- a/crates/types/src/tenant.rs
+++ b/crates/types/src/tenant.rs
@@ -25,4 +25,6 @@
     pub rank: Option<u32>,
     /// Its limit; `None` for no limit.
     pub limit: Option<RateLimit>,
+    /// Regions in which its requests may be served and kept; empty for all.
+    pub allowed_regions: Vec<String>,
 }
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -6,6 +6,7 @@
 use http::{HeaderName, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use yokefall_serving::Permit;
 
 use crate::pool::Connection;
 
@@ -35,12 +36,18 @@
 
 /// Sends a request and waits for the head of its answer. An answer that does not name the request
 /// belongs to another one: it is not taken, and the connection is dropped with it. `id_header` is
-/// `None` where back ends do not name requests.
+/// `None` where back ends do not name requests. `permit` is the right to send just this request; one for another
+/// back end, or for another life of it, sends nothing.
 pub async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
     id_header: Option<&HeaderName>,
+    permit: Permit,
 ) -> Result<Response<Incoming>, SendFailure> {
+    if *permit.life() != connection.life {
+        let cause = "the connection is to another life of the back end".to_owned();
+        return Err(SendFailure::NotSent { cause });
+    }
     let id = id_header.and_then(|name| request.headers().get(name).cloned());
     let answer = match connection.sender.try_send_request(request).await {
         Ok(answer) => answer,
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use yokefall_serving::Backend;
+use yokefall_serving::{Backend, BackendLife};
 
 /// Time for which a connection is kept where the back end tells none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(10);
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
-    backend: String,
+    pub(crate) life: BackendLife,
     idle: Duration,
 }
 
@@ -89,6 +89,13 @@
     open: Rc<()>,
 }
 
+impl BackendConnections {
+    /// Drops what is kept to an earlier life, which ended with it.
+    fn forget_other_lives(&mut self, life: &BackendLife) {
+        self.idle.retain(|idle| idle.connection.life == *life);
+    }
+}
+
 /// Connections of one process to all back ends.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -104,7 +111,7 @@
         limit: Duration,
         most: usize,
     ) -> Result<Connection, ConnectFailure> {
-        if let Some(connection) = self.kept(&backend.id) {
+        if let Some(connection) = self.kept(backend) {
             return Ok(connection);
         }
         let open = self.reserve(&backend.id, most).ok_or(ConnectFailure::Exhausted)?;
@@ -128,7 +135,7 @@
             let _ = driver.await;
             drop(open);
         });
-        Ok(Connection { sender, backend: backend.id.clone(), idle: DEFAULT_IDLE })
+        Ok(Connection { sender, life: backend.life(), idle: DEFAULT_IDLE })
     }
 
     fn reserve(&self, backend: &str, most: usize) -> Option<Rc<()>> {
@@ -138,9 +145,10 @@
     }
 
     /// The connection kept last, which is the one that its back end closes last.
-    fn kept(&self, backend: &str) -> Option<Connection> {
+    fn kept(&self, backend: &Backend) -> Option<Connection> {
         let mut backends = self.backends.borrow_mut();
-        let connections = backends.get_mut(backend)?;
+        let connections = backends.get_mut(&backend.id)?;
+        connections.forget_other_lives(&backend.life());
         let now = Instant::now();
         while let Some(Idle { connection, until }) = connections.idle.pop() {
             if until > now && connection.sender.is_ready() {
@@ -156,7 +164,7 @@
             return;
         }
         let mut backends = self.backends.borrow_mut();
-        let Some(connections) = backends.get_mut(&connection.backend) else { return };
+        let Some(connections) = backends.get_mut(&connection.life.id) else { return };
         let now = Instant::now();
         connections.idle.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         let until = now + connection.idle;
