--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -8,6 +8,7 @@
 //! a new member: it learns first and votes after, so that an empty disk never elects the past.
 
 mod election;
+mod follower;
 pub mod log;
 pub mod message;
 pub mod node;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,5 +1,5 @@
-//! One member: terms, votes, and what a follower does with entries. What a leader does is in
-//! `replication`.
+//! One member: its terms, its role, what must be on disk and what was committed. What a follower does with
+//! entries is in `follower`, what a leader does in `replication`, votes in `election`.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -110,8 +110,8 @@
 }
 
 #[derive(Debug)]
-struct Unsynced {
-    last_index: Index,
+pub(crate) struct Unsynced {
+    pub(crate) last_index: Index,
     pub(crate) settled: Index,
     term: Term,
 }
@@ -133,7 +133,7 @@
     /// Last entry that is on this member's disk.
     pub(crate) durable: Index,
     /// What each batch of writes that is not synced yet brings to the disk.
-    unsynced: VecDeque<Unsynced>,
+    pub(crate) unsynced: VecDeque<Unsynced>,
     /// `settled` as far as it is on this member's disk.
     pub(crate) durable_settled: Index,
     pub(crate) votes: BTreeSet<MemberId>,
@@ -397,116 +397,6 @@
         }
     }
 
-    /// Whether a message comes from the leader of the present term; an old leader is told so.
-    fn accept_leader(&mut self, now: Millis, from: &MemberId, term: Term, sent_at: Millis) -> bool {
-        if term < self.term {
-            let body = self.refused(0, 0, sent_at);
-            self.send_after_sync(from.clone(), self.term, body);
-            return false;
-        }
-        if term > self.term || self.role != Role::Follower {
-            self.become_follower(now, term);
-        }
-        self.leader = Some(from.clone());
-        self.heard_at = now;
-        self.schedule_election(now);
-        true
-    }
-
-    fn accepted(&self, matched: Index, sent_at: Millis) -> Body {
-        let settled = self.durable_settled;
-        Body::AppendReply { accepted: true, matched, refused: 0, settled, sent_at }
-    }
-
-    fn refused(&self, refused: Index, hint: Index, sent_at: Millis) -> Body {
-        let settled = self.durable_settled;
-        Body::AppendReply { accepted: false, matched: hint, refused, settled, sent_at }
-    }
-
-    fn take_entries(
-        &mut self,
-        from: MemberId,
-        previous: (Index, Term),
-        entries: Vec<Entry>,
-        commit: Index,
-        sent_at: Millis,
-    ) {
-        let (previous_index, previous_term) = previous;
-        let known = self.log.term_at(previous_index);
-        let before_snapshot = previous_index < self.log.snapshot().index;
-        if !before_snapshot && known != Some(previous_term) {
-            // Entries that are committed match: go back to them at most.
-            let hint = self.log.last_index().min(previous_index.saturating_sub(1)).max(self.commit);
-            let body = self.refused(previous_index, hint, sent_at);
-            self.send_after_sync(from, self.term, body);
-            return;
-        }
-        if entries.is_empty() {
-            // A heartbeat is answered at once, for what is on the disk: a slow disk must not cost
-            // the leader its lease.
-            let matched = previous_index.min(self.durable);
-            self.commit = self.commit.max(commit.min(previous_index));
-            let body = self.accepted(matched, sent_at);
-            self.send(from, self.term, body);
-            return;
-        }
-        let matched = entries.last().map_or(previous_index, |entry| entry.index);
-        self.merge(entries);
-        self.commit = self.commit.max(commit.min(matched));
-        let body = self.accepted(matched, sent_at);
-        self.send_after_sync(from, self.term, body);
-    }
-
-    fn merge(&mut self, entries: Vec<Entry>) {
-        let mut fresh = Vec::new();
-        for entry in entries {
-            if entry.index <= self.log.snapshot().index {
-                continue;
-            }
-            if fresh.is_empty() && self.log.term_at(entry.index) == Some(entry.term) {
-                continue;
-            }
-            if fresh.is_empty() {
-                self.truncate_from(entry.index);
-            }
-            self.log.push(entry.clone());
-            fresh.push(entry);
-        }
-        if !fresh.is_empty() {
-            self.effects.writes.push(Write::Entries(fresh));
-        }
-    }
-
-    /// Invariant: an entry that is committed is never removed. A sync that ends later must not
-    /// count for entries that took the place of removed ones.
-    fn truncate_from(&mut self, index: Index) {
-        debug_assert!(index > self.commit, "a committed entry would be removed");
-        self.log.truncate_from(index);
-        self.durable = self.durable.min(index - 1);
-        for unsynced in &mut self.unsynced {
-            unsynced.last_index = unsynced.last_index.min(index - 1);
-        }
-    }
-
-    fn take_snapshot(&mut self, from: MemberId, snapshot: Snapshot, sent_at: Millis) {
-        let matched = snapshot.index;
-        if matched > self.commit {
-            self.log.restart(&snapshot);
-            self.commit = matched;
-            self.applied = matched;
-            self.durable = self.durable.min(matched);
-            for unsynced in &mut self.unsynced {
-                unsynced.last_index = unsynced.last_index.min(matched);
-            }
-            self.settled = self.settled.max(matched);
-            self.effects.committed.clear();
-            self.effects.install = Some(snapshot.clone());
-            self.effects.writes.push(Write::Snapshot { snapshot, keep_rest: false });
-        }
-        let body = self.accepted(matched, sent_at);
-        self.send_after_sync(from, self.term, body);
-    }
-
     /// Puts the state after the last applied entry in the place of the entries up to it.
     pub fn compact(&mut self, state: Bytes) {
         let index = self.applied;
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -1,12 +1,14 @@
 //! Keeps batch jobs on a replicated log and runs their items.
 //!
 //! `state` is the replicated state machine; `wal` the log on disk; `protocol` what processes say to
-//! a job store; `client` the gateways' side of it; `store` ties consensus, disk and state together;
+//! a job store; `client` the gateways' side of it; `store` ties consensus, disk and state together, `reads` and
+//! `abandon` are what others ask of it;
 //! `runner` decides while the process leads which item runs at which back end; `delegation` asks other
 //! job stores for it, whose `worker` does it, each by a `run`; `preemption` takes slots back for online
 //! requests; `backlog` tells what waits; `loads` adds load reports up, and `aggregators` exchanges the
 //! sums.
 
+mod abandon;
 pub mod addresses;
 pub mod aggregators;
 mod backlog;
@@ -24,6 +26,7 @@
 pub mod preemption;
 pub mod protocol;
 pub mod quota;
+pub mod reads;
 pub mod room;
 pub mod run;
 pub mod runner;
--- a/crates/jobstore/src/server.rs
+++ b/crates/jobstore/src/server.rs
@@ -19,8 +19,9 @@
     decode, encode, send_frame, split, Frame, IncomingFrames, Outgoing, Reply, Request,
 };
 use crate::quota::QuotaService;
+use crate::reads::Found;
 use crate::state::{Command, PAGE_BYTES};
-use crate::store::{Found, ProposeError, Store};
+use crate::store::{ProposeError, Store};
 use crate::worker::{ConnectionRuns, Worker};
 
 /// Longest time for which a read is held, whatever its caller asks.
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::{oneshot, Notify};
@@ -14,8 +15,6 @@
     Write,
 };
 use yokefall_core::Timestamp;
-use yokefall_quota::Assignment;
-use yokefall_serving::{ItemState, Requester, ResultPage};
 
 use crate::connections::Links;
 use crate::disk::{Disk, DiskOrder};
@@ -23,11 +22,11 @@
 use crate::loads::Loads;
 use crate::protocol::{Frame, Submission};
 use crate::snapshot::{decode_state, encode_state};
-use crate::state::{Applied, Command, Job, Jobs, Run};
+use crate::state::{Applied, Command, Jobs};
 use crate::wal::Rewrite;
 
 /// Time for which another member's word of who leads counts.
-const HINT_LIFETIME: std::time::Duration = std::time::Duration::from_millis(3_000);
+const HINT_LIFETIME: Duration = Duration::from_millis(3_000);
 
 /// What a replica may hold, and what its answers need.
 #[derive(Clone, Copy, Debug)]
@@ -40,15 +39,6 @@
     pub job_bytes: usize,
 }
 
-/// Frames to the next leader about an item that can never be done, and the pause between two: together
-/// longer than an election takes.
-const TELLINGS_OF_IMPOSSIBLE: u32 = 10;
-const IMPOSSIBLE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(200);
-
-/// Looks for output that was proposed, and the pause between two.
-const KEPT_LOOKS: u32 = 50;
-const KEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-
 /// Orders to the disk that belong together, and what waits for them.
 struct Batch {
     orders: usize,
@@ -60,15 +50,15 @@
     reply: oneshot::Sender<()>,
 }
 
-struct Inner {
+pub(crate) struct Inner {
     core: Consensus,
-    jobs: Jobs,
+    pub(crate) jobs: Jobs,
     batches: VecDeque<Batch>,
     proposals: HashMap<Index, Proposal>,
     /// Woken by each result of a job.
-    readers: HashMap<String, Rc<Notify>>,
+    pub(crate) readers: HashMap<String, Rc<Notify>>,
     /// When this replica applied the submission of each job.
-    accepted_at: HashMap<String, Instant>,
+    pub(crate) accepted_at: HashMap<String, Instant>,
     joining: HashMap<String, (MemberId, Instant)>,
     /// Who leads by the word of another member; for a process outside of the group.
     leader_hint: Option<(String, Instant)>,
@@ -93,7 +83,7 @@
 
 /// One replica.
 pub struct Store {
-    inner: RefCell<Inner>,
+    pub(crate) inner: RefCell<Inner>,
     disk: Disk,
     links: Links,
     clock: ElapsedClock,
@@ -121,17 +111,6 @@
     Unknown,
 }
 
-/// What a read found.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Found<T> {
-    /// It is there.
-    Yes(T),
-    /// It is not there, for certain.
-    No,
-    /// This replica cannot be sure.
-    Unsure,
-}
-
 impl Store {
     /// A replica; `core` is not ticked yet.
     pub fn new(
@@ -462,64 +441,6 @@
         true
     }
 
-    /// Reads the jobs where this replica may answer reads.
-    pub fn read<R>(&self, read: impl FnOnce(&Jobs) -> Option<R>) -> Found<R> {
-        if !self.serves() {
-            return Found::Unsure;
-        }
-        let inner = self.inner.borrow();
-        read(&inner.jobs).map_or(Found::No, Found::Yes)
-    }
-
-    /// Results of a job from a position on.
-    pub fn page(&self, job: &str, requester: &Requester, from: u64) -> Found<ResultPage> {
-        self.read(|jobs| jobs.page(job, requester, from))
-    }
-
-    /// What to wait on for further results of a job.
-    pub fn reader(&self, job: &str) -> Rc<Notify> {
-        let mut inner = self.inner.borrow_mut();
-        if inner.jobs.get(job).is_none() {
-            // Nobody would ever forget it again.
-            return Rc::default();
-        }
-        inner.readers.entry(job.to_owned()).or_default().clone()
-    }
-
-    /// Looks at every job with the time since this replica took it.
-    pub fn each_job(&self, mut look: impl FnMut(&String, &Job, std::time::Duration)) {
-        let inner = self.inner.borrow();
-        let now = Instant::now();
-        for (id, job) in inner.jobs.iter() {
-            let accepted = inner.accepted_at.get(id).copied().unwrap_or(now);
-            look(id, job, now.duration_since(accepted));
-        }
-    }
-
-    /// Looks at every job that is open, with the time since this replica took it.
-    pub fn each_open_job(&self, mut look: impl FnMut(&String, &Job, std::time::Duration)) {
-        self.each_job(|id, job, age| {
-            if job.is_open() {
-                look(id, job, age);
-            }
-        });
-    }
-
-    /// Whether any job is open.
-    pub fn has_open_jobs(&self) -> bool {
-        self.inner.borrow().jobs.iter().any(|(_, job)| job.is_open())
-    }
-
-    /// Who the accountants of tenants' limits are, as far as this replica has applied.
-    pub fn accountants(&self) -> Assignment {
-        self.inner.borrow().jobs.accountants().clone()
-    }
-
-    /// Looks at one job.
-    pub fn with_job<R>(&self, id: &str, look: impl FnOnce(&Job) -> R) -> Option<R> {
-        self.inner.borrow().jobs.get(id).map(look)
-    }
-
     /// A member asks to join the group.
     pub fn note_joining(&self, member: MemberId) {
         let entry = (member.clone(), Instant::now());
@@ -528,65 +449,11 @@
     }
 
     /// Members that asked to join within a time.
-    pub fn joining(&self, within: std::time::Duration) -> Vec<MemberId> {
+    pub fn joining(&self, within: Duration) -> Vec<MemberId> {
         let mut inner = self.inner.borrow_mut();
         inner.joining.retain(|_, (_, asked_at)| asked_at.elapsed() < within);
         inner.joining.values().map(|(member, _)| member.clone()).collect()
     }
-
-    /// Waits until the output of an item up to an event is applied here, or will not be.
-    pub async fn kept(&self, job: &str, item: u32, event: u64) {
-        for _ in 0..KEPT_LOOKS {
-            let applied = self.with_job(job, |job| {
-                job.open.get(&item).is_none_or(|open| open.partial.last_event >= event)
-            });
-            if applied != Some(false) || !self.is_leader() {
-                return;
-            }
-            tokio::time::sleep(KEPT_PAUSE).await;
-        }
-    }
-
-    /// Gives an item up; returns when that is in the log, or the lead is lost.
-    pub async fn abandon(&self, job: &str, item: u32) -> Result<(), ProposeError> {
-        self.propose(&abandonment(job, item)).await
-    }
-
-    /// Gives an item up where this replica leads and the item has no result.
-    pub fn abandon_only(&self, job: &str, item: u32) {
-        let is_open = self.with_job(job, |job| job.open.contains_key(&item));
-        if is_open == Some(true) {
-            self.propose_only(&abandonment(job, item));
-        }
-    }
-
-    /// Gives an item up that can never be done. Invariant: what a back end told of it outlives the
-    /// lead of the replica that was told; each further leader would else run the item again. A replica
-    /// that has lost the lead tells the next leader, several times, since a frame may be lost.
-    pub async fn abandon_impossible(&self, job: &str, item: u32) {
-        if self.abandon(job, item).await.is_ok() {
-            return;
-        }
-        for _ in 0..TELLINGS_OF_IMPOSSIBLE {
-            if self.is_leader() {
-                self.abandon_only(job, item);
-            } else if let Some(leader) = self.leader() {
-                self.send_frame(&leader, &Frame::Impossible { job: job.to_owned(), item });
-            }
-            tokio::time::sleep(IMPOSSIBLE_INTERVAL).await;
-        }
-    }
-}
-
-fn abandonment(job: &str, item: u32) -> Command {
-    Command::Finish {
-        job: job.to_owned(),
-        item,
-        state: ItemState::Abandoned,
-        run: Run::default(),
-        after_event: 0,
-        text: None,
-    }
 }
 
 fn rewrite_of(core: &Consensus, snapshot: Snapshot) -> Rewrite {
--- a/crates/jobstore/src/worker.rs
+++ b/crates/jobstore/src/worker.rs
@@ -71,7 +71,7 @@
         let (backend, item): (Arc<Backend>, Arc<JobItem>) = (backend.into(), item.into());
         // Before a connection is made as well: one to a back end that left would not come up for a while.
         if let Err(cause) = self.permit(&backend, &sender, &item) {
-            let cause = format!("as its worker knows, {cause}");
+            let cause = format!("{} takes no work now, as its worker knows: {cause}", backend.id);
             let end = RunEnd::Again { cause, pause: false };
             return RunReport {
                 end,
