Load reports stay in their region

Change: each region with job stores has aggregators of its own; they tell each other sums, as before. A gateway whose region's aggregators give no answer reports to another region. One region, or none known: as before.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -34,10 +34,10 @@
     is_current: bool,
 }
 
-/// Reports for ever.
-pub async fn report(shared: Rc<Shared>, gateway: String) {
+/// Reports to `target` for ever.
+pub async fn report(shared: Rc<Shared>, target: ReportTarget) {
     let mut known = Known {
-        target: ReportTarget::new(gateway),
+        target,
         aggregator: String::new(),
         moved_from: None,
         totals: HashMap::new(),
