--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -37,6 +37,27 @@
     pub state: MemberState,
 }
 
+/// What a member knows of the platform's objects, in numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ObjectDigest {
+    /// Digest of the objects of a kind; 0 for none.
+    pub digest: u64,
+    /// Revision of the platform's store up to which they are known; 0 where none was heard of.
+    pub revision: u64,
+}
+
+/// For how many milliseconds the platform's store has not confirmed what a member knows, by kind; `None` where it
+/// never has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct NewsAges {
+    /// The configuration.
+    pub configuration_ms: Option<u64>,
+    /// Back ends.
+    pub backends_ms: Option<u64>,
+    /// Evacuated zones.
+    pub evacuations_ms: Option<u64>,
+}
+
 /// A membership datagram.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Datagram {
@@ -44,10 +65,12 @@
     pub from: NodeName,
     /// Highest configuration version in force at the sender.
     pub configuration_version: u64,
-    /// Digest of the back ends that the sender knows; 0 where it follows none.
-    pub backends_digest: u64,
-    /// Revision of the platform's store up to which the sender knows them.
-    pub backends_revision: u64,
+    /// Back ends that the sender knows.
+    pub backends: ObjectDigest,
+    /// Evacuated zones that the sender knows.
+    pub evacuations: ObjectDigest,
+    /// Age of what it knows.
+    pub ages: NewsAges,
     /// TCP port at which the sender tells them to peers; 0 where it does not.
     pub news_port: u16,
     /// Digest of the sender's member list.
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -16,7 +16,9 @@
 use yokefall_types::NodeName;
 
 use self::digest::{bucket_of, record_hash, REPAIR_BUCKETS};
-pub use self::message::{Datagram, DatagramKind, MemberRecord, MemberState, Outgoing};
+pub use self::message::{
+    Datagram, DatagramKind, MemberRecord, MemberState, NewsAges, ObjectDigest, Outgoing,
+};
 use crate::time::Timestamp;
 
 /// Interval between two probes of one daemon, in milliseconds.
@@ -88,8 +90,9 @@
     /// When this daemon first acted.
     started_at: Option<Timestamp>,
     configuration_version: u64,
-    backends_digest: u64,
-    backends_revision: u64,
+    backends: ObjectDigest,
+    evacuations: ObjectDigest,
+    ages: NewsAges,
     news_port: u16,
     generator: SmallRng,
     changed: bool,
@@ -112,8 +115,9 @@
             next_repair_at: Timestamp(0),
             started_at: None,
             configuration_version: 0,
-            backends_digest: 0,
-            backends_revision: 0,
+            backends: ObjectDigest::default(),
+            evacuations: ObjectDigest::default(),
+            ages: NewsAges::default(),
             news_port: 0,
             generator: SmallRng::seed_from_u64(seed),
             changed: true,
@@ -135,9 +139,27 @@
     }
 
     /// Notes the back ends that this daemon knows.
-    pub fn set_backends(&mut self, digest: u64, revision: u64) {
-        self.backends_digest = digest;
-        self.backends_revision = revision;
+    pub fn set_backends(&mut self, known: ObjectDigest) {
+        self.backends = known;
+    }
+
+    /// Notes the evacuated zones that this daemon knows.
+    pub fn set_evacuations(&mut self, known: ObjectDigest) {
+        self.evacuations = known;
+    }
+
+    /// Notes the age of what this daemon knows of the platform's objects.
+    pub fn set_news_ages(&mut self, ages: NewsAges) {
+        self.ages = ages;
+    }
+
+    /// How long ago this daemon sent the probe that a datagram acknowledges, in milliseconds; `None` for all
+    /// other datagrams. The sender was asked then, so that what it says is no older than it tells and this.
+    pub fn asked_ms_ago(&self, now: Timestamp, datagram: &Datagram) -> Option<u64> {
+        let probe = self.probe.as_ref()?;
+        let answers = datagram.kind == DatagramKind::Ack { sequence: probe.sequence }
+            && datagram.from == probe.target;
+        answers.then(|| now.millis_since(probe.sent_at))
     }
 
     /// Notes the TCP port at which this daemon tells peers what it knows.
@@ -431,8 +453,9 @@
         Datagram {
             from: self.me.node.clone(),
             configuration_version: self.configuration_version,
-            backends_digest: self.backends_digest,
-            backends_revision: self.backends_revision,
+            backends: self.backends,
+            evacuations: self.evacuations,
+            ages: self.ages,
             news_port: self.news_port,
             digest: self.digest(),
             kind,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,17 +4,26 @@
 use yokefall_clock::ElapsedClock;
 use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
 use yokefall_serving::fleet::{start_number, Identity, Notices};
-use yokefall_serving::{CatalogCell, FleetCell, Platform};
+use yokefall_serving::{CatalogCell, FleetCell, Freshness, Platform};
 
 use crate::daemon::GatewayOptions;
 
+/// What the control thread knows, as the traffic thread sees it.
+pub struct Views {
+    /// Routes and back ends.
+    pub catalog: CatalogCell,
+    /// The system's processes.
+    pub fleet: FleetCell,
+    /// How old what is known of the platform's objects is.
+    pub freshness: Freshness,
+}
+
 /// Runs control state until `stop` ends the process.
 pub async fn run<P: Platform>(
     options: GatewayOptions,
     platform: P,
     ports: PeerPorts,
-    catalog: CatalogCell,
-    fleet: FleetCell,
+    views: Views,
     notices: Notices,
     stop: watch::Receiver<bool>,
 ) {
@@ -33,7 +42,9 @@
         notices,
         clock: ElapsedClock::new(options.suspension),
         zones: options.zones,
+        placement: options.placement,
+        freshness: views.freshness,
     };
-    discovery::start(&platform, discovery, ports, catalog, fleet, || {}, stop);
+    discovery::start(&platform, discovery, ports, views.catalog, views.fleet, || {}, stop);
     std::future::pending().await
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,14 +17,15 @@
 use yokefall_serving::fleet::Notices;
 use yokefall_serving::table::Splitter;
 use yokefall_serving::{
-    empty_catalog, empty_fleet, Balancer, Eligibility, PlacementBounds, Platform, Policy, ZoneMap,
+    empty_catalog, empty_fleet, Balancer, Eligibility, Freshness, PlacementBounds, Platform,
+    Policy, ZoneMap,
 };
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::{Places, Pool};
 
 use crate::admission::{self, Admission};
-use crate::control;
+use crate::control::{self, Views};
 use crate::ingress::{accept, Port};
 use crate::load;
 use crate::quota::{self, Quota};
@@ -198,6 +199,7 @@
     Shared {
         catalog: catalog.clone(),
         eligibility: Eligibility::new(catalog.clone()),
+        freshness: Freshness::new(options.suspension.clone()),
         fleet: fleet.clone(),
         dialect: platform.dialect(),
         places: Places::new(balancer, clock()),
@@ -236,11 +238,12 @@
     let datagrams = datagrams.into_std().map_err(failed)?;
     let news = news.into_std().map_err(failed)?;
     let (options, catalog, fleet) = (options.clone(), shared.catalog.clone(), shared.fleet.clone());
+    let views = Views { catalog, fleet, freshness: shared.freshness.clone() };
     std::thread::Builder::new()
         .name("control".into())
         .spawn(move || {
             let sockets = (datagrams, news);
-            run_control(options, platform, sockets, catalog, fleet, notices, stop)
+            run_control(options, platform, sockets, views, notices, stop)
         })
         .map_err(failed)?;
     Ok(())
@@ -250,8 +253,7 @@
     options: GatewayOptions,
     platform: P,
     (datagrams, news): (std::net::UdpSocket, std::net::TcpListener),
-    catalog: yokefall_serving::CatalogCell,
-    fleet: yokefall_serving::FleetCell,
+    views: Views,
     notices: Notices,
     stop: watch::Receiver<bool>,
 ) {
@@ -264,7 +266,7 @@
             return;
         };
         let ports = PeerPorts { datagrams, news };
-        control::run(options, platform, ports, catalog, fleet, notices, stop).await;
+        control::run(options, platform, ports, views, notices, stop).await;
     });
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -229,6 +229,7 @@
                 shared.pool.put_back(connection);
                 last = format!("{}: {cause}", backend.id);
                 tell_attempt(order, &backend.id, &last);
+                cause.tell_kept_from(&order.id, &backend);
                 continue;
             }
         };
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -187,6 +187,10 @@
         let name = &shared.dialect.headers().retry_after;
         return refusal(name, UNREADY_RETRY, "no configuration is known yet");
     };
+    if !catalog.can_serve() {
+        let name = &shared.dialect.headers().retry_after;
+        return refusal(name, UNREADY_RETRY, "which zones are evacuated is not known yet");
+    }
     let (parts, incoming) = request.into_parts();
     let Some(host) = host_of(&parts) else {
         return plain(StatusCode::BAD_REQUEST, "host: give one");
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use yokefall_jobstore::JobClient;
 use yokefall_serving::table::Splitter;
-use yokefall_serving::{CatalogCell, Dialect, Eligibility, FleetCell, Policy};
+use yokefall_serving::{CatalogCell, Dialect, Eligibility, FleetCell, Freshness, Policy};
 use yokefall_suspects::Registry;
 use yokefall_upstream::{Places, Pool};
 
@@ -20,6 +20,8 @@
     pub catalog: CatalogCell,
     /// Which back ends may take a request.
     pub eligibility: Eligibility,
+    /// How old what is known of the platform's objects is.
+    pub freshness: Freshness,
     /// The system's processes.
     pub fleet: FleetCell,
     /// Names and formats.
@@ -59,6 +61,6 @@
 impl Shared {
     /// Whether this gateway takes requests.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.catalog.load().configuration.is_some()
+        !self.stopping.get() && self.catalog.load().can_serve()
     }
 }
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -15,7 +15,7 @@
 use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
 use yokefall_serving::fleet::{start_number, Identity, Notices};
 use yokefall_serving::{
-    empty_catalog, empty_fleet, Balancer, PlacementBounds, Platform, Policy, ZoneMap,
+    empty_catalog, empty_fleet, Balancer, Freshness, PlacementBounds, Platform, Policy, ZoneMap,
 };
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{EventName, Line};
@@ -167,6 +167,7 @@
         tokio::task::spawn_local(take_synced(store.clone(), synced));
         tokio::task::spawn_local(tick(store.clone()));
 
+        let freshness = Freshness::new(options.suspension.clone());
         let (notices, port) = Notices::channel();
         let discovery = DiscoveryOptions {
             identity,
@@ -175,6 +176,8 @@
             notices,
             clock: clock(),
             zones: options.zones.clone(),
+            placement: options.placement,
+            freshness: freshness.clone(),
         };
         let changed = {
             let store = store.clone();
@@ -217,7 +220,7 @@
         let client = Rc::new(JobClient::new(fleet.clone()));
         suspects::share(suspects.clone(), client, fleet.clone(), &options.name, port);
         let items = ItemRunner::new(platform.dialect(), suspects.clone());
-        let worker = Worker::new(catalog.clone(), items, places, options.most_runs);
+        let worker = Worker::new(catalog.clone(), freshness, items, places, options.most_runs);
         let quota = QuotaService::new(options.name.clone(), options.quota, clock());
         tokio::task::spawn_local(quota::renew_leases(
             quota.clone(),
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -10,7 +10,7 @@
 use yokefall_consensus::{MemberId, Pair, Role};
 use yokefall_serving::duty::Duty;
 use yokefall_serving::source::Revision;
-use yokefall_serving::watch::{follow, Sink};
+use yokefall_serving::watch::{follow, Follow, Sink, Waits};
 use yokefall_serving::{
     Change, Claim, FleetCell, Listing, Platform, Registry, Retirement, SourceError,
 };
@@ -156,13 +156,14 @@
         }
         if watch.is_none() {
             let sink = LeavingSink { leaving: leaving.clone(), store: store.clone() };
-            watch = Some(tokio::task::spawn_local(follow(
-                platform.retirements(),
-                sink,
-                Rc::default(),
-                Rc::default(),
-                Duty::always(),
-            )));
+            let following = Follow {
+                refresh: Rc::default(),
+                others: Vec::new(),
+                duty: Duty::always(),
+                waits: Waits::Long,
+            };
+            let watching = follow(platform.retirements(), sink, following);
+            watch = Some(tokio::task::spawn_local(watching));
         }
         let busy = change_members(&platform, &store, &fleet, &leaving, voters).await;
         report_emptied(&platform, &store, &leaving).await;
--- a/crates/jobstore/src/worker.rs
+++ b/crates/jobstore/src/worker.rs
@@ -10,7 +10,9 @@
 
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
-use yokefall_serving::{Backend, CatalogCell, Eligibility, JobItem, Need, Outcome, Permit};
+use yokefall_serving::{
+    Backend, CatalogCell, Eligibility, Freshness, JobItem, Need, Outcome, Permit,
+};
 use yokefall_upstream::Places;
 
 use crate::protocol::{Frame, Outgoing, Reply, RunOrder, RunReport};
@@ -26,6 +28,8 @@
     pub catalog: CatalogCell,
     /// Which of them may take an item.
     pub eligibility: Eligibility,
+    /// How old what is known of the platform's objects is.
+    pub freshness: Freshness,
     /// Runs of this process.
     pub items: ItemRunner,
     /// Load and health of back ends as this process sees them.
@@ -39,12 +43,14 @@
     /// A worker without runs yet.
     pub fn new(
         catalog: CatalogCell,
+        freshness: Freshness,
         items: ItemRunner,
         places: Rc<Places>,
         most_runs: usize,
     ) -> Rc<Self> {
         let eligibility = Eligibility::new(catalog.clone());
-        Rc::new(Self { catalog, eligibility, items, places, most_runs, runs: Cell::new(0) })
+        let runs = Cell::new(0);
+        Rc::new(Self { catalog, eligibility, freshness, items, places, most_runs, runs })
     }
 
     /// The right to send an item to a back end now, as this process knows it; else the cause.
@@ -58,7 +64,10 @@
         let route = catalog.routes.find(&sender.host, &item.path).ok_or("no route has its path")?;
         let residency = catalog.residency(route, sender.tenant.as_ref());
         let need = Need { service: &backend.service, residency: &residency };
-        self.eligibility.permit(backend, &need).map_err(|cause| format!("{}: {cause}", backend.id))
+        self.eligibility.permit(backend, &need).map_err(|cause| {
+            cause.tell_kept_from(&item.id, backend);
+            format!("{}: {cause}", backend.id)
+        })
     }
 
     async fn run(&self, order: RunOrder, sink: &OutputSink, cancelled: &Notify) -> RunReport {
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -31,6 +31,8 @@
     pub evacuated: BTreeSet<String>,
     /// Regions of zones.
     pub zones: Arc<ZoneMap>,
+    /// Whether nobody has told yet which zones are evacuated, so that no back end may be used.
+    pub awaits_evacuations: bool,
 }
 
 /// What is known of zones beside the back ends in them.
@@ -75,7 +77,32 @@
                 regions.entry(region.to_owned()).or_default().push(backend.clone());
             }
         }
-        Self { configuration, routes, tenants, ready, ready_by_region, known, evacuated, zones }
+        let awaits_evacuations = false;
+        Self {
+            configuration,
+            routes,
+            tenants,
+            ready,
+            ready_by_region,
+            known,
+            evacuated,
+            zones,
+            awaits_evacuations,
+        }
+    }
+
+    /// The same where nobody has told yet which zones are evacuated: a process that starts during an evacuation
+    /// may know configuration and back ends before it hears of that.
+    pub fn awaiting_evacuations(mut self) -> Self {
+        self.ready.clear();
+        self.ready_by_region.clear();
+        self.awaits_evacuations = true;
+        self
+    }
+
+    /// Whether requests can be served: what is needed for it has been heard.
+    pub fn can_serve(&self) -> bool {
+        self.configuration.is_some() && !self.awaits_evacuations
     }
 
     /// Back ends of a service that take work.
@@ -104,7 +131,8 @@
     /// Whether a back end takes work.
     pub fn is_ready(&self, id: &str) -> bool {
         self.known.get(id).is_some_and(|backend| {
-            backend.state == BackendState::Ready && !self.is_evacuated(&backend.zone)
+            let takes_work = backend.state == BackendState::Ready && !self.awaits_evacuations;
+            takes_work && !self.is_evacuated(&backend.zone)
         })
     }
 
--- a/crates/serving/src/discovery.rs
+++ b/crates/serving/src/discovery.rs
@@ -7,22 +7,28 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch as channel;
+use tokio::sync::{watch as channel, Notify};
 use yokefall_clock::ElapsedClock;
 use yokefall_core::Timestamp;
+use yokefall_types::PlacementBounds;
 
 use crate::duty::Roster;
-use crate::eligibility::ZoneMap;
+use crate::eligibility::{Freshness, ZoneMap};
 use crate::fleet::{run_membership, Identity, Membership, Notices};
+use crate::knowledge::{Following, Knowledge, SharedKnowledge};
 use crate::news::News;
 use crate::news_exchange::serve;
 use crate::observer::LineObserver;
 use crate::source::Platform;
-use crate::watch::{follow, Knowledge, SharedKnowledge};
+use crate::watch::{follow, Follow, Waits};
 use crate::{CatalogCell, FleetCell};
 
+/// Interval at which the age of what is known is shown.
+const FRESHNESS_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Ports for other processes.
 pub struct PeerPorts {
     /// Datagrams of membership.
@@ -45,6 +51,10 @@
     pub clock: ElapsedClock,
     /// Regions of zones.
     pub zones: Arc<ZoneMap>,
+    /// What is promised of zones: whether evacuations are followed, and how fresh news is to be.
+    pub placement: PlacementBounds,
+    /// Is told how old what this process knows is.
+    pub freshness: Freshness,
 }
 
 /// Starts the tasks that keep `catalog` and `fleet` current, on the present `LocalSet`. `changed` is
@@ -58,7 +68,11 @@
     changed: impl Fn() + 'static,
     leaving: channel::Receiver<bool>,
 ) {
-    let knowledge = Rc::new(RefCell::new(Knowledge::new(catalog, options.zones)));
+    let follows_evacuations = options.placement.evacuation_ms.is_some();
+    let following =
+        Following { evacuations: follows_evacuations, freshness: options.freshness.clone() };
+    let knowledge = Knowledge::following(catalog, options.zones, following);
+    let knowledge = Rc::new(RefCell::new(knowledge));
     let observer = Rc::new(LineObserver::new(changed));
     let shared = SharedKnowledge { knowledge: knowledge.clone(), observer };
     let roster = Roster::new(Timestamp(0), options.is_first_start, rand::random());
@@ -67,7 +81,7 @@
         Box::new(move |answer| shared.take_news(answer))
     };
     let (news, duties) = News::new(knowledge.clone(), take, roster);
-    let (configuration, backends) = (news.refresh.configuration(), news.refresh.backends());
+    let refresh = news.refresh.clone();
     let news_port = ports.news.local_addr().map_or(0, |address| address.port());
     tokio::task::spawn_local(serve(
         ports.news,
@@ -84,18 +98,44 @@
         notices: options.notices,
         clock: options.clock,
     }));
+    tokio::task::spawn_local(tell_freshness(options.freshness));
+    let waits = match options.placement.needs_fresh_news() {
+        true => Waits::Fresh,
+        false => Waits::Long,
+    };
+    let (configuration, backends) = (refresh.configuration(), refresh.backends());
+    let evacuations = refresh.evacuations();
+    let following = |refresh: &Rc<Notify>, others: [&Rc<Notify>; 2], duty| Follow {
+        refresh: refresh.clone(),
+        others: others.into_iter().cloned().collect(),
+        duty,
+        waits,
+    };
     tokio::task::spawn_local(follow(
         platform.configurations(),
         shared.clone(),
-        configuration.clone(),
-        backends.clone(),
-        duties.configuration,
+        following(&configuration, [&backends, &evacuations], duties.configuration),
     ));
     tokio::task::spawn_local(follow(
         platform.backends(),
-        shared,
-        backends,
-        configuration,
-        duties.backends,
+        shared.clone(),
+        following(&backends, [&configuration, &evacuations], duties.backends),
     ));
+    if follows_evacuations {
+        tokio::task::spawn_local(follow(
+            platform.evacuations(),
+            shared,
+            following(&evacuations, [&configuration, &backends], duties.evacuations),
+        ));
+    }
+}
+
+/// Shows for ever how old what this process knows is.
+async fn tell_freshness(freshness: Freshness) {
+    loop {
+        if let Some(age_ms) = freshness.age_ms() {
+            metrics::gauge!("platform_news_age_seconds").set(age_ms as f64 / 1_000.0);
+        }
+        tokio::time::sleep(FRESHNESS_INTERVAL).await;
+    }
 }
--- a/crates/serving/src/eligibility/freshness.rs
+++ b/crates/serving/src/eligibility/freshness.rs
@@ -18,16 +18,23 @@
 #[derive(Debug)]
 struct Inner {
     clock: ElapsedClock,
+    source: SuspensionSource,
     told_at: Option<Timestamp>,
 }
 
 impl Freshness {
     /// Nothing was told yet.
     pub fn new(source: SuspensionSource) -> Self {
-        let inner = Inner { clock: ElapsedClock::new(source), told_at: None };
+        let clock = ElapsedClock::new(source.clone());
+        let inner = Inner { clock, source, told_at: None };
         Self { inner: Arc::new(Mutex::new(inner)) }
     }
 
+    /// A clock of the same kind.
+    pub(crate) fn new_clock(&self) -> ElapsedClock {
+        ElapsedClock::new(self.lock().source.clone())
+    }
+
     /// The store answered this process, or a peer, so many milliseconds ago, and what it told is known here.
     pub fn note(&self, age_ms: u64) {
         let inner = &mut *self.lock();
--- a/crates/serving/src/eligibility/mod.rs
+++ b/crates/serving/src/eligibility/mod.rs
@@ -18,6 +18,8 @@
 pub use residency::Residency;
 pub use zones::ZoneMap;
 
+use yokefall_telemetry::{EventName, Line};
+
 use crate::catalog::{Catalog, CatalogCell};
 use crate::model::{Backend, BackendLife, BackendState};
 
@@ -32,6 +34,8 @@
     Draining,
     /// An operator has its zone evacuated.
     Evacuated,
+    /// Nobody has told this process yet which zones are evacuated.
+    EvacuationsUnknown,
     /// The request may not be served in its region.
     OtherRegion,
     /// It is cold, or may be, and this process has sent it as much as it may.
@@ -49,12 +53,27 @@
             Ineligible::AnotherLife => "another-life",
             Ineligible::Draining => "draining",
             Ineligible::Evacuated => "evacuated",
+            Ineligible::EvacuationsUnknown => "evacuations-unknown",
             Ineligible::OtherRegion => "other-region",
             Ineligible::Cold { .. } => "cold",
         }
     }
 }
 
+impl Ineligible {
+    /// Tells that a request or item, by its id, was kept from a back end that was chosen for it.
+    pub fn tell_kept_from(&self, id: &str, backend: &Backend) {
+        metrics::counter!("permits_refused_total", "cause" => self.name()).increment(1);
+        if *self == Ineligible::Evacuated {
+            Line::new(EventName::EvacuationObeyed)
+                .id(id)
+                .field("backend", backend.id.as_str())
+                .field("zone", backend.zone.as_str())
+                .write();
+        }
+    }
+}
+
 impl fmt::Display for Ineligible {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -62,6 +81,9 @@
             Ineligible::AnotherLife => formatter.write_str("it has started again"),
             Ineligible::Draining => formatter.write_str("it is leaving"),
             Ineligible::Evacuated => formatter.write_str("its zone is evacuated"),
+            Ineligible::EvacuationsUnknown => {
+                formatter.write_str("which zones are evacuated is not known yet")
+            }
             Ineligible::OtherRegion => {
                 formatter.write_str("the request must stay in other regions")
             }
@@ -125,6 +147,9 @@
         if known.state != BackendState::Ready {
             return Err(Ineligible::Draining);
         }
+        if catalog.awaits_evacuations {
+            return Err(Ineligible::EvacuationsUnknown);
+        }
         if catalog.is_evacuated(&known.zone) {
             return Err(Ineligible::Evacuated);
         }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -12,10 +12,12 @@
 use tokio::sync::watch;
 use yokefall_clock::ElapsedClock;
 use yokefall_core::membership::{
-    Datagram, DatagramKind, MemberRecord, MemberState, Membership as MemberList, Outgoing,
+    Datagram, DatagramKind, MemberRecord, MemberState, Membership as MemberList, ObjectDigest,
+    Outgoing,
 };
 use yokefall_core::Timestamp;
 
+use crate::backlog::Backlog;
 use crate::duty::{Ranking, HEARTBEAT_INTERVAL_MS};
 use crate::lateness::Lateness;
 use crate::news::{Known, News};
@@ -167,14 +169,17 @@
     let mut told = Known::default();
     let mut heartbeat_at = Timestamp(0);
     let mut lateness = Lateness::default();
+    let mut backlog = Backlog::default();
     loop {
         let now = clock.now();
+        backlog.woken(now);
         if publish(&mut members, &cell) {
             news.rank(now, Ranking::new(&cell.load().members, &zone, &name));
         }
         news.tick(now);
         let own = news.own();
         tell(&mut members, own);
+        members.set_news_ages(news.ages());
         if own.is_news_after(told) {
             // Those hear of it at once who tell others when they know it.
             send(&socket, members.tell_some(NEAR_FANOUT, FAR_FANOUT)).await;
@@ -190,12 +195,19 @@
             deadline = deadline.min(heartbeat_at);
         }
         let wait = deadline.millis_since(now).max(1);
+        backlog.waits(now, wait);
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, source)) = received {
                     let now = clock.now();
                     if let Ok(datagram) = borsh::from_slice::<Datagram>(&buffer[..length]) {
+                        backlog.woken(now);
                         hear(&news, now, &datagram, source);
+                        // What waited here for an unknown time says nothing of the present.
+                        let underway = members.asked_ms_ago(now, &datagram);
+                        if let Some(delay_ms) = underway.or_else(|| backlog.delay_ms()) {
+                            news.hear_ages(known(&datagram), datagram.ages, delay_ms);
+                        }
                         if let DatagramKind::Notice { content } = &datagram.kind {
                             // Whoever heard notices has ended: so does this process.
                             let _ = incoming.send(content.clone());
@@ -207,6 +219,10 @@
             () = tokio::time::sleep(Duration::from_millis(wait)) => {
                 let woken = clock.now();
                 lateness.note_and_tell(woken.millis_since(now.plus_millis(wait)));
+                backlog.woken(woken);
+                if is_empty(&socket).await {
+                    backlog.drained();
+                }
             }
             () = news.changed() => {}
             Some(notice) = outgoing.recv() => send(&socket, members.notify_all(&notice)).await,
@@ -239,6 +255,15 @@
     }
 }
 
+/// Whether no datagram waits to be read.
+async fn is_empty(socket: &UdpSocket) -> bool {
+    tokio::select! {
+        biased;
+        _ = socket.readable() => false,
+        () = std::future::ready(()) => true,
+    }
+}
+
 /// Takes what a datagram says beside the members.
 fn hear(news: &Rc<News>, now: Timestamp, datagram: &Datagram, source: SocketAddr) {
     news.hear(now, known(datagram), SocketAddr::new(source.ip(), datagram.news_port));
@@ -253,14 +278,19 @@
 
 fn tell(membership: &mut MemberList, own: Known) {
     membership.set_configuration_version(own.version);
-    membership.set_backends(own.backends_digest, own.backends_revision);
+    membership.set_backends(ObjectDigest {
+        digest: own.backends_digest,
+        revision: own.backends_revision,
+    });
+    membership.set_evacuations(own.evacuations);
 }
 
 fn known(datagram: &Datagram) -> Known {
     Known {
         version: datagram.configuration_version,
-        backends_digest: datagram.backends_digest,
-        backends_revision: datagram.backends_revision,
+        backends_digest: datagram.backends.digest,
+        backends_revision: datagram.backends.revision,
+        evacuations: datagram.evacuations,
     }
 }
 
--- /dev/null
+++ b/crates/serving/src/knowledge.rs
@@ -0,0 +1,498 @@
+//! What a process knows of the platform's objects, whether the store or a peer told it.
+//!
+//! Invariant: nothing goes backwards within a life of the process. A configuration is replaced only
+//! by one of a higher version; an object only by one of a later life or of a higher revision; and a list
+//! that is older than what is held removes nothing.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use yokefall_clock::SuspensionSource;
+use yokefall_core::membership::{NewsAges, ObjectDigest};
+use yokefall_core::Timestamp;
+
+use crate::ages::{Ages, Followed};
+use crate::catalog::{Catalog, CatalogCell, ZoneFacts};
+use crate::eligibility::{Freshness, ZoneMap};
+use crate::model::{Backend, BackendState, Configuration, Evacuation};
+use crate::news::Known;
+use crate::news_exchange::{BackendNews, NamedBackend, NamedEvacuation, NewsAnswer, NewsRequest};
+use crate::objects::Objects;
+use crate::source::{Change, Listing, Revision, SourceError};
+use crate::watch::Sink;
+
+/// All that is known, and the cell that others read it from.
+#[derive(Debug)]
+pub struct Knowledge {
+    configuration: Option<Arc<Configuration>>,
+    backends: Objects<Backend>,
+    /// Zones that operators have evacuated, by the name of each request.
+    evacuations: Objects<Evacuation>,
+    /// Whether requests to evacuate zones are followed.
+    follows_evacuations: bool,
+    /// Regions of zones.
+    zones: Arc<ZoneMap>,
+    /// Digest of the back ends and their states.
+    digest: u64,
+    cell: CatalogCell,
+    /// Woken when what is known has changed.
+    changed: Rc<Notify>,
+    /// Kinds of objects that the store gave when it was last asked.
+    answered: BTreeSet<Followed>,
+    ages: Ages,
+}
+
+/// What a process follows beside configuration and back ends.
+#[derive(Debug)]
+pub struct Following {
+    /// Whether it follows requests to evacuate zones. It serves nobody then before it has heard of them.
+    pub evacuations: bool,
+    /// Is told the age of what is known.
+    pub freshness: Freshness,
+}
+
+impl Default for Following {
+    fn default() -> Self {
+        Self { evacuations: false, freshness: Freshness::new(SuspensionSource::Machine) }
+    }
+}
+
+impl Knowledge {
+    /// Nothing known yet, and requests to evacuate zones not followed.
+    pub fn new(cell: CatalogCell, zones: Arc<ZoneMap>) -> Self {
+        Self::following(cell, zones, Following::default())
+    }
+
+    /// Nothing known yet.
+    pub fn following(cell: CatalogCell, zones: Arc<ZoneMap>, following: Following) -> Self {
+        let mut knowledge = Self {
+            configuration: None,
+            backends: Objects::default(),
+            evacuations: Objects::default(),
+            follows_evacuations: following.evacuations,
+            zones,
+            digest: 0,
+            cell,
+            changed: Rc::default(),
+            answered: BTreeSet::new(),
+            ages: Ages::new(following.freshness, following.evacuations),
+        };
+        knowledge.publish();
+        knowledge
+    }
+
+    /// Whether the store answers this process, by the last calls of each kind.
+    pub fn is_in_touch(&self) -> bool {
+        let kinds = 2 + usize::from(self.follows_evacuations);
+        self.answered.len() == kinds
+    }
+
+    fn note_ended(&mut self, kind: Followed, error: Option<&SourceError>) {
+        match error {
+            None => self.answered.insert(kind),
+            Some(_) => self.answered.remove(&kind),
+        };
+    }
+
+    /// The store answered a call of a kind that was made at a moment, and that it may have held back for a time
+    /// because nothing changed: what it told held at the end of that time.
+    fn note_answered(&mut self, kind: Followed, asked: Timestamp, held_back_ms: u64) {
+        let since_asked = self.ages.now().millis_since(asked);
+        // An answer that came sooner than it was to come tells less.
+        let age_ms = since_asked.checked_sub(held_back_ms).unwrap_or(since_asked);
+        self.ages.note(kind, age_ms);
+    }
+
+    /// How long ago the store confirmed what is known, by kind.
+    pub fn ages(&self) -> NewsAges {
+        self.ages.told()
+    }
+
+    /// A peer told how old what it knows is, `delay_ms` ago at most. Where it knows no more of a kind, what is
+    /// known here is as new.
+    pub fn hear_ages(&mut self, peer: Known, ages: NewsAges, delay_ms: u64) {
+        let own = self.known();
+        let told = [
+            (Followed::Configuration, ages.configuration_ms, own.version < peer.version),
+            (Followed::Backends, ages.backends_ms, own.lacks_backends(peer)),
+            (Followed::Evacuations, ages.evacuations_ms, own.lacks_evacuations(peer)),
+        ];
+        for (kind, age_ms, lacks) in told {
+            if let Some(age_ms) = age_ms.filter(|_| !lacks) {
+                self.ages.note(kind, age_ms.saturating_add(delay_ms));
+            }
+        }
+    }
+
+    /// Takes a configuration; returns whether it is newer than the one in force.
+    pub fn take_configuration(&mut self, configuration: Configuration) -> bool {
+        let held = self.configuration.as_ref().map_or(0, |held| held.version);
+        if configuration.version <= held {
+            return false;
+        }
+        self.configuration = Some(Arc::new(configuration));
+        self.publish();
+        true
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Back ends that are known, draining ones too.
+    pub fn backends(&self) -> &Objects<Backend> {
+        &self.backends
+    }
+
+    /// Requests to evacuate zones that are known.
+    pub fn evacuations(&self) -> &Objects<Evacuation> {
+        &self.evacuations
+    }
+
+    /// Whether nobody has told yet which zones are evacuated.
+    pub fn awaits_evacuations(&self) -> bool {
+        self.follows_evacuations && self.evacuations.revision() == 0
+    }
+
+    /// Woken when what is known has changed.
+    pub fn changed(&self) -> Rc<Notify> {
+        self.changed.clone()
+    }
+
+    /// What is known, to be told to peers.
+    pub fn known(&self) -> Known {
+        // With the revision of each: equal digests are equal lists, of which the higher revision is true of both.
+        let hash = |(name, revision, _): (&String, Revision, &Arc<Evacuation>)| {
+            xxh3_64_with_seed(name.as_bytes(), revision)
+        };
+        Known {
+            version: self.configuration.as_ref().map_or(0, |held| held.version),
+            backends_digest: self.digest,
+            backends_revision: self.backends.revision(),
+            evacuations: ObjectDigest {
+                digest: self.evacuations.named().map(hash).fold(0, u64::wrapping_add),
+                revision: self.evacuations.revision(),
+            },
+        }
+    }
+
+    /// What a peer that knows less is told.
+    pub fn answer(&self, request: &NewsRequest) -> NewsAnswer {
+        let held = self.configuration.as_ref();
+        let configuration = held.filter(|held| held.version > request.known.version);
+        let own = self.known();
+        NewsAnswer {
+            known: own,
+            configuration: configuration.map(|held| Configuration::clone(held)),
+            backends: self.backend_news(request),
+            evacuations: request.known.lacks_evacuations(own).then(|| self.evacuation_news()),
+        }
+    }
+
+    fn backend_news(&self, request: &NewsRequest) -> BackendNews {
+        let known = request.known.backends_revision;
+        let since = (!request.whole && self.backends.covers(known)).then_some(known);
+        let after = since.unwrap_or(0);
+        let changed = |(name, revision, backend): (&String, Revision, &Arc<Backend>)| {
+            let (name, backend) = (name.clone(), Backend::clone(backend));
+            NamedBackend { name, revision, backend }
+        };
+        BackendNews {
+            since,
+            changed: self.backends.changed_after(after).map(changed).collect(),
+            removed: self.backends.removed_after(after).cloned().collect(),
+        }
+    }
+
+    fn evacuation_news(&self) -> Vec<NamedEvacuation> {
+        let named = |(_, revision, evacuation): (&String, Revision, &Arc<Evacuation>)| {
+            NamedEvacuation { revision, evacuation: Evacuation::clone(evacuation) }
+        };
+        self.evacuations.named().map(named).collect()
+    }
+
+    /// Takes what a peer told of back ends. Returns whether the same is known here now; where it is
+    /// not, the whole list is to be asked for.
+    pub fn take_backend_news(&mut self, peer: Known, news: BackendNews) -> bool {
+        let revision = peer.backends_revision;
+        let BackendNews { since, changed, removed } = news;
+        let changes = changed.into_iter().map(|named| Change {
+            name: named.name,
+            revision: named.revision,
+            value: Some(named.backend),
+        });
+        match since {
+            None => {
+                self.backends.replace(Listing { items: changes.collect(), revision });
+            }
+            // What changed in between came from elsewhere meanwhile: it is newer or the same.
+            Some(_) => {
+                self.backends.remove(removed);
+                self.backends.apply(changes.collect(), revision);
+            }
+        }
+        self.publish();
+        self.backends.revision() != revision || self.digest == peer.backends_digest
+    }
+
+    /// A peer that knows the same evacuated zones at a higher revision: so does this process. An older peer could
+    /// else tell what was true before them.
+    pub fn confirm_evacuations(&mut self, peer: Known) {
+        let own = self.known().evacuations;
+        if own.revision > 0 && own.digest == peer.evacuations.digest {
+            self.evacuations.confirm(peer.evacuations.revision);
+        }
+    }
+
+    fn publish(&mut self) {
+        self.digest = self.backends.values().map(digest_of).fold(0, u64::wrapping_add);
+        let evacuated = self.evacuations.values().map(|evacuation| evacuation.zone.clone());
+        let facts = ZoneFacts { evacuated: evacuated.collect(), zones: self.zones.clone() };
+        let catalog =
+            Catalog::with_zones(self.configuration.clone(), self.backends.values(), facts);
+        let catalog = match self.awaits_evacuations() {
+            true => catalog.awaiting_evacuations(),
+            false => catalog,
+        };
+        self.cell.store(Arc::new(catalog));
+        self.changed.notify_one();
+    }
+}
+
+/// Digest of what decides whether a back end may be used. Its load and the like change with each of its
+/// heartbeats, and are not worth an exchange.
+fn digest_of(backend: &Arc<Backend>) -> u64 {
+    let ready = backend.state == BackendState::Ready;
+    let cold = backend.cold_remaining_ms > 0;
+    let facts = (&backend.id, backend.started_ms, ready, cold, backend.address, &backend.zone);
+    xxh3_64(format!("{facts:?} {}", backend.service).as_bytes())
+}
+
+/// Told of each change of what a process believes.
+pub trait Observer {
+    /// A configuration came into force.
+    fn configuration(&self, version: u64);
+    /// Back ends changed: how many take work now, and at which revision.
+    fn backends(&self, ready: usize, revision: Revision);
+    /// Requests to evacuate zones became known, or ended.
+    fn evacuations(&self, change: &EvacuationChange);
+    /// Calls to the store began to fail, or succeed again.
+    fn reachable(&self, kind: &'static str, error: Option<&SourceError>);
+}
+
+/// What a process has learnt of evacuated zones.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationChange {
+    /// Zones that are evacuated from now on, with the revision of each request and the back ends there that get
+    /// nothing new.
+    pub begun: Vec<(String, Revision, usize)>,
+    /// Zones that are not evacuated any more.
+    pub ended: Vec<String>,
+    /// Zones that are evacuated now.
+    pub evacuated: usize,
+    /// Revision up to which this is known.
+    pub revision: Revision,
+    /// Who told it: `store` or `peer`.
+    pub source: &'static str,
+    /// How long ago the store confirmed what was known before, in milliseconds.
+    pub age_ms: Option<u64>,
+}
+
+/// The knowledge of one process as a sink of all kinds.
+pub struct SharedKnowledge<O> {
+    /// What is known.
+    pub knowledge: Rc<RefCell<Knowledge>>,
+    /// Who is told.
+    pub observer: Rc<O>,
+}
+
+impl<O> Clone for SharedKnowledge<O> {
+    fn clone(&self) -> Self {
+        Self { knowledge: self.knowledge.clone(), observer: self.observer.clone() }
+    }
+}
+
+impl<O: Observer> SharedKnowledge<O> {
+    /// Takes what a peer told. Returns whether its whole list of back ends is needed.
+    pub fn take_news(&self, answer: NewsAnswer) -> bool {
+        if let Some(configuration) = answer.configuration {
+            self.take_configuration(configuration);
+        }
+        if let Some(named) = answer.evacuations {
+            let change = |named: NamedEvacuation| Change {
+                name: named.evacuation.zone.clone(),
+                revision: named.revision,
+                value: Some(named.evacuation),
+            };
+            let items = named.into_iter().map(change).collect();
+            let listing = Listing { items, revision: answer.known.evacuations.revision };
+            self.change_evacuations("peer", |held| {
+                held.replace(listing);
+            });
+        }
+        let own = self.knowledge.borrow().known();
+        let is_same = own.backends_digest == answer.known.backends_digest;
+        let (held, told) = (own.backends_revision, answer.known.backends_revision);
+        if held > told || (held == told && is_same) {
+            return false;
+        }
+        let is_same = {
+            let mut knowledge = self.knowledge.borrow_mut();
+            knowledge.take_backend_news(answer.known, answer.backends)
+        };
+        self.tell_backends();
+        !is_same
+    }
+
+    fn take_configuration(&self, configuration: Configuration) {
+        let version = configuration.version;
+        if self.knowledge.borrow_mut().take_configuration(configuration) {
+            self.observer.configuration(version);
+        }
+    }
+
+    /// Changes what is known of evacuated zones, and tells what came of it.
+    fn change_evacuations(
+        &self,
+        source: &'static str,
+        change: impl FnOnce(&mut Objects<Evacuation>),
+    ) {
+        let mut knowledge = self.knowledge.borrow_mut();
+        let (known, awaited) = (knowledge.known().evacuations, knowledge.awaits_evacuations());
+        let before = knowledge.cell.load_full();
+        let age_ms = knowledge.ages().evacuations_ms;
+        change(&mut knowledge.evacuations);
+        if knowledge.known().evacuations.digest == known.digest
+            && knowledge.awaits_evacuations() == awaited
+        {
+            return;
+        }
+        knowledge.publish();
+        let after = knowledge.cell.load_full();
+        let named = knowledge.evacuations.named();
+        let begun = named.filter(|(_, _, evacuation)| !before.is_evacuated(&evacuation.zone)).map(
+            |(_, revision, evacuation)| {
+                let zone = &evacuation.zone;
+                let there = after.known.values().filter(|backend| backend.zone == *zone);
+                (zone.clone(), revision, there.count())
+            },
+        );
+        let change = EvacuationChange {
+            begun: begun.collect(),
+            ended: before.evacuated.difference(&after.evacuated).cloned().collect(),
+            evacuated: after.evacuated.len(),
+            revision: knowledge.evacuations.revision(),
+            source,
+            age_ms,
+        };
+        drop(knowledge);
+        self.observer.evacuations(&change);
+    }
+
+    fn publish_backends(&self) {
+        self.knowledge.borrow_mut().publish();
+        self.tell_backends();
+    }
+
+    fn tell_backends(&self) {
+        let knowledge = self.knowledge.borrow();
+        let ready = knowledge.cell.load().ready.values().map(Vec::len).sum();
+        self.observer.backends(ready, knowledge.backends.revision());
+    }
+
+    fn now(&self) -> Timestamp {
+        self.knowledge.borrow().ages.now()
+    }
+
+    fn note_answered(&self, kind: Followed, asked: Timestamp, held_back_ms: u64) {
+        self.knowledge.borrow_mut().note_answered(kind, asked, held_back_ms);
+    }
+
+    fn note_ended(&self, kind: Followed, error: Option<&SourceError>) {
+        self.knowledge.borrow_mut().note_ended(kind, error);
+        self.observer.reachable(kind.name(), error);
+    }
+}
+
+impl<O: Observer> Sink<Configuration> for SharedKnowledge<O> {
+    fn replace(&self, listing: Listing<Configuration>) {
+        self.apply(listing.items, listing.revision);
+    }
+
+    fn apply(&self, changes: Vec<Change<Configuration>>, _revision: Revision) {
+        for configuration in changes.into_iter().filter_map(|change| change.value) {
+            self.take_configuration(configuration);
+        }
+    }
+
+    fn ended(&self, error: Option<&SourceError>) {
+        self.note_ended(Followed::Configuration, error);
+    }
+
+    fn now(&self) -> Timestamp {
+        self.now()
+    }
+
+    fn answered(&self, asked: Timestamp, held_back_ms: u64) {
+        self.note_answered(Followed::Configuration, asked, held_back_ms);
+    }
+}
+
+impl<O: Observer> Sink<Backend> for SharedKnowledge<O> {
+    fn replace(&self, listing: Listing<Backend>) {
+        if self.knowledge.borrow_mut().backends.replace(listing) {
+            self.publish_backends();
+        }
+    }
+
+    fn apply(&self, changes: Vec<Change<Backend>>, revision: Revision) {
+        let changed = !changes.is_empty();
+        self.knowledge.borrow_mut().backends.apply(changes, revision);
+        if changed {
+            self.publish_backends();
+        }
+    }
+
+    fn ended(&self, error: Option<&SourceError>) {
+        self.note_ended(Followed::Backends, error);
+    }
+
+    fn now(&self) -> Timestamp {
+        self.now()
+    }
+
+    fn answered(&self, asked: Timestamp, held_back_ms: u64) {
+        self.note_answered(Followed::Backends, asked, held_back_ms);
+    }
+}
+
+impl<O: Observer> Sink<Evacuation> for SharedKnowledge<O> {
+    fn replace(&self, mut listing: Listing<Evacuation>) {
+        // Revision 0 is for whoever has heard nothing yet.
+        listing.revision = listing.revision.max(1);
+        self.change_evacuations("store", |held| {
+            held.replace(listing);
+        });
+    }
+
+    fn apply(&self, changes: Vec<Change<Evacuation>>, revision: Revision) {
+        self.change_evacuations("store", |held| held.apply(changes, revision));
+    }
+
+    fn ended(&self, error: Option<&SourceError>) {
+        self.note_ended(Followed::Evacuations, error);
+    }
+
+    fn now(&self) -> Timestamp {
+        self.now()
+    }
+
+    fn answered(&self, asked: Timestamp, held_back_ms: u64) {
+        self.note_answered(Followed::Evacuations, asked, held_back_ms);
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,7 +2,9 @@
 //! platform adapter implements; and the decisions on them that need no input or output.
 
 pub mod admission;
+pub mod ages;
 pub(crate) mod arrivals;
+pub mod backlog;
 pub mod balance;
 pub mod catalog;
 pub mod dialect;
@@ -12,6 +14,7 @@
 pub mod fleet;
 pub mod identity;
 pub mod job;
+pub mod knowledge;
 pub mod lateness;
 pub mod listing;
 pub mod model;
--- a/crates/serving/src/listing.rs
+++ b/crates/serving/src/listing.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use yokefall_core::Timestamp;
 
 use crate::source::{Change, ListPage, Listing, Revision};
 
@@ -21,11 +22,12 @@
     first: Option<(Revision, Instant)>,
     /// Name after which the next page begins; `None` before the first page and after the last.
     next: Option<String>,
+    asked: Timestamp,
 }
 
 impl<T> Default for PartialList<T> {
     fn default() -> Self {
-        Self { items: Vec::new(), first: None, next: None }
+        Self { items: Vec::new(), first: None, next: None, asked: Timestamp(0) }
     }
 }
 
@@ -43,14 +45,22 @@
         self.next.as_deref()
     }
 
-    /// Adds the page that `after` asked for.
-    pub fn add(&mut self, page: ListPage<T>) {
+    /// Adds the page that `after` asked for, at a moment.
+    pub fn add(&mut self, page: ListPage<T>, asked: Timestamp) {
         let ListPage { items, revision, next } = page;
+        if self.first.is_none() {
+            self.asked = asked;
+        }
         self.first.get_or_insert((revision, Instant::now()));
         self.items.extend(items);
         self.next = next;
     }
 
+    /// When the first page was asked for.
+    pub fn asked(&self) -> Timestamp {
+        self.asked
+    }
+
     /// Takes the whole list out.
     pub fn take(&mut self) -> Listing<T> {
         let Self { items, first, .. } = std::mem::take(self);
--- a/crates/serving/src/model.rs
+++ b/crates/serving/src/model.rs
@@ -5,6 +5,8 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use yokefall_types::Tenant;
 
+use crate::objects::Lived;
+
 /// What a route allows to be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum RouteKind {
@@ -191,3 +193,16 @@
     /// The zone.
     pub zone: String,
 }
+
+impl Lived for Backend {
+    fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
+}
+
+impl Lived for Evacuation {
+    /// A request has one life.
+    fn started_ms(&self) -> u64 {
+        0
+    }
+}
--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -8,6 +8,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use tokio::sync::{watch, Notify};
+use yokefall_core::membership::{NewsAges, ObjectDigest};
 use yokefall_core::Timestamp;
 use yokefall_telemetry::{EventName, Line};
 
@@ -30,6 +31,8 @@
     pub backends_digest: u64,
     /// Store revision up to which the back ends are known.
     pub backends_revision: u64,
+    /// Evacuated zones; their revision is 0 where nothing was heard of them yet.
+    pub evacuations: ObjectDigest,
 }
 
 /// Finds out whether peers know more, for longer than news takes.
@@ -84,15 +87,27 @@
 impl Known {
     /// Whether this says more than what was told before.
     pub fn is_news_after(self, told: Known) -> bool {
-        self.version > told.version || self.backends_digest != told.backends_digest
+        self.version > told.version
+            || self.backends_digest != told.backends_digest
+            || self.evacuations.digest != told.evacuations.digest
+            || (self.evacuations.revision > 0) != (told.evacuations.revision > 0)
     }
 
     /// Whether a peer knows more.
     fn lacks(self, peer: Known) -> bool {
-        let older = self.version < peer.version;
-        let other_backends = self.backends_digest != peer.backends_digest
-            && self.backends_revision < peer.backends_revision;
-        older || other_backends
+        self.version < peer.version || self.lacks_backends(peer) || self.lacks_evacuations(peer)
+    }
+
+    /// Whether a peer knows more of back ends.
+    pub fn lacks_backends(self, peer: Known) -> bool {
+        self.backends_digest != peer.backends_digest
+            && self.backends_revision < peer.backends_revision
+    }
+
+    /// Whether a peer knows more of evacuated zones. Whoever has heard of none yet lacks also that there is none.
+    pub fn lacks_evacuations(self, peer: Known) -> bool {
+        let (own, peer) = (self.evacuations, peer.evacuations);
+        own.revision < peer.revision && (own.digest != peer.digest || own.revision == 0)
     }
 }
 
@@ -110,6 +125,8 @@
 pub struct Duties {
     /// Configurations.
     pub configuration: Duty,
+    /// Evacuated zones.
+    pub evacuations: Duty,
     /// Back ends.
     pub backends: Duty,
 }
@@ -133,11 +150,12 @@
     pub refresh: Refresh,
 }
 
-/// Ends watches of either kind.
+/// Ends watches of each kind.
 #[derive(Clone, Debug, Default)]
 pub struct Refresh {
     configuration: Rc<Notify>,
     backends: Rc<Notify>,
+    evacuations: Rc<Notify>,
 }
 
 impl Refresh {
@@ -150,6 +168,11 @@
     pub fn backends(&self) -> Rc<Notify> {
         self.backends.clone()
     }
+
+    /// Ends the present watch of evacuated zones.
+    pub fn evacuations(&self) -> Rc<Notify> {
+        self.evacuations.clone()
+    }
 }
 
 impl News {
@@ -173,7 +196,8 @@
             changed,
             refresh: Refresh::default(),
         };
-        (Rc::new(news), Duties { configuration, backends })
+        let evacuations = configuration.clone();
+        (Rc::new(news), Duties { configuration, evacuations, backends })
     }
 
     /// What this process knows.
@@ -181,8 +205,19 @@
         self.knowledge.borrow().known()
     }
 
+    /// Age of what this process knows.
+    pub fn ages(&self) -> NewsAges {
+        self.knowledge.borrow().ages()
+    }
+
+    /// A peer told how old its knowledge is, `delay_ms` ago at most.
+    pub fn hear_ages(&self, peer: Known, ages: NewsAges, delay_ms: u64) {
+        self.knowledge.borrow_mut().hear_ages(peer, ages, delay_ms);
+    }
+
     /// A peer told what it knows; `address` is where it tells the whole of it.
     pub fn hear(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
+        self.knowledge.borrow_mut().confirm_evacuations(peer);
         let own = self.own();
         if !own.lacks(peer) {
             return;
@@ -251,7 +286,7 @@
         if self.comparison.borrow_mut().is_due(now, self.own()) {
             self.ask_store(now);
         }
-        let knows = self.knows_configuration();
+        let knows = self.knows_what_serving_needs();
         let watches = self.roster.borrow_mut().watches(now, knows);
         let reads = self.roster.borrow_mut().reads_backends(now, self.knows_backends());
         self.reads_backends.send_if_modified(|held| std::mem::replace(held, reads) != reads);
@@ -267,8 +302,10 @@
         }
     }
 
-    fn knows_configuration(&self) -> bool {
-        self.knowledge.borrow().configuration().is_some()
+    /// Whether the configuration is known, and which zones are evacuated where that is followed.
+    fn knows_what_serving_needs(&self) -> bool {
+        let knowledge = self.knowledge.borrow();
+        knowledge.configuration().is_some() && !knowledge.awaits_evacuations()
     }
 
     fn knows_backends(&self) -> bool {
@@ -291,7 +328,7 @@
 
     /// When `tick` has something to do.
     pub fn next_look(&self, now: Timestamp) -> Timestamp {
-        let (configuration, backends) = (self.knows_configuration(), self.knows_backends());
+        let (configuration, backends) = (self.knows_what_serving_needs(), self.knows_backends());
         let look = self.roster.borrow().next_look(now, configuration, backends);
         self.comparison.borrow().next_look().map_or(look, |comparison| comparison.min(look))
     }
@@ -306,6 +343,7 @@
         if *self.watches.borrow() {
             self.refresh.configuration.notify_one();
             self.refresh.backends.notify_one();
+            self.refresh.evacuations.notify_one();
         } else if self.sources.borrow().failed {
             self.roster.borrow_mut().catch_up(now);
         }
--- a/crates/serving/src/news_exchange.rs
+++ b/crates/serving/src/news_exchange.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-use crate::model::{Backend, Configuration};
+use crate::model::{Backend, Configuration, Evacuation};
 use crate::news::Known;
 use crate::source::Revision;
 
@@ -46,6 +46,17 @@
     pub configuration: Option<Configuration>,
     /// Its back ends.
     pub backends: BackendNews,
+    /// Every zone that it knows to be evacuated, where it knows more; they are few.
+    pub evacuations: Option<Vec<NamedEvacuation>>,
+}
+
+/// A request to evacuate a zone with its place in the store's history.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct NamedEvacuation {
+    /// Revision of the object's last change.
+    pub revision: Revision,
+    /// The request.
+    pub evacuation: Evacuation,
 }
 
 /// Back ends that changed.
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -10,6 +10,18 @@
 /// replaced once a day, or one replacement of a sixth of them at once.
 const MOST_REMOVALS: usize = 512;
 
+/// Something that an object of the store describes, which may have had several lives under one name.
+pub trait Lived {
+    /// When its life began, in milliseconds since the Unix epoch; 0 where it tells none.
+    fn started_ms(&self) -> u64;
+
+    /// Whether another record is of an earlier life. What an ended life wrote may reach the store late, with a
+    /// higher revision than the record of the life after it.
+    fn outlives(&self, other: &Self) -> bool {
+        other.started_ms() > 0 && self.started_ms() > other.started_ms()
+    }
+}
+
 /// Objects of one kind by name, with the revision of each.
 #[derive(Debug)]
 pub struct Objects<T> {
@@ -29,7 +41,7 @@
     }
 }
 
-impl<T> Objects<T> {
+impl<T: Lived> Objects<T> {
     /// Takes a whole list. Returns false, and changes nothing, when it is older than what is held.
     pub fn replace(&mut self, listing: Listing<T>) -> bool {
         if listing.revision < self.revision {
@@ -39,13 +51,14 @@
         self.removals.clear();
         self.removals_after = listing.revision;
         self.revision = listing.revision;
-        let mut held = HashMap::new();
+        let mut listed = HashMap::new();
         for item in listing.items {
-            if let Some(value) = item.value {
-                held.insert(item.name, (item.revision, Arc::new(value)));
-            }
+            let Some(value) = item.value else { continue };
+            let held = self.held.remove(&item.name);
+            let newer_life = held.filter(|(_, held)| held.outlives(&value));
+            listed.insert(item.name, newer_life.unwrap_or((item.revision, Arc::new(value))));
         }
-        self.held = held;
+        self.held = listed;
         true
     }
 
@@ -99,8 +112,6 @@
     }
 
     fn apply_one(&mut self, change: Change<T>, revision: Revision) {
-        let older = |(revision, _): &(Revision, Arc<T>)| *revision >= change.revision;
-        let held_is_newer = self.held.get(&change.name).is_some_and(older);
         match change.value {
             // The removal of an object has no revision above its last change at every store.
             None => {
@@ -108,13 +119,25 @@
                     self.note_removal(change.name, revision);
                 }
             }
-            Some(_) if held_is_newer => {}
             Some(value) => {
-                self.held.insert(change.name, (change.revision, Arc::new(value)));
+                let stays = |held: &(Revision, Arc<T>)| is_newer(held, change.revision, &value);
+                if !self.held.get(&change.name).is_some_and(stays) {
+                    self.held.insert(change.name, (change.revision, Arc::new(value)));
+                }
             }
         }
     }
 
+    /// Another process holds just the same at a higher revision: so does this one.
+    pub fn confirm(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// The objects by name, with the revision of each.
+    pub fn named(&self) -> impl Iterator<Item = (&String, Revision, &Arc<T>)> {
+        self.held.iter().map(|(name, (revision, value))| (name, *revision, value))
+    }
+
     /// Revision up to which everything is known.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -125,3 +148,9 @@
         self.held.values().map(|(_, value)| value)
     }
 }
+
+/// Whether what is held is newer than what is told: of a later life, else at a revision that is not lower.
+fn is_newer<T: Lived>(held: &(Revision, Arc<T>), told_at: Revision, told: &T) -> bool {
+    let (revision, held) = held;
+    held.outlives(told) || (*revision >= told_at && !told.outlives(held))
+}
--- a/crates/serving/src/observer.rs
+++ b/crates/serving/src/observer.rs
@@ -4,8 +4,8 @@
 
 use yokefall_telemetry::{EventName, Line};
 
+use crate::knowledge::{EvacuationChange, Observer};
 use crate::source::{Revision, SourceError};
-use crate::watch::Observer;
 
 /// Writes lines, and tells whoever acts on a change.
 pub struct LineObserver {
@@ -34,6 +34,28 @@
         (self.changed)();
     }
 
+    fn evacuations(&self, change: &EvacuationChange) {
+        metrics::gauge!("evacuated_zones").set(change.evacuated as f64);
+        for (zone, revision, backends) in &change.begun {
+            Line::new(EventName::ZoneEvacuated)
+                .id(zone)
+                .field("revision", *revision)
+                .field("source", change.source)
+                .field("knowledge_age_ms", change.age_ms)
+                .field("backends_without_new_work", *backends)
+                .write();
+        }
+        for zone in &change.ended {
+            Line::new(EventName::EvacuationEnded)
+                .id(zone)
+                .field("revision", change.revision)
+                .field("source", change.source)
+                .field("knowledge_age_ms", change.age_ms)
+                .write();
+        }
+        (self.changed)();
+    }
+
     fn reachable(&self, kind: &'static str, error: Option<&SourceError>) {
         let mut failing = self.failing.borrow_mut();
         let was_failing = failing.contains(&kind);
--- a/crates/serving/src/source.rs
+++ b/crates/serving/src/source.rs
@@ -149,6 +149,8 @@
     type Configurations: Source<crate::model::Configuration> + 'static;
     /// Source of back ends.
     type Backends: Source<crate::model::Backend> + 'static;
+    /// Source of requests to evacuate zones, by the names of the zones.
+    type Evacuations: Source<crate::model::Evacuation> + 'static;
     /// Source of machines that are to be emptied, by their names.
     type Retirements: Source<Retirement> + 'static;
     /// Records.
@@ -158,6 +160,8 @@
     fn configurations(&self) -> Self::Configurations;
     /// A new source of back ends, with a connection of its own.
     fn backends(&self) -> Self::Backends;
+    /// A new source of requests to evacuate zones, with a connection of its own.
+    fn evacuations(&self) -> Self::Evacuations;
     /// A new source of machines that are to be emptied, with a connection of its own.
     fn retirements(&self) -> Self::Retirements;
     /// The records.
--- /dev/null
+++ b/crates/serving/tests/backlog.rs
@@ -0,0 +1,31 @@
+//! Whether datagrams may be old.
+//!
+//! What failed: a process that was frozen for 10 s read, when it was woken, what had been sent to it before, and took
+//! the age that stood in it for the present one.
+
+use yokefall_core::Timestamp;
+use yokefall_serving::backlog::Backlog;
+
+#[test]
+fn what_is_read_after_a_freeze_is_of_unknown_age_until_all_was_read() {
+    let mut backlog = Backlog::default();
+    backlog.waits(Timestamp(1_000), 400);
+    backlog.woken(Timestamp(1_300));
+    assert!(backlog.delay_ms().is_some());
+    backlog.waits(Timestamp(1_300), 400);
+    backlog.woken(Timestamp(11_300));
+    assert_eq!(backlog.delay_ms(), None);
+    backlog.waits(Timestamp(11_300), 400);
+    backlog.woken(Timestamp(11_301));
+    assert_eq!(backlog.delay_ms(), None, "others may wait behind the first");
+    backlog.drained();
+    assert!(backlog.delay_ms().is_some());
+}
+
+#[test]
+fn a_freeze_at_work_counts_like_one_in_a_wait() {
+    let mut backlog = Backlog::default();
+    backlog.woken(Timestamp(1_000));
+    backlog.woken(Timestamp(9_000));
+    assert_eq!(backlog.delay_ms(), None);
+}
--- a/crates/serving/tests/catalog.rs
+++ b/crates/serving/tests/catalog.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use yokefall_serving::catalog::empty_catalog;
-use yokefall_serving::objects::Objects;
+use yokefall_serving::objects::{Lived, Objects};
 use yokefall_serving::table::{RouteTable, Splitter};
 use yokefall_serving::watch::Knowledge;
 use yokefall_serving::{Change, Configuration, Listing, Route, RouteKind, SplitPart};
@@ -74,12 +74,30 @@
     assert_eq!(cell.load().version(), 5);
 }
 
-fn change(name: &str, revision: u64, value: Option<u32>) -> Change<u32> {
+/// A number that is written in a life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Number {
+    value: u32,
+    started_ms: u64,
+}
+
+impl Lived for Number {
+    fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
+}
+
+fn change(name: &str, revision: u64, value: Option<u32>) -> Change<Number> {
+    in_life(name, revision, value, 0)
+}
+
+fn in_life(name: &str, revision: u64, value: Option<u32>, started_ms: u64) -> Change<Number> {
+    let value = value.map(|value| Number { value, started_ms });
     Change { name: name.into(), revision, value }
 }
 
-fn values(objects: &Objects<u32>) -> Vec<u32> {
-    let mut values: Vec<u32> = objects.values().map(|value: &Arc<u32>| **value).collect();
+fn values(objects: &Objects<Number>) -> Vec<u32> {
+    let mut values: Vec<u32> = objects.values().map(|number: &Arc<Number>| number.value).collect();
     values.sort_unstable();
     values
 }
@@ -102,3 +120,25 @@
     assert_eq!(values(&objects), [5]);
     assert_eq!(objects.revision(), 7);
 }
+
+/// What happens: a back end starts again under its id, and what its ended life wrote last reaches the store after
+/// its new record, with a higher revision. It took the record back to a process that is gone.
+#[test]
+fn an_entry_of_an_older_life_replaces_none_of_a_newer_one() {
+    let mut objects = Objects::default();
+    objects.apply(vec![in_life("a", 5, Some(1), 100), in_life("b", 5, Some(8), 0)], 5);
+    objects.apply(vec![in_life("a", 6, Some(2), 200)], 6);
+    objects.apply(vec![in_life("a", 7, Some(1), 100)], 7);
+    assert_eq!(values(&objects), [2, 8], "in a change");
+    let items = vec![in_life("a", 8, Some(1), 100), in_life("b", 5, Some(8), 0)];
+    assert!(objects.replace(Listing { items, revision: 8 }));
+    assert_eq!(values(&objects), [2, 8], "in a list");
+    // Of the same life, or where nothing tells the life, the higher revision counts.
+    objects.apply(vec![in_life("a", 9, Some(3), 200), in_life("b", 9, Some(9), 0)], 9);
+    assert_eq!(values(&objects), [3, 9]);
+    // A newer life counts also at a lower revision, as a peer may tell it.
+    objects.apply(vec![in_life("a", 4, Some(4), 300)], 9);
+    assert_eq!(values(&objects), [4, 9]);
+    objects.apply(vec![in_life("a", 10, None, 0)], 10);
+    assert_eq!(values(&objects), [9], "what is gone is gone");
+}
--- a/crates/serving/tests/follow.rs
+++ b/crates/serving/tests/follow.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use yokefall_serving::duty::Duty;
 use yokefall_serving::source::{Revision, Source, SourceError, Watched};
-use yokefall_serving::watch::{follow, Sink};
+use yokefall_serving::watch::{follow, Follow, Sink, Waits};
 use yokefall_serving::{Change, ListPage, Listing};
 
 /// What a watch does next; without one it waits for as long as it was asked to, and tells no change.
@@ -55,13 +55,17 @@
 
 struct Nobody;
 
+fn told(duty: Duty) -> Follow {
+    Follow { refresh: Rc::default(), others: Vec::new(), duty, waits: Waits::Long }
+}
+
 /// Only few processes watch the store: it is paid for each call.
 #[tokio::test(start_paused = true)]
 async fn the_store_is_asked_only_while_the_duty_lasts() {
     let watches = Rc::new(RefCell::new(Vec::new()));
     let script = Script { steps: VecDeque::new(), watches: watches.clone() };
     let (sender, duty) = Duty::told();
-    let following = follow(script, Nobody, Rc::default(), Rc::default(), duty);
+    let following = follow(script, Nobody, told(duty));
     let steps = async {
         let pause = || tokio::time::sleep(Duration::from_secs(1));
         pause().await;
@@ -92,7 +96,8 @@
     let watches = Rc::new(RefCell::new(Vec::new()));
     let script = Script { steps: steps.into(), watches: watches.clone() };
     let other = Rc::new(Notify::new());
-    let following = follow(script, Nobody, Rc::default(), other.clone(), Duty::always());
+    let following =
+        follow(script, Nobody, Follow { others: vec![other.clone()], ..told(Duty::always()) });
     let _ = tokio::time::timeout(Duration::from_secs(5), following).await;
     let ended = tokio::time::timeout(Duration::from_millis(1), other.notified()).await.is_ok();
     let watches = watches.borrow().clone();
@@ -174,7 +179,7 @@
     let asked: Rc<RefCell<Vec<Option<String>>>> = Rc::default();
     let kept = Kept::default();
     let source = Paged { calls: 0, asked: asked.clone() };
-    let following = follow(source, kept.clone(), Rc::default(), Rc::default(), Duty::always());
+    let following = follow(source, kept.clone(), told(Duty::always()));
     tokio::select! {
         () = following => {}
         () = tokio::time::sleep(Duration::from_secs(5)) => {}
@@ -224,10 +229,24 @@
 async fn a_watch_that_was_lost_after_a_change_is_found_out_soon() {
     let lists: Rc<RefCell<u32>> = Rc::default();
     let source = Silent { lists: lists.clone(), told: false };
-    let following = follow(source, Nobody, Rc::default(), Rc::default(), Duty::always());
+    let following = follow(source, Nobody, told(Duty::always()));
     tokio::select! {
         () = following => {}
         () = tokio::time::sleep(Duration::from_millis(7_200)) => {}
     }
     assert!(*lists.borrow() >= 2, "listed again");
 }
+
+/// The answer to a watch that told no change is the only proof that what is known still holds.
+#[tokio::test(start_paused = true)]
+async fn where_news_is_to_be_fresh_each_watch_ends_within_seconds() {
+    let watches = Rc::new(RefCell::new(Vec::new()));
+    let script = Script { steps: VecDeque::new(), watches: watches.clone() };
+    let waits = Follow { waits: Waits::Fresh, ..told(Duty::always()) };
+    let following = follow(script, Nobody, waits);
+    let _ = tokio::time::timeout(Duration::from_secs(60), following).await;
+    let watches = watches.borrow();
+    let longest = watches.windows(2).map(|pair| pair[1] - pair[0]).max().expect("watches");
+    assert!(longest <= Duration::from_millis(6_000), "{longest:?}");
+    assert!((10..=30).contains(&watches.len()), "{} calls in a minute", watches.len());
+}
--- a/crates/serving/tests/news.rs
+++ b/crates/serving/tests/news.rs
@@ -4,7 +4,7 @@
 use yokefall_serving::news::{Comparison, Known};
 
 fn known(version: u64, digest: u64, revision: u64) -> Known {
-    Known { version, backends_digest: digest, backends_revision: revision }
+    Known { version, backends_digest: digest, backends_revision: revision, ..Known::default() }
 }
 
 #[test]
--- a/crates/serving/tests/news_exchange.rs
+++ b/crates/serving/tests/news_exchange.rs
@@ -2,23 +2,59 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 use quickcheck::{quickcheck, Arbitrary, Gen};
+use yokefall_clock::SuspensionSource;
 use yokefall_core::Timestamp;
 use yokefall_serving::duty::Roster;
 use yokefall_serving::news::News;
 use yokefall_serving::news_exchange::{fetch, serve, NewsRequest};
 use yokefall_serving::observer::LineObserver;
-use yokefall_serving::watch::{Knowledge, SharedKnowledge, Sink};
-use yokefall_serving::{empty_catalog, Backend, BackendState, Change, Configuration, Listing};
+use yokefall_serving::watch::{Following, Knowledge, SharedKnowledge, Sink};
+use yokefall_serving::{
+    empty_catalog, Backend, BackendState, Change, Configuration, Evacuation, Freshness, Listing,
+};
 
 type Process = SharedKnowledge<LineObserver>;
 
 fn process() -> Process {
-    SharedKnowledge {
-        knowledge: Rc::new(RefCell::new(Knowledge::new(empty_catalog(), Default::default()))),
+    process_on(SuspensionSource::Machine).0
+}
+
+/// A process that follows evacuations, and what it knows of the age of its news.
+fn process_on(suspension: SuspensionSource) -> (Process, Freshness) {
+    let freshness = Freshness::new(suspension);
+    let following = Following { evacuations: true, freshness: freshness.clone() };
+    let knowledge = Knowledge::following(empty_catalog(), Default::default(), following);
+    let process = SharedKnowledge {
+        knowledge: Rc::new(RefCell::new(knowledge)),
         observer: Rc::new(LineObserver::new(|| {})),
-    }
+    };
+    (process, freshness)
+}
+
+fn evacuation(id: u8, revision: u64, gone: bool) -> Change<Evacuation> {
+    let zone = format!("hall-{id}");
+    Change { value: (!gone).then(|| Evacuation { zone: zone.clone() }), name: zone, revision }
+}
+
+fn list_evacuations(process: &Process, revision: u64, changes: Vec<Change<Evacuation>>) {
+    Sink::<Evacuation>::replace(process, Listing { items: changes, revision });
+}
+
+fn apply_evacuations(process: &Process, changes: Vec<Change<Evacuation>>, revision: u64) {
+    Sink::<Evacuation>::apply(process, changes, revision);
+}
+
+/// Zones that are known to be evacuated, in order; `None` where none was heard of.
+fn evacuated(process: &Process) -> Option<Vec<String>> {
+    let knowledge = process.knowledge.borrow();
+    let zones = knowledge.evacuations().values().map(|evacuation| evacuation.zone.clone());
+    let mut zones: Vec<String> = zones.collect();
+    zones.sort_unstable();
+    (!knowledge.awaits_evacuations()).then_some(zones)
 }
 
 fn backend(id: &str, state: BackendState) -> Backend {
@@ -56,6 +92,8 @@
 fn exchange(to: &Process, from: &Process) -> usize {
     let mut sent = 0;
     let mut whole = false;
+    // Each datagram tells what its sender knows.
+    to.knowledge.borrow_mut().confirm_evacuations(from.knowledge.borrow().known());
     for _ in 0..2 {
         let request = NewsRequest { known: to.knowledge.borrow().known(), whole };
         let answer = from.knowledge.borrow().answer(&request);
@@ -180,6 +218,194 @@
     }
 }
 
+/// Steps of the store's evacuations, of two watchers, and of two others that hear now of one and now of another.
+#[derive(Clone, Debug)]
+enum EvacuationStep {
+    Set { zone: u8 },
+    TakeBack { zone: u8 },
+    WatchFirst,
+    ListSecond,
+    ListSecondLate,
+    Exchange { to: usize, from: usize },
+}
+
+impl Arbitrary for EvacuationStep {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let zone = u8::arbitrary(generator) % 3;
+        match u8::arbitrary(generator) % 9 {
+            0 | 1 => EvacuationStep::Set { zone },
+            2 | 3 => EvacuationStep::TakeBack { zone },
+            4 => EvacuationStep::WatchFirst,
+            5 => EvacuationStep::ListSecond,
+            6 => EvacuationStep::ListSecondLate,
+            _ => EvacuationStep::Exchange {
+                to: usize::arbitrary(generator) % 4,
+                from: usize::arbitrary(generator) % 4,
+            },
+        }
+    }
+}
+
+/// The evacuations of the store, with what it held at each revision.
+#[derive(Default)]
+struct EvacuationStore {
+    revision: u64,
+    held: std::collections::BTreeMap<u8, u64>,
+    events: Vec<Change<Evacuation>>,
+    history: std::collections::BTreeMap<u64, Vec<String>>,
+    /// A list that was answered and is still under way.
+    underway: Option<(u64, Vec<Change<Evacuation>>)>,
+}
+
+impl EvacuationStore {
+    fn step(&mut self) -> u64 {
+        self.revision += 1;
+        self.revision
+    }
+
+    fn listing(&self) -> (u64, Vec<Change<Evacuation>>) {
+        let all = self.held.iter().map(|(zone, at)| evacuation(*zone, *at, false));
+        (self.revision, all.collect())
+    }
+
+    fn note(&mut self) {
+        let zones = self.held.keys().map(|zone| format!("hall-{zone}")).collect();
+        self.history.insert(self.revision, zones);
+    }
+}
+
+quickcheck! {
+    /// Whatever a process believes of evacuated zones is what the store held at the revision that it names, and
+    /// that revision never falls. So nobody takes back what was true before for what is true now.
+    fn what_is_believed_of_evacuations_is_what_the_store_held(steps: Vec<EvacuationStep>) -> bool {
+        let mut store = EvacuationStore::default();
+        store.step();
+        store.note();
+        let processes: Vec<Process> = (0..4).map(|_| process()).collect();
+        list_evacuations(&processes[0], store.revision, Vec::new());
+        let mut revisions = [0; 4];
+        let last = [
+            EvacuationStep::WatchFirst,
+            EvacuationStep::Exchange { to: 1, from: 0 },
+            EvacuationStep::Exchange { to: 2, from: 1 },
+            EvacuationStep::Exchange { to: 3, from: 2 },
+        ];
+        for step in steps.into_iter().chain(last) {
+            match step {
+                EvacuationStep::Set { zone } => {
+                    let at = store.step();
+                    store.held.insert(zone, at);
+                    store.events.push(evacuation(zone, at, false));
+                }
+                EvacuationStep::TakeBack { zone } => {
+                    if let Some(at) = store.held.remove(&zone) {
+                        store.step();
+                        store.events.push(evacuation(zone, at, true));
+                    }
+                }
+                EvacuationStep::WatchFirst => {
+                    let events = std::mem::take(&mut store.events);
+                    apply_evacuations(&processes[0], events, store.revision);
+                }
+                EvacuationStep::ListSecond => {
+                    let (revision, all) = store.listing();
+                    list_evacuations(&processes[1], revision, all);
+                }
+                EvacuationStep::ListSecondLate => {
+                    let next = store.listing();
+                    if let Some((revision, all)) = store.underway.replace(next) {
+                        list_evacuations(&processes[1], revision, all);
+                    }
+                }
+                EvacuationStep::Exchange { to, from } if to != from => {
+                    exchange(&processes[to], &processes[from]);
+                }
+                EvacuationStep::Exchange { .. } => {}
+            }
+            store.note();
+            for (index, process) in processes.iter().enumerate() {
+                let revision = process.knowledge.borrow().known().evacuations.revision;
+                let believed = evacuated(process);
+                let held = store.history.get(&revision).cloned();
+                if revision < revisions[index] || (revision > 0 && believed != held) {
+                    return false;
+                }
+                revisions[index] = revision;
+            }
+        }
+        processes.iter().all(|process| evacuated(process) == store.history.get(&store.revision).cloned())
+    }
+}
+
+/// What happens: a process was cut off while a zone was evacuated, and is back with what it knew before.
+#[test]
+fn a_peer_that_was_cut_off_learns_and_takes_nothing_back() {
+    let (watcher, other, cut) = (process(), process(), process());
+    list_evacuations(&watcher, 5, Vec::new());
+    exchange(&other, &watcher);
+    exchange(&cut, &watcher);
+    apply_evacuations(&watcher, vec![evacuation(1, 8, false)], 8);
+    exchange(&other, &watcher);
+    exchange(&other, &cut);
+    assert_eq!(evacuated(&other), Some(vec!["hall-1".to_owned()]));
+    exchange(&cut, &other);
+    assert_eq!(evacuated(&cut), Some(vec!["hall-1".to_owned()]));
+}
+
+/// Nobody is told that no zone is evacuated by a peer that has not heard of any either.
+#[test]
+fn that_no_zone_is_evacuated_is_news_for_who_has_heard_nothing() {
+    let (watcher, new, newer) = (process(), process(), process());
+    exchange(&newer, &new);
+    assert_eq!(evacuated(&newer), None);
+    list_evacuations(&watcher, 5, Vec::new());
+    exchange(&newer, &watcher);
+    assert_eq!(evacuated(&newer), Some(Vec::new()));
+}
+
+/// Each kind of object is as old as whoever knows it best tells, and the whole as old as its oldest kind.
+#[test]
+fn the_age_of_news_is_that_of_the_oldest_kind_and_of_what_is_known_here() {
+    let passed = Arc::new(AtomicU64::new(0));
+    let pass = |ms: u64| passed.fetch_add(ms, Ordering::Relaxed);
+    let of = || process_on(SuspensionSource::Told(passed.clone()));
+    let ((watcher, _), (other, freshness)) = (of(), of());
+    let ages = |process: &Process| process.knowledge.borrow().ages();
+    let hear = || {
+        let known = watcher.knowledge.borrow().known();
+        other.knowledge.borrow_mut().hear_ages(known, ages(&watcher), 100);
+    };
+    // Both have run for a while: nothing is older than they are.
+    pass(10_000);
+    configure(&watcher, 1);
+    list(&watcher, 5, vec![change(1, 5, Some(BackendState::Ready))]);
+    list_evacuations(&watcher, 5, Vec::new());
+    // Asked now, answered 4 s later: the first told a change, the second that nothing changed for 3 s, the third
+    // came early.
+    let asked = Sink::<Backend>::now(&watcher);
+    pass(4_000);
+    Sink::<Configuration>::answered(&watcher, asked, 3_000);
+    Sink::<Backend>::answered(&watcher, asked, 0);
+    Sink::<Evacuation>::answered(&watcher, asked, 9_000);
+    let told = ages(&watcher);
+    assert_eq!(told.configuration_ms.map(|ms| ms / 500), Some(2));
+    assert_eq!(told.backends_ms.map(|ms| ms / 500), Some(8));
+    assert_eq!(told.evacuations_ms.map(|ms| ms / 500), Some(8));
+    // What this process has not learnt itself is not made new by who knows it.
+    hear();
+    assert_eq!(freshness.age_ms(), None);
+    exchange(&other, &watcher);
+    hear();
+    let age_ms = freshness.age_ms().expect("an age");
+    assert!((4_100..4_600).contains(&age_ms), "{age_ms}");
+    // One kind alone is no proof of the others.
+    pass(2_000);
+    Sink::<Backend>::answered(&other, Sink::<Backend>::now(&other), 0);
+    assert!(freshness.age_ms().is_some_and(|age_ms| age_ms >= 6_000));
+    Sink::<Evacuation>::answered(&other, Sink::<Evacuation>::now(&other), 0);
+    assert!(freshness.age_ms().is_some_and(|age_ms| (3_000..4_000).contains(&age_ms)));
+}
+
 /// Has a process answer peers, on the present `LocalSet`.
 async fn start_answering(process: &Process) -> std::net::SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/standalone/src/catalog.rs
+++ b/crates/standalone/src/catalog.rs
@@ -8,9 +8,9 @@
 use serde::Deserialize;
 use yokefall_serving::source::Revision;
 use yokefall_serving::{
-    Backend, BackendState, BatchPolicy, Change, Configuration, KeyDigest, ListPage, RateLimit,
-    RequestLimits, Retirement, Route, RouteKind, Service, Source, SourceError, SplitPart, Tenant,
-    TenantName, Watched,
+    Backend, BackendState, BatchPolicy, Change, Configuration, Evacuation, KeyDigest, ListPage,
+    RateLimit, RequestLimits, Retirement, Route, RouteKind, Service, Source, SourceError,
+    SplitPart, Tenant, TenantName, Watched,
 };
 
 /// Interval at which the file is looked at.
@@ -31,6 +31,9 @@
     /// Machines that are to be emptied.
     #[serde(default)]
     pub retire: Vec<String>,
+    /// Zones whose back ends are to get nothing new. Followed where `placement.evacuation_ms` is set.
+    #[serde(default)]
+    pub evacuate: Vec<String>,
     /// Tenants; where there are none, requests need no key.
     #[serde(default)]
     pub tenant: Vec<TenantEntry>,
@@ -226,6 +229,12 @@
     file.backend.iter().map(backend).collect()
 }
 
+/// The zones to be evacuated in a file.
+pub fn evacuations(file: &CatalogFile) -> Vec<(String, Evacuation)> {
+    let evacuation = |zone: &String| (zone.clone(), Evacuation { zone: zone.clone() });
+    file.evacuate.iter().map(evacuation).collect()
+}
+
 /// The machines to be emptied in a file.
 pub fn retirements(file: &CatalogFile) -> Vec<(String, Retirement)> {
     file.retire.iter().map(|name| (name.clone(), Retirement { completed: false })).collect()
@@ -296,9 +305,13 @@
     }
 
     async fn list(&mut self, _after: Option<&str>) -> Result<ListPage<T>, SourceError> {
-        self.seen = Some(self.modified()?);
+        let modified = self.modified()?;
+        self.seen = Some(modified);
         let file = read(&self.path).map_err(|error| self.failed("read", error))?;
-        self.revision += 1;
+        // Processes that read the same file tell each other what they read: a count of their own would say nothing
+        // to the others.
+        let age = modified.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        self.revision = self.revision.max(age.as_millis() as u64);
         let revision = self.revision;
         let change = |(name, value)| Change { name, revision, value: Some(value) };
         let items = (self.extract)(&file).into_iter().map(change).collect();
--- a/crates/standalone/src/lib.rs
+++ b/crates/standalone/src/lib.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use yokefall_serving::{Backend, Configuration, Dialect, Platform, Retirement};
+use yokefall_serving::{Backend, Configuration, Dialect, Evacuation, Platform, Retirement};
 
 use crate::catalog::FileSource;
 use crate::claims::FileRegistry;
@@ -30,6 +30,7 @@
 impl Platform for Standalone {
     type Configurations = FileSource<Configuration>;
     type Backends = FileSource<Backend>;
+    type Evacuations = FileSource<Evacuation>;
     type Retirements = FileSource<Retirement>;
     type Registry = FileRegistry;
 
@@ -41,6 +42,10 @@
         FileSource::new(self.catalog.clone(), catalog::backends)
     }
 
+    fn evacuations(&self) -> Self::Evacuations {
+        FileSource::new(self.catalog.clone(), catalog::evacuations)
+    }
+
     fn retirements(&self) -> Self::Retirements {
         FileSource::new(self.catalog.clone(), catalog::retirements)
     }
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -75,6 +75,14 @@
     ConfigurationInForce = "configuration-in-force", Info, FAILURE_BUDGET;
     /// Back ends that take work changed.
     BackendsChanged = "backends-changed", Info, FAILURE_BUDGET;
+    /// This process learnt that an operator has a zone evacuated: its back ends get nothing new.
+    ZoneEvacuated = "zone-evacuated", Warn, FAILURE_BUDGET;
+    /// This process learnt that a zone is not evacuated any more.
+    EvacuationEnded = "evacuation-ended", Info, FAILURE_BUDGET;
+    /// A request or item that had a back end in an evacuated zone was kept from it at the last moment.
+    EvacuationObeyed = "evacuation-obeyed", Info, FAILURE_BUDGET;
+    /// An object of the platform's store can't be understood, and counts as absent.
+    EntryNotUnderstood = "entry-not-understood", Warn, FAILURE_BUDGET;
     /// The machine was suspended: what others promised to this process, and it to them, has aged by that.
     MachineSuspended = "machine-suspended", Warn, FAILURE_BUDGET;
     /// Timers wake this process late: it began or ceased to be short of processor time.
--- a/crates/types/src/placement.rs
+++ b/crates/types/src/placement.rs
@@ -23,6 +23,12 @@
 }
 
 impl PlacementBounds {
+    /// Whether decisions rest on what the platform's store told lately: on a zone that is not evacuated, or on a
+    /// back end that is not cold.
+    pub fn needs_fresh_news(&self) -> bool {
+        *self != Self::default()
+    }
+
     /// The error is key, value and what would do.
     pub fn validate(&self) -> Result<(), (&'static str, String, &'static str)> {
         if self.evacuation_ms.is_some_and(|bound| !(100..=600_000).contains(&bound)) {
