--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -15,7 +15,7 @@
 use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
 use yokefall_serving::fleet::{start_number, Identity, Notices};
 use yokefall_serving::{
-    empty_catalog, empty_fleet, Balancer, PlacementBounds, Platform, Policy, ZoneMap,
+    empty_catalog, empty_fleet, Balancer, Freshness, PlacementBounds, Platform, Policy, ZoneMap,
 };
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{EventName, Line};
@@ -168,6 +168,7 @@
         tokio::task::spawn_local(take_synced(store.clone(), synced));
         tokio::task::spawn_local(tick(store.clone()));
 
+        let freshness = Freshness::new(options.suspension.clone());
         let (notices, port) = Notices::channel();
         let discovery = DiscoveryOptions {
             identity,
@@ -176,6 +177,8 @@
             notices,
             clock: clock(),
             zones: options.zones.clone(),
+            placement: options.placement,
+            freshness: freshness.clone(),
         };
         let changed = {
             let store = store.clone();
@@ -221,7 +224,7 @@
         let target = ReportTarget::new(options.name.clone(), place);
         suspects::share(suspects.clone(), client, fleet.clone(), target, port);
         let items = ItemRunner::new(platform.dialect(), suspects.clone());
-        let worker = Worker::new(catalog.clone(), items, places, options.most_runs);
+        let worker = Worker::new(catalog.clone(), freshness, items, places, options.most_runs);
         let quota = QuotaService::new(options.name.clone(), options.quota, clock());
         tokio::task::spawn_local(quota::renew_leases(
             quota.clone(),
