--- a/crates/app/src/commands/explain.rs
+++ b/crates/app/src/commands/explain.rs
@@ -25,8 +25,15 @@
     "job-forgotten",
 ];
 /// Events that may be why something else is missing.
-const GAPS: [&str; 5] =
-    ["lines-omitted", "started", "stopped", "dependency-lost", "dependency-regained"];
+const GAPS: [&str; 7] = [
+    "lines-omitted",
+    "started",
+    "stopped",
+    "dependency-lost",
+    "dependency-regained",
+    "zone-evacuated",
+    "evacuation-ended",
+];
 
 /// Arguments of `explain`.
 #[derive(Debug, Args)]
