Connections of clients that rest give way where no new one can be taken

Cause: a gateway without descriptors retried accept every 20 ms, and nothing but the time for which a connection may rest (a minute) freed one: it said it was ready and took nobody.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -26,17 +26,31 @@
 
 /// Tells the connection when a request is served; shared with the service.
 #[derive(Clone, Debug)]
-pub struct PhaseCell(Rc<Cell<Phase>>);
+pub struct PhaseCell(Rc<Cell<(Phase, Instant)>>);
 
 impl PhaseCell {
     /// The head of a request is complete.
     pub fn serving(&self) {
-        self.0.set(Phase::Serving);
+        self.set(Phase::Serving);
     }
 
     /// The answer is on its way; another request may come.
     pub fn resting(&self) {
-        self.0.set(Phase::Resting);
+        self.set(Phase::Resting);
+    }
+
+    /// How long the connection has rested; `None` where a request is under way.
+    pub fn rested(&self) -> Option<Duration> {
+        let (phase, since) = self.0.get();
+        (phase == Phase::Resting).then(|| since.elapsed())
+    }
+
+    fn phase(&self) -> Phase {
+        self.0.get().0
+    }
+
+    fn set(&self, phase: Phase) {
+        self.0.set((phase, Instant::now()));
     }
 }
 
@@ -61,14 +75,14 @@
 impl LimitedStream {
     /// Puts limits on a stream.
     pub fn new(stream: TcpStream, limits: TimeLimits) -> (Self, PhaseCell) {
-        let phase = PhaseCell(Rc::new(Cell::new(Phase::Resting)));
+        let phase = PhaseCell(Rc::new(Cell::new((Phase::Resting, Instant::now()))));
         let limited = Self { stream, limits, phase: phase.clone(), timer: None };
         (limited, phase)
     }
 
     /// Whether the limit of the present phase has passed. Registers a wake-up otherwise.
     fn is_late(&mut self, context: &mut Context<'_>) -> bool {
-        let phase = self.phase.0.get();
+        let phase = self.phase.phase();
         let limit = match phase {
             Phase::Resting => self.limits.idle,
             Phase::Head => self.limits.head,
@@ -99,8 +113,8 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
         if polled.is_ready() {
-            if buffer.filled().len() > before && this.phase.0.get() == Phase::Resting {
-                this.phase.0.set(Phase::Head);
+            if buffer.filled().len() > before && this.phase.phase() == Phase::Resting {
+                this.phase.set(Phase::Head);
             }
             return polled;
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -25,6 +25,7 @@
 
 use crate::admission::{self, Admission};
 use crate::control;
+use crate::crowding::Crowding;
 use crate::ingress::{accept, Port};
 use crate::load;
 use crate::quota::{self, Quota};
@@ -207,6 +208,7 @@
         policy: options.policy,
         splitter: RefCell::new(Splitter::default()),
         pool: Pool::default(),
+        crowding: Crowding::default(),
         jobs: Rc::new(JobClient::new(fleet)),
         ingress: options.ingress,
         peer: options.peer,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -61,7 +61,10 @@
                 let serving = serve(stream, port, shared.clone(), closing.clone());
                 tokio::task::spawn_local(serving);
             }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            Err(error) => {
+                shared.crowding.note(&error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
@@ -89,6 +92,7 @@
     tokio::select! {
         // How a connection ends is the client's affair.
         _ = connection.as_mut() => return,
+        () = shared.crowding.until_in_the_way(&phase) => return,
         _ = closing.wait_for(|closing| *closing), if !late => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod body;
 pub mod connection;
 pub mod control;
+pub mod crowding;
 pub mod daemon;
 pub mod directory;
 pub mod forward;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use yokefall_upstream::{Places, Pool};
 
 use crate::admission::Admission;
+use crate::crowding::Crowding;
 use crate::quota::Quota;
 
 /// State of the traffic thread.
@@ -38,6 +39,8 @@
     pub splitter: RefCell<Splitter>,
     /// Connections to back ends.
     pub pool: Pool,
+    /// What gives way when no connection can be taken.
+    pub crowding: Crowding,
     /// Calls to the job store.
     pub jobs: Rc<JobClient>,
     /// Address for clients; the other gateways use the same port.
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -111,6 +111,8 @@
     AttemptFailed = "attempt-failed", Warn, FAILURE_BUDGET;
     /// A back end has said nothing for a while.
     BackendSilent = "backend-silent", Warn, FAILURE_BUDGET;
+    /// No connection of a client can be taken, as for want of descriptors; those that rest are closed.
+    ConnectionsCrowded = "connections-crowded", Warn, FAILURE_BUDGET;
     /// A back end has ended: connections to it are refused.
     BackendEnded = "backend-ended", Warn, FAILURE_BUDGET;
     /// A back end ended while it ran a request; the id is the request's digest.
