A connection between job stores that goes silent is made anew

Cause: members of the group write to each other on connections that nothing was read from. One that went silent for good, acknowledged by something on its way, ended by nothing but the restart of either process.

Change: a connection in use is asked for an answer every 500 ms (the frame with which leaders renew runs, which job stores answer already), and given up 1 s after an unanswered question, with a microsecond a byte for what was sent behind it. Line link-silent.

--- a/crates/jobstore/src/connections.rs
+++ b/crates/jobstore/src/connections.rs
@@ -7,13 +7,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{channel, Receiver, Sender};
+use tokio::time::Instant;
 use yokefall_serving::FleetCell;
+use yokefall_telemetry::{EventName, Line};
 
 use crate::addresses::Addresses;
-use crate::protocol::{encode, send_frame, Frame};
+use crate::protocol::{encode, send_frame, split, Frame, IncomingFrames};
 
 /// Frames that may wait for one member.
 const QUEUE_FRAMES: usize = 128;
@@ -24,6 +27,15 @@
 /// Time without acknowledgement of sent bytes after which a connection is given up: a member that
 /// returns must not wait for the system's long pauses between repeats.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval at which a connection in use is asked for an answer.
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without that answer after which a connection is given up. One may go silent for good, though new ones
+/// come up and its bytes are acknowledged; members would hear nothing of this one until it restarts. Some round
+/// trips between regions, and below what an election takes twice.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time that a byte may take that was sent after the question: the answer comes behind a snapshot of megabytes
+/// on a link of 30 Mbit/s, shared by four.
+const LEAST_PACE: Duration = Duration::from_nanos(1_000);
 
 /// Connections to other members, by name.
 #[derive(Debug)]
@@ -59,6 +71,65 @@
     fleet.load().members.iter().find(|member| member.name == name).map(|member| member.address)
 }
 
+/// An open connection to a member. Members send their messages on connections of their own; what comes back on
+/// this one are answers to renewals alone.
+struct Open {
+    reader: IncomingFrames,
+    writer: OwnedWriteHalf,
+    /// When the last renewal was sent, and the bytes sent since.
+    asked_at: Instant,
+    written: usize,
+    /// Whether that renewal has been answered.
+    is_answered: bool,
+}
+
+impl Open {
+    async fn connect(peer: SocketAddr) -> Option<Self> {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer));
+        let stream = connecting.await.ok()?.ok()?;
+        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let (reader, writer) = split(stream);
+        let (asked_at, written) = (Instant::now() - RENEW_INTERVAL, 0);
+        Some(Self { reader, writer, asked_at, written, is_answered: true })
+    }
+
+    /// Sends a frame, and now and then a renewal after it.
+    async fn send(&mut self, frame: Bytes) -> std::io::Result<()> {
+        self.written += frame.len();
+        send_frame(&mut self.writer, frame).await?;
+        if self.is_answered && self.asked_at.elapsed() >= RENEW_INTERVAL {
+            (self.asked_at, self.written, self.is_answered) = (Instant::now(), 0, false);
+            send_frame(&mut self.writer, encode(&Frame::Renew)).await?;
+        }
+        Ok(())
+    }
+
+    /// Until the connection has ended, or has not answered in time.
+    async fn until_lost(&mut self) -> Lost {
+        loop {
+            let answered = match self.is_answered {
+                true => Ok(self.reader.next().await),
+                false => tokio::time::timeout_at(self.answer_due(), self.reader.next()).await,
+            };
+            match answered {
+                Ok(Some(Ok(_))) => self.is_answered = true,
+                Ok(Some(Err(_)) | None) => return Lost::Closed,
+                Err(_) => return Lost::Silent,
+            }
+        }
+    }
+
+    fn answer_due(&self) -> Instant {
+        self.asked_at + ANSWER_TIMEOUT + LEAST_PACE * self.written as u32
+    }
+}
+
+/// How a connection was lost.
+enum Lost {
+    Closed,
+    Silent,
+}
+
 async fn serve(
     name: String,
     fleet: FleetCell,
@@ -66,32 +137,43 @@
     mut frames: Receiver<Bytes>,
 ) {
     let mut address = hint;
-    let mut stream: Option<OwnedWriteHalf> = None;
-    while let Some(frame) = frames.recv().await {
+    let mut open: Option<Open> = None;
+    loop {
+        let lost = async {
+            match &mut open {
+                Some(open) => open.until_lost().await,
+                None => std::future::pending().await,
+            }
+        };
+        let frame = tokio::select! {
+            frame = frames.recv() => frame,
+            lost = lost => {
+                if matches!(lost, Lost::Silent) {
+                    Line::new(EventName::LinkSilent)
+                        .id(&name)
+                        .field("after_ms", ANSWER_TIMEOUT.as_millis() as u64)
+                        .write();
+                }
+                open = None;
+                continue;
+            }
+        };
+        let Some(frame) = frame else { return };
         let current = address_of(&fleet, &name).or(address);
         if current != address {
             address = current;
-            stream = None;
+            open = None;
         }
         let Some(peer) = address else { continue };
-        if stream.is_none() {
-            stream = connect(peer).await;
+        if open.is_none() {
+            open = Open::connect(peer).await;
         }
-        let Some(open) = &mut stream else {
+        let Some(connected) = &mut open else {
             tokio::time::sleep(RECONNECT_PAUSE).await;
             continue;
         };
-        if send_frame(open, frame).await.is_err() {
-            stream = None;
+        if connected.send(frame).await.is_err() {
+            open = None;
         }
     }
 }
-
-async fn connect(peer: SocketAddr) -> Option<OwnedWriteHalf> {
-    let stream =
-        tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await.ok()?.ok()?;
-    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-    let _ = stream.set_nodelay(true);
-    // Members answer on connections of their own: nothing is read here.
-    Some(stream.into_split().1)
-}
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -113,6 +113,8 @@
     BackendSilent = "backend-silent", Warn, FAILURE_BUDGET;
     /// No connection of a client can be taken, as for want of descriptors; those that rest are closed.
     ConnectionsCrowded = "connections-crowded", Warn, FAILURE_BUDGET;
+    /// A connection to another job store gave no answer, and is made anew.
+    LinkSilent = "link-silent", Warn, FAILURE_BUDGET;
     /// A back end has ended: connections to it are refused.
     BackendEnded = "backend-ended", Warn, FAILURE_BUDGET;
     /// A back end ended while it ran a request; the id is the request's digest.
