A silent connection to a back end costs one request, not one for each that is kept

Cause: connections that are kept to a back end go silent together and stay so, while it takes new ones. A request that may not be repeated waited for its deadline on each of them in turn.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -234,7 +234,7 @@
         };
         let sent = exchange(&mut connection, request, id_header, permit);
         let limit = patience(order);
-        let answer = match wait_for(&place, limit, sent).await {
+        let answer = match wait_for(shared, &place, limit, sent).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendFailure::NotSent { cause })) => {
                 // The back end closed a kept connection: it is no sign of its health.
@@ -307,10 +307,11 @@
 }
 
 /// Notes that a back end has said nothing for a while.
-pub fn tell_silent(place: &Place) {
+pub fn tell_silent(shared: &Shared, place: &Place) {
     if !place.fell_silent(SILENCE) {
         return;
     }
+    shared.pool.forget_kept(&place.backend);
     Line::new(EventName::BackendSilent)
         .id(&place.backend.id)
         .field("started_ms", place.backend.started_ms)
@@ -321,6 +322,7 @@
 
 /// Waits for an answer, and notes the back end's silence meanwhile.
 async fn wait_for<T>(
+    shared: &Shared,
     place: &Place,
     limit: Instant,
     answer: impl std::future::Future<Output = T>,
@@ -330,7 +332,7 @@
         loop {
             match tokio::time::timeout(SILENCE, answer.as_mut()).await {
                 Ok(answer) => return answer,
-                Err(_) => tell_silent(place),
+                Err(_) => tell_silent(shared, place),
             }
         }
     })
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -122,7 +122,7 @@
     async fn piece(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         loop {
             let source = self.source.as_mut()?;
-            match next(source, &mut self.deadline, &mut self.silence).await {
+            match next(&self.shared, source, &mut self.deadline, &mut self.silence).await {
                 Next::Data(data) if !self.resumes => return Some(Ok(data)),
                 Next::Data(data) => {
                     if let Some(events) = self.whole_events(&data) {
@@ -215,6 +215,7 @@
 }
 
 async fn next(
+    shared: &Shared,
     source: &mut Source,
     deadline: &mut Pin<Box<Sleep>>,
     silence: &mut Pin<Box<Sleep>>,
@@ -227,7 +228,7 @@
             () = deadline.as_mut() => return Next::OutOfTime,
             () = silence.as_mut() => {
                 if waiting_since.elapsed() >= SILENCE {
-                    tell_silent(&source.place);
+                    tell_silent(shared, &source.place);
                 }
                 silence.as_mut().reset(Instant::now() + SILENCE);
                 continue;
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -1,7 +1,10 @@
 //! Frames between gateways and job stores, and among job stores: borsh, prefixed by their length.
 
+use std::time::Duration;
+
 use borsh::{BorshDeserialize, BorshSerialize};
 use bytes::Bytes;
+use socket2::TcpKeepalive;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
@@ -20,6 +23,11 @@
 const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
 /// Bytes from which a frame is written without being copied first.
 const LARGE_FRAME_BYTES: usize = 64 * 1024;
+/// Time without a byte after which the system probes a connection, between two probes, and how many it sends: a
+/// connection whose other side is gone lasts a minute. Those in use are watched by what is sent on them.
+const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(30);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
+const KEEP_ALIVE_RETRIES: u32 = 3;
 
 /// A job as a gateway takes it from its caller. Its form is part of the log's format.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -369,10 +377,21 @@
 
 /// Wraps a connected socket.
 pub fn framed(stream: TcpStream) -> FramedStream {
-    let _ = stream.set_nodelay(true);
+    prepare(&stream);
     Framed::new(stream, codec())
 }
 
+/// Frames are short and awaited; and whoever only reads finds out by probes that the other side is gone: its
+/// connection would else take a descriptor until the process ends.
+fn prepare(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_AFTER)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_RETRIES);
+    let _ = socket2::SockRef::from(stream).set_tcp_keepalive(&keep_alive);
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
@@ -422,7 +441,7 @@
 
 /// Splits a connected socket into frames that arrive and the end that `send_frame` writes to.
 pub fn split(stream: TcpStream) -> (IncomingFrames, OwnedWriteHalf) {
-    let _ = stream.set_nodelay(true);
+    prepare(&stream);
     let (reader, writer) = stream.into_split();
     (FramedRead::new(reader, codec()), writer)
 }
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -182,6 +182,7 @@
             }
             Err(_) => {
                 place.outcome = Outcome::Failed;
+                self.pool.forget_kept(&backend);
                 return again(format!("{} gave no answer", backend.id), false);
             }
         };
@@ -268,6 +269,7 @@
                 }
                 Err(_) => {
                     place.outcome = Outcome::Failed;
+                    self.pool.forget_kept(&place.backend);
                     return again(format!("{} fell silent", place.backend.id));
                 }
             };
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -163,6 +163,14 @@
         connections.idle.push(Idle { connection, until });
     }
 
+    /// Drops what is kept to a back end that says nothing on a request. Its connections may have gone silent
+    /// together and for good, while it takes new ones; each that is used would cost a request.
+    pub fn forget_kept(&self, backend: &Backend) {
+        if let Some(connections) = self.backends.borrow_mut().get_mut(backend) {
+            connections.idle.clear();
+        }
+    }
+
     /// Drops what is kept to lives that nobody knows any more.
     pub fn retain(&self, known: impl Fn(&BackendLife) -> bool) {
         self.backends.borrow_mut().retain(|life, connections| {
