--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod knowledge;
 pub mod lateness;
 pub mod listing;
+pub mod lives;
 pub mod model;
 pub mod news;
 pub mod news_exchange;
@@ -35,6 +36,7 @@
 pub use fleet::{empty_fleet, Fleet, FleetCell, FleetMember};
 pub use identity::{Caller, Requester};
 pub use job::{ItemHeader, ItemState, JobItem, PositionedResult, ResultPage};
+pub use lives::ByLife;
 pub use model::{
     Backend, BackendLife, BackendState, BatchPolicy, Configuration, Evacuation, RequestLimits,
     Route, RouteKind, Service, SplitPart, WarmUp,
