--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -11,7 +11,6 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use yokefall_clock::{ElapsedClock, SuspensionSource};
-use yokefall_jobstore::aggregators::{Place, ReportTarget};
 use yokefall_jobstore::{suspects, JobClient};
 use yokefall_quota::QuotaBounds;
 use yokefall_serving::discovery::PeerPorts;
@@ -180,11 +179,9 @@
         tokio::task::spawn_local(relay_port::serve(relay, shared.clone()));
         tokio::task::spawn_local(quota::assignment::maintain(shared.clone()));
         tokio::task::spawn_local(quota::assignment::try_failing(shared.clone()));
-        let place = Place { zone: options.zone.clone(), zones: options.zones.clone() };
-        let target = || ReportTarget::new(options.name.clone(), place.clone());
-        tokio::task::spawn_local(load::report(shared.clone(), target()));
+        tokio::task::spawn_local(load::report(shared.clone(), options.name.clone()));
         let (registry, fleet) = (shared.suspects.clone(), shared.fleet.clone());
-        suspects::share(registry, shared.jobs.clone(), fleet, target(), port);
+        suspects::share(registry, shared.jobs.clone(), fleet, &options.name, port);
         while !*stop.borrow() {
             if stop.changed().await.is_err() {
                 break;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -34,10 +34,10 @@
     is_current: bool,
 }
 
-/// Reports to `target` for ever.
-pub async fn report(shared: Rc<Shared>, target: ReportTarget) {
+/// Reports for ever.
+pub async fn report(shared: Rc<Shared>, gateway: String) {
     let mut known = Known {
-        target,
+        target: ReportTarget::new(gateway),
         aggregator: String::new(),
         moved_from: None,
         totals: HashMap::new(),
--- a/crates/jobstore/src/aggregators.rs
+++ b/crates/jobstore/src/aggregators.rs
@@ -1,16 +1,12 @@
 //! Which job stores add up load reports, and the exchange of their sums.
-//!
-//! Reports stay in their region: each region with job stores has aggregators of its own, and what crosses to
-//! other regions is one sum an aggregator, not a report a gateway.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use yokefall_serving::{Fleet, FleetCell, FleetMember, ZoneMap};
+use yokefall_serving::{Fleet, FleetCell, FleetMember};
 use yokefall_types::rendezvous_score;
 
 use crate::loads::report_interval;
@@ -29,37 +25,12 @@
 /// count.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The job stores that add up load reports, by region. Gateways of a region without job stores report to those of
-/// other regions.
-pub fn aggregators<'a>(
-    fleet: &'a Fleet,
-    leader: Option<&str>,
-    zones: &ZoneMap,
-) -> Vec<&'a FleetMember> {
-    let mut regions: BTreeMap<Option<&str>, Vec<&FleetMember>> = BTreeMap::new();
-    for store in fleet.job_stores().filter(|member| member.accepting) {
-        regions.entry(zones.region_of(&store.zone)).or_default().push(store);
-    }
-    let is_alone = regions.len() <= 1;
-    let of_region = |(region, stores): (Option<&str>, Vec<&'a FleetMember>)| {
-        let is_here = |gateway: &&FleetMember| zones.region_of(&gateway.zone) == region;
-        let gateways = match is_alone {
-            true => fleet.gateways().count(),
-            false => fleet.gateways().filter(is_here).count(),
-        };
-        first_of_region(stores, leader, gateways)
-    };
-    regions.into_iter().flat_map(of_region).collect()
-}
-
-/// The aggregators among the job stores of a region with so many gateways, the first by rendezvous score. Where
-/// one is enough, the leader does it, so that the runner of items knows loads without another hop.
-fn first_of_region<'a>(
-    mut stores: Vec<&'a FleetMember>,
-    leader: Option<&str>,
-    gateways: usize,
-) -> Vec<&'a FleetMember> {
-    let wanted = gateways.div_ceil(GATEWAYS_PER_AGGREGATOR).max(1);
+/// The job stores that add up load reports, the first by rendezvous score. Where one
+/// is enough, the leader does it, so that the runner of items knows loads without another hop.
+pub fn aggregators<'a>(fleet: &'a Fleet, leader: Option<&str>) -> Vec<&'a FleetMember> {
+    let wanted = fleet.gateways().count().div_ceil(GATEWAYS_PER_AGGREGATOR).max(1);
+    let mut stores: Vec<&FleetMember> =
+        fleet.job_stores().filter(|member| member.accepting).collect();
     let leads = |member: &FleetMember| wanted == 1 && leader == Some(member.name.as_str());
     let score = rendezvous_score(AGGREGATOR_KEY);
     stores.sort_by_cached_key(|member| Reverse((leads(member), score(&member.name))));
@@ -67,14 +38,14 @@
     stores
 }
 
-/// The aggregator of a gateway in a fleet of one region: the one with the highest hash of both names, so that
-/// the loss of one moves only its own gateways.
+/// The aggregator of a gateway: the one with the highest hash of both names, so that the loss of one
+/// moves only its own gateways.
 pub fn aggregator_of<'a>(
     fleet: &'a Fleet,
     leader: Option<&str>,
     gateway: &str,
 ) -> Option<&'a FleetMember> {
-    nearest(aggregators(fleet, leader, &ZoneMap::default()), gateway)
+    nearest(aggregators(fleet, leader), gateway)
 }
 
 fn nearest<'a>(members: Vec<&'a FleetMember>, gateway: &str) -> Option<&'a FleetMember> {
@@ -82,27 +53,10 @@
     members.into_iter().max_by_key(|member| score(&member.name))
 }
 
-/// Where a process stands among the zones and regions of its fleet.
-#[derive(Clone, Debug, Default)]
-pub struct Place {
-    /// Its zone.
-    pub zone: String,
-    /// Regions of zones.
-    pub zones: Arc<ZoneMap>,
-}
-
-impl Place {
-    fn is_in_region_of(&self, member: &FleetMember) -> bool {
-        self.zones.region_of(&self.zone) == self.zones.region_of(&member.zone)
-    }
-}
-
 /// The job store to which one gateway reports.
 #[derive(Debug)]
 pub struct ReportTarget {
     gateway: String,
-    /// Where the gateway stands.
-    place: Place,
     /// Who leads, by the last answer.
     leader: Option<String>,
     /// Job stores that get no report until then.
@@ -113,8 +67,8 @@
 
 impl ReportTarget {
     /// Nothing is known of who leads yet.
-    pub fn new(gateway: String, place: Place) -> Self {
-        Self { gateway, place, leader: None, avoided: HashMap::new(), unanswered: None }
+    pub fn new(gateway: String) -> Self {
+        Self { gateway, leader: None, avoided: HashMap::new(), unanswered: None }
     }
 
     /// Name of the gateway.
@@ -127,20 +81,17 @@
         self.leader.as_deref()
     }
 
-    /// The job store that gets the next report: an aggregator of the gateway's own region, of another one where
-    /// all of these are avoided, or any job store where all aggregators are.
+    /// The job store that gets the next report: an aggregator, or any job store where all aggregators
+    /// are avoided.
     pub fn choose<'a>(&self, fleet: &'a Fleet) -> Option<&'a FleetMember> {
         let now = Instant::now();
         let may_report = |member: &&FleetMember| {
             self.avoided.get(&member.name).is_none_or(|until| *until <= now)
         };
         let nearest = |members: Vec<&'a FleetMember>| nearest(members, &self.gateway);
-        let aggregators = aggregators(fleet, self.leader(), &self.place.zones);
-        let is_near = |member: &&FleetMember| self.place.is_in_region_of(member);
-        let near = aggregators.iter().copied().filter(is_near).filter(may_report).collect();
+        let aggregators = aggregators(fleet, self.leader());
         let accepting = fleet.job_stores().filter(|member| member.accepting);
-        nearest(near)
-            .or_else(|| nearest(aggregators.iter().copied().filter(may_report).collect()))
+        nearest(aggregators.iter().copied().filter(may_report).collect())
             .or_else(|| nearest(accepting.filter(may_report).collect()))
             .or_else(|| nearest(aggregators))
     }
@@ -174,7 +125,7 @@
 
 /// Sends this process's sums to the other aggregators and to the leader, for ever: when they change,
 /// once an interval at most.
-pub async fn exchange(store: Rc<Store>, fleet: FleetCell, zones: Arc<ZoneMap>, me: String) {
+pub async fn exchange(store: Rc<Store>, fleet: FleetCell, me: String) {
     let mut sent: Option<LoadSums> = None;
     let mut sent_at = Instant::now();
     loop {
@@ -199,7 +150,7 @@
             gateways: 0,
         };
         let frame = Frame::Sums(sums.clone().unwrap_or(none));
-        for name in listeners(&fleet, &zones, store.leader(), &me) {
+        for name in listeners(&fleet, store.leader(), &me) {
             store.send_frame(&name, &frame);
         }
         sent = sums;
@@ -208,8 +159,8 @@
 }
 
 /// Names of the job stores that need this one's sums.
-fn listeners(fleet: &Fleet, zones: &ZoneMap, leader: Option<String>, me: &str) -> Vec<String> {
-    let aggregators = aggregators(fleet, leader.as_deref(), zones);
+fn listeners(fleet: &Fleet, leader: Option<String>, me: &str) -> Vec<String> {
+    let aggregators = aggregators(fleet, leader.as_deref());
     let mut names: Vec<String> =
         aggregators.into_iter().map(|member| member.name.clone()).collect();
     names.extend(leader);
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -21,7 +21,6 @@
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::Places;
 
-use crate::aggregators::{Place, ReportTarget};
 use crate::client::JobClient;
 use crate::connections::Links;
 use crate::delegation::Delegation;
@@ -202,7 +201,6 @@
         tokio::task::spawn_local(aggregators::exchange(
             store.clone(),
             fleet.clone(),
-            options.zones.clone(),
             options.name.clone(),
         ));
         let voters = 2 * options.tolerated_losses + 1;
@@ -220,9 +218,7 @@
         suspects::load(&options.folder, &suspects);
         tokio::task::spawn_local(suspects::keep(options.folder.clone(), suspects.clone()));
         let client = Rc::new(JobClient::new(fleet.clone()));
-        let place = Place { zone: options.zone.clone(), zones: options.zones.clone() };
-        let target = ReportTarget::new(options.name.clone(), place);
-        suspects::share(suspects.clone(), client, fleet.clone(), target, port);
+        suspects::share(suspects.clone(), client, fleet.clone(), &options.name, port);
         let items = ItemRunner::new(platform.dialect(), suspects.clone());
         let worker = Worker::new(catalog.clone(), freshness, items, places, options.most_runs);
         let quota = QuotaService::new(options.name.clone(), options.quota, clock());
--- a/crates/jobstore/tests/loads.rs
+++ b/crates/jobstore/tests/loads.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use yokefall_jobstore::aggregators::{aggregator_of, aggregators, Place, ReportTarget};
+use yokefall_jobstore::aggregators::{aggregator_of, aggregators, ReportTarget};
 use yokefall_jobstore::loads::Loads;
 use yokefall_jobstore::room::Room;
 use yokefall_jobstore::{
     BackendCount, BackendOutcomes, BackendTotal, LoadReport, LoadSums, ServiceRate,
 };
-use yokefall_serving::{BackendLife, Fleet, FleetMember, ZoneMap};
+use yokefall_serving::{BackendLife, Fleet, FleetMember};
 
 /// The life of a back end that tells no start.
 fn life(id: &str) -> BackendLife {
@@ -89,7 +89,7 @@
     let back_ends = 168;
     for gateways in [1, 10, 80, 300, 550] {
         let fleet = fleet(gateways, 45);
-        let chosen = aggregators(&fleet, None, &ZoneMap::default());
+        let chosen = aggregators(&fleet, None);
         let mut busiest: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for gateway in 0..gateways {
             let name = format!("edge-{gateway}");
@@ -232,7 +232,7 @@
 
     let whole = fleet(250, 45);
     let mut less = whole.clone();
-    let lost = aggregators(&whole, None, &ZoneMap::default())[3].name.clone();
+    let lost = aggregators(&whole, None)[3].name.clone();
     less.members.retain(|member| member.name != lost);
     let of = |fleet: &Fleet, gateway: usize| {
         let name = format!("edge-{gateway}");
@@ -322,7 +322,7 @@
     let fleet = fleet(6, 3);
     let cut_off = aggregator_of(&fleet, None, "edge-1").expect("an aggregator").name.clone();
     let leader = fleet.job_stores().find(|store| store.name != cut_off).expect("another");
-    let mut target = ReportTarget::new("edge-1".into(), Place::default());
+    let mut target = ReportTarget::new("edge-1".into());
     for _ in 0..3 {
         let asked = target.choose(&fleet).expect("a job store").name.clone();
         let told = (asked != cut_off).then(|| leader.name.clone());
@@ -335,16 +335,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_job_store_that_knows_the_leader_again_gets_reports_again() {
     let fleet = fleet(80, 45);
-    let mut target = ReportTarget::new("edge-1".into(), Place::default());
+    let mut target = ReportTarget::new("edge-1".into());
     let own = target.choose(&fleet).expect("a job store").name.clone();
     target.answered(&own, None);
     let second = target.choose(&fleet).expect("a job store").name.clone();
-    assert!(
-        second != own
-            && aggregators(&fleet, None, &ZoneMap::default())
-                .iter()
-                .any(|store| store.name == second)
-    );
+    assert!(second != own && aggregators(&fleet, None).iter().any(|store| store.name == second));
     target.answered(&second, Some("store-1".into()));
     tokio::time::sleep(Duration::from_millis(2_100)).await;
     assert_eq!(target.choose(&fleet).expect("a job store").name, own);
@@ -354,7 +349,7 @@
 #[tokio::test(start_paused = true)]
 async fn reports_go_on_while_nobody_leads() {
     let fleet = fleet(6, 3);
-    let mut target = ReportTarget::new("edge-1".into(), Place::default());
+    let mut target = ReportTarget::new("edge-1".into());
     for _ in 0..10 {
         let asked = target.choose(&fleet).expect("a job store").name.clone();
         target.failed(&asked);
@@ -381,7 +376,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_job_store_is_left_after_two_answers_that_did_not_come() {
     let fleet = fleet(80, 45);
-    let mut target = ReportTarget::new("edge-1".into(), Place::default());
+    let mut target = ReportTarget::new("edge-1".into());
     let own = target.choose(&fleet).expect("a job store").name.clone();
     for _ in 0..3 {
         target.failed(&own);
