Jobs that must stay in some regions are refused before their bodies leave; other regions cost more

Cause: the log of jobs is copied to all members of the group, so that the bodies of a job whose route or tenant must stay in some regions reached job stores of all; workers were chosen by zone alone; another region cost a request as little as another zone. Change: a gateway refuses a job (503, 4 s, line region-refused) whose residency, cut over its own route and those of its items, leaves out any job store that it knows; it asks by id alone whether the job is kept already, so that an accepted one is never turned away. The leader looks again at the members of the group, those that have ended included. Newcomers from inside the regions of all held jobs come first into the group, others last. Items run at workers in their regions alone, the nearest to the back end. A back end of another region costs 0.4 of its slots (bytes between regions are priced four times those between zones, 8 ms each way), and prefixes stay in the region while it has room.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -194,7 +194,8 @@
     let fleet = empty_fleet();
     let catalog = empty_catalog();
     let clock = || ElapsedClock::new(options.suspension.clone());
-    let balancer = Balancer::new(options.zone.clone(), rand::random(), options.policy);
+    let balancer = Balancer::new(options.zone.clone(), rand::random(), options.policy)
+        .with_zones(options.zones.clone());
     Shared {
         catalog: catalog.clone(),
         eligibility: Eligibility::new(catalog.clone()),
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -8,11 +8,13 @@
 use http::request::Parts;
 use http::{header, HeaderName, HeaderValue, Response, StatusCode};
 use tokio::time::Instant;
+use yokefall_jobstore::residence::residency_of_job;
 use yokefall_jobstore::{CallOutcome, Reply, Request, Submission};
-use yokefall_serving::{BadSubmission, Caller, JobCall, JobItem, Requester, Route};
+use yokefall_serving::{BadSubmission, Caller, JobCall, JobItem, Requester, Residency, Route};
 use yokefall_telemetry::{EventName, Line};
 
 use crate::answer::{json, plain, refusal, Answer, AnswerBody};
+use crate::regions;
 use crate::shared::Shared;
 
 /// Items of one job at most.
@@ -50,6 +52,7 @@
         let text = format!("{}: give the id of the job", names.request_id);
         return plain(StatusCode::BAD_REQUEST, text);
     };
+    let deadline = arrived + told_time(&parts.headers, &names.deadline_ms).unwrap_or(CALL_TIME);
     let items = shared.dialect.parse_submission(body).and_then(check_items);
     let mut items = match items {
         Ok(items) => items,
@@ -58,6 +61,12 @@
     if sender.caller != Caller::Unchecked {
         forget_keys(&mut items, &names.tenant);
     }
+    let residency = residency_of(shared, route, &sender, &items);
+    let far = regions::forbidden_job_stores(shared, &residency);
+    if !far.is_empty() {
+        return answer_unkept(shared, job, sender.caller.requester(), (&residency, far), deadline)
+            .await;
+    }
     let submission = Submission {
         host: sender.host,
         max_attempts: route.max_attempts.max(1),
@@ -69,15 +78,10 @@
     };
     let requester = sender.caller.requester();
     let request = Request::Submit { job: job.to_owned(), requester, submission };
-    let deadline = arrived + told_time(&parts.headers, &names.deadline_ms).unwrap_or(CALL_TIME);
     let outcome = shared.jobs.call(request, deadline).await;
     tell_unsure(job, "submit", &outcome, arrived);
     match outcome {
-        CallOutcome::Answered(Reply::Accepted) => {
-            let mut answer = Response::new(AnswerBody::whole(Bytes::new()));
-            *answer.status_mut() = StatusCode::ACCEPTED;
-            answer
-        }
+        CallOutcome::Answered(Reply::Accepted) => accepted(),
         CallOutcome::Answered(Reply::Full) => {
             refusal(&names.retry_after, RETRY_AFTER, "no room for the job now")
         }
@@ -87,19 +91,63 @@
             *answer.status_mut() = StatusCode::TOO_MANY_REQUESTS;
             answer
         }
-        CallOutcome::Answered(Reply::Taken) => {
-            plain(StatusCode::CONFLICT, "another tenant has a job of this id")
-        }
-        CallOutcome::NotDone => {
-            refusal(&names.retry_after, RETRY_AFTER, "no job store answers now")
-        }
-        // A refusal would promise that nothing of the job runs.
-        CallOutcome::Unknown | CallOutcome::Answered(_) => {
-            plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been taken; send it again")
+        CallOutcome::Answered(Reply::Taken) => taken(),
+        CallOutcome::Answered(Reply::OutOfRegions { members }) => {
+            regions::refuse_job(shared, job, &residency, &members)
         }
+        CallOutcome::NotDone => no_job_store(shared),
+        CallOutcome::Unknown | CallOutcome::Answered(_) => may_be_taken(),
     }
 }
 
+/// Where a job may be kept: where its own route and those of its items allow.
+fn residency_of(shared: &Shared, route: &Route, sender: &Sender, items: &[JobItem]) -> Residency {
+    let catalog = shared.catalog.load();
+    let tenant = sender.caller.tenant().map(|tenant| &tenant.name);
+    let paths = items.iter().map(|item| item.path.as_str());
+    let of_items = residency_of_job(&catalog, &sender.host, tenant, paths);
+    catalog.residency(route, tenant).and(&of_items)
+}
+
+/// The answer to a job that may not be kept at some job stores: it stays here, unless it is kept already and
+/// was sent again.
+async fn answer_unkept(
+    shared: &Rc<Shared>,
+    job: &str,
+    requester: Requester,
+    (residency, far): (&Residency, Vec<String>),
+    deadline: Instant,
+) -> Answer {
+    let request = Request::IsKept { job: job.to_owned(), requester };
+    match shared.jobs.call(request, deadline).await {
+        CallOutcome::Answered(Reply::Accepted) => accepted(),
+        CallOutcome::Answered(Reply::Taken) => taken(),
+        CallOutcome::Answered(Reply::NotFound) => regions::refuse_job(shared, job, residency, &far),
+        CallOutcome::NotDone => no_job_store(shared),
+        CallOutcome::Unknown | CallOutcome::Answered(_) => may_be_taken(),
+    }
+}
+
+fn accepted() -> Answer {
+    let mut answer = Response::new(AnswerBody::whole(Bytes::new()));
+    *answer.status_mut() = StatusCode::ACCEPTED;
+    answer
+}
+
+fn taken() -> Answer {
+    plain(StatusCode::CONFLICT, "another tenant has a job of this id")
+}
+
+fn no_job_store(shared: &Shared) -> Answer {
+    let name = &shared.dialect.headers().retry_after;
+    refusal(name, RETRY_AFTER, "no job store answers now")
+}
+
+/// A refusal would promise that nothing of the job runs.
+fn may_be_taken() -> Answer {
+    plain(StatusCode::GATEWAY_TIMEOUT, "the job may have been taken; send it again")
+}
+
 /// Takes keys and tenants that items name out of them: they must not reach the log.
 fn forget_keys(items: &mut [JobItem], tenant: &HeaderName) {
     let is_secret = |name: &str| {
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::delegation::Delegation;
 use crate::disk::{Disk, Synced};
 use crate::quota::{self, QuotaService};
+use crate::residence::KnownZones;
 use crate::run::ItemRunner;
 use crate::runner::{Runner, RunnerOptions};
 use crate::state::Applied;
@@ -201,14 +202,16 @@
             options.name.clone(),
         ));
         let voters = 2 * options.tolerated_losses + 1;
+        let known_zones = Rc::new(KnownZones::default());
         tokio::task::spawn_local(group::lead(
             platform.clone(),
             store.clone(),
-            fleet.clone(),
+            (fleet.clone(), catalog.clone(), known_zones.clone()),
             voters,
         ));
         let places = Places::new(
-            Balancer::new(options.zone.clone(), rand::random(), options.policy),
+            Balancer::new(options.zone.clone(), rand::random(), options.policy)
+                .with_zones(options.zones.clone()),
             clock(),
         );
         let suspects = Registry::new(catalog.clone(), clock());
@@ -230,7 +233,8 @@
             catalog.clone(),
             fleet.clone(),
         ));
-        let delegation = Delegation::new(fleet.clone(), store.clone(), suspects.clone());
+        let delegation =
+            Delegation::new(fleet.clone(), options.zones.clone(), store.clone(), suspects.clone());
         let runner_options = RunnerOptions {
             retention: options.retention,
             most_runs: options.most_runs,
@@ -239,8 +243,15 @@
         let runner =
             Runner::new(store.clone(), worker.clone(), delegation, fleet.clone(), runner_options);
         tokio::task::spawn_local(Rc::new(runner).run());
-        let serving =
-            server::serve(listener, store.clone(), worker, quota.clone(), options.page_bytes);
+        let places = (fleet.clone(), known_zones);
+        let serving = server::serve(
+            listener,
+            store.clone(),
+            worker,
+            quota.clone(),
+            places,
+            options.page_bytes,
+        );
         tokio::task::spawn_local(serving);
 
         while !*stop.borrow() {
--- a/crates/jobstore/src/delegation.rs
+++ b/crates/jobstore/src/delegation.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
@@ -16,7 +17,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
-use yokefall_serving::{Backend, FleetCell, FleetMember};
+use yokefall_serving::{Backend, FleetCell, FleetMember, Residency, ZoneMap};
 use yokefall_suspects::Registry;
 use yokefall_types::rendezvous_score;
 use yokefall_upstream::Place;
@@ -59,6 +60,7 @@
 /// Workers of this leader.
 pub struct Delegation {
     fleet: FleetCell,
+    zones: Arc<ZoneMap>,
     store: Rc<Store>,
     suspects: Rc<Registry>,
     links: RefCell<HashMap<String, Rc<Link>>>,
@@ -83,9 +85,15 @@
 
 impl Delegation {
     /// No connections yet.
-    pub fn new(fleet: FleetCell, store: Rc<Store>, suspects: Rc<Registry>) -> Self {
+    pub fn new(
+        fleet: FleetCell,
+        zones: Arc<ZoneMap>,
+        store: Rc<Store>,
+        suspects: Rc<Registry>,
+    ) -> Self {
         Self {
             fleet,
+            zones,
             store,
             suspects,
             links: RefCell::default(),
@@ -94,10 +102,10 @@
         }
     }
 
-    /// The job store that runs items of a back end: of those that do not vote, in the back end's zone
-    /// where there are any, the one with the highest hash of both names, so that connections to back
-    /// ends are used again. `None` where this process should run them itself.
-    pub fn worker_for(&self, backend: &Backend) -> Option<FleetMember> {
+    /// The job store that runs items of a back end: of those that do not vote and stand where the item may be,
+    /// the nearest to the back end (`nearest`), and of these the one with the highest hash of both names, so
+    /// that connections to back ends are used again. `None` where this process should run them itself.
+    pub fn worker_for(&self, backend: &Backend, residency: &Residency) -> Option<FleetMember> {
         let voters = self.store.with_core(|core, _| core.members().voters.clone());
         let fleet = self.fleet.load();
         let mut resting = self.resting.borrow_mut();
@@ -107,11 +115,11 @@
             member.accepting
                 && !resting.contains_key(&member.name)
                 && !voters.iter().any(|voter| voter.name == member.name)
+                && residency.allows(self.zones.region_of(&member.zone))
         };
         let free: Vec<&FleetMember> = fleet.job_stores().filter(is_free).collect();
-        let is_near = free.iter().any(|member| member.zone == backend.zone);
-        let candidates = free.into_iter().filter(|member| !is_near || member.zone == backend.zone);
         let score = rendezvous_score(backend.id.as_bytes());
+        let candidates = nearest(&free, &backend.zone, &self.zones).into_iter();
         candidates.max_by_key(|member| score(&member.name)).cloned()
     }
 
@@ -192,6 +200,17 @@
     }
 }
 
+/// Members as near to a zone as any: those in it, else those of its region, else all.
+pub fn nearest<'a>(
+    members: &[&'a FleetMember],
+    zone: &str,
+    zones: &ZoneMap,
+) -> Vec<&'a FleetMember> {
+    let distance = |member: &FleetMember| zones.distance(&member.zone, zone);
+    let least = members.iter().map(|member| distance(member)).min();
+    members.iter().copied().filter(|member| Some(distance(member)) == least).collect()
+}
+
 /// How a run ends that gave its slot to an online request.
 pub fn preemption() -> RunEnd {
     RunEnd::Again { cause: "preempted by online requests".into(), pause: true }
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -12,11 +12,13 @@
 use yokefall_serving::source::Revision;
 use yokefall_serving::watch::{follow, Sink};
 use yokefall_serving::{
-    Change, Claim, FleetCell, Listing, Platform, Registry, Retirement, SourceError,
+    Catalog, CatalogCell, Change, Claim, FleetCell, Listing, Platform, Registry, Retirement,
+    SourceError,
 };
 use yokefall_telemetry::{EventName, Line};
 
 use crate::protocol::Frame;
+use crate::residence::KnownZones;
 use crate::store::Store;
 
 /// Interval at which a member that is outside asks to join, at first: a lost disk is to be replaced
@@ -138,7 +140,12 @@
 }
 
 /// Changes members while this member leads.
-pub async fn lead<P: Platform>(platform: P, store: Rc<Store>, fleet: FleetCell, voters: usize) {
+pub async fn lead<P: Platform>(
+    platform: P,
+    store: Rc<Store>,
+    places: (FleetCell, CatalogCell, Rc<KnownZones>),
+    voters: usize,
+) {
     let leaving = Leaving::default();
     let mut watch: Option<tokio::task::JoinHandle<()>> = None;
     loop {
@@ -164,7 +171,7 @@
                 Duty::always(),
             )));
         }
-        let busy = change_members(&platform, &store, &fleet, &leaving, voters).await;
+        let busy = change_members(&platform, &store, &places, &leaving, voters).await;
         report_emptied(&platform, &store, &leaving).await;
         if busy {
             tokio::time::sleep(POLICY_INTERVAL).await;
@@ -178,11 +185,13 @@
 async fn change_members<P: Platform>(
     platform: &P,
     store: &Store,
-    fleet: &FleetCell,
+    (fleet, catalog, known_zones): &(FleetCell, CatalogCell, Rc<KnownZones>),
     leaving: &Leaving,
     voters: usize,
 ) -> bool {
+    known_zones.note(&fleet.load());
     let joining = spread(store, fleet, store.joining(JOIN_LIFETIME));
+    let joining = inside_first(store, &catalog.load(), known_zones, joining);
     let wishes = Wishes { joining, leaving: leaving.all(), voters };
     let (step, pair) = store.with_core(|core, now| {
         let step = next_step(core, now, &wishes);
@@ -227,6 +236,21 @@
     joining
 }
 
+/// Puts first those who ask from where all jobs may be kept that are held now.
+fn inside_first(
+    store: &Store,
+    catalog: &Catalog,
+    known_zones: &KnownZones,
+    mut joining: Vec<MemberId>,
+) -> Vec<MemberId> {
+    if joining.is_empty() || !catalog.has_regions() {
+        return joining;
+    }
+    let residency = store.residency(catalog);
+    known_zones.inside_first(&mut joining, &residency, &catalog.zones);
+    joining
+}
+
 /// Claims a pair for this member; where there is none, nothing needs a claim.
 async fn claim_pair<P: Platform>(platform: &P, store: &Store, pair: Option<Pair>) -> bool {
     let Some(Pair { epoch }) = pair else { return true };
--- a/crates/jobstore/src/intake.rs
+++ b/crates/jobstore/src/intake.rs
@@ -49,6 +49,11 @@
 }
 
 impl Intake {
+    /// Whether a job is on its way.
+    pub fn is_pending(&self, job: &str) -> bool {
+        self.pending.borrow().contains_key(job)
+    }
+
     /// Reserves room for a submission. Invariant: what was taken and what is on its way never
     /// exceeds the limits together; submissions that arrive at the same moment would else each fit.
     pub fn reserve(
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod preemption;
 pub mod protocol;
 pub mod quota;
+pub mod residence;
 pub mod room;
 pub mod run;
 pub mod runner;
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -241,6 +241,13 @@
         /// Whether it gives them back, since it stops.
         releases: bool,
     },
+    /// Asks whether a job is kept, or may yet be, without sending it.
+    IsKept {
+        /// Id of the job.
+        job: String,
+        /// Who asks.
+        requester: Requester,
+    },
 }
 
 /// What a job store answers.
@@ -285,6 +292,11 @@
     Unsure,
     /// The change may be in force or not.
     Unknown,
+    /// The job may not be kept at some members of the group, to which it would go; nothing of it was kept.
+    OutOfRegions {
+        /// Their names.
+        members: Vec<String>,
+    },
 }
 
 /// One frame.
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -320,6 +320,13 @@
         (route.kind == RouteKind::Batch).then_some(SlotPool { service, residency })
     }
 
+    /// Where an item may be sent; nowhere while no route has its path.
+    fn residency_of(&self, sender: &ItemSender, item: &JobItem) -> Residency {
+        let catalog = self.worker.catalog.load();
+        let residency = catalog.residency_at(&sender.host, &item.path, sender.tenant.as_ref());
+        residency.unwrap_or_else(Residency::nowhere)
+    }
+
     /// The slots of a pool.
     fn room(&self, pool: &SlotPool) -> Room {
         let catalog = self.worker.catalog.load();
@@ -407,7 +414,9 @@
         placed: PlacedItem,
     ) {
         let PlacedItem { mut place, phase, preempted } = placed;
-        let worker = self.delegation.worker_for(&place.backend);
+        // An item without a route goes to no back end; as long as that is so, its body stays here.
+        let residency = self.residency_of(&sender, &item);
+        let worker = self.delegation.worker_for(&place.backend, &residency);
         Line::new(EventName::ItemStarted)
             .id(&item.id)
             .text("job", &key.0)
--- a/crates/jobstore/src/server.rs
+++ b/crates/jobstore/src/server.rs
@@ -11,14 +11,16 @@
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use yokefall_consensus::MemberId;
+use yokefall_serving::{FleetCell, Requester, Residency};
 use yokefall_suspects::{Sender, SuspectReport};
 
 use crate::delegation::RUN_LEASE;
 use crate::intake::NotTaken;
 use crate::protocol::{
-    decode, encode, send_frame, split, Frame, IncomingFrames, Outgoing, Reply, Request,
+    decode, encode, send_frame, split, Frame, IncomingFrames, Outgoing, Reply, Request, Submission,
 };
 use crate::quota::QuotaService;
+use crate::residence::{residency_of_job, KnownZones};
 use crate::state::{Command, PAGE_BYTES};
 use crate::store::{Found, ProposeError, Store};
 use crate::worker::{ConnectionRuns, Worker};
@@ -37,6 +39,8 @@
     store: Rc<Store>,
     worker: Rc<Worker>,
     quota: Rc<QuotaService>,
+    fleet: FleetCell,
+    known_zones: Rc<KnownZones>,
     /// Pages that may be on their way at once.
     pages: Arc<Semaphore>,
 }
@@ -47,10 +51,12 @@
     store: Rc<Store>,
     worker: Rc<Worker>,
     quota: Rc<QuotaService>,
+    (fleet, known_zones): (FleetCell, Rc<KnownZones>),
     page_bytes: usize,
 ) {
     let pages = (page_bytes / (PAGE_BYTES * PAGE_COPIES)).max(1);
-    let server = Server { store, worker, quota, pages: Arc::new(Semaphore::new(pages)) };
+    let pages = Arc::new(Semaphore::new(pages));
+    let server = Server { store, worker, quota, fleet, known_zones, pages };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -184,6 +190,10 @@
                 Some(false) => return Reply::Taken,
                 None => {}
             }
+            let members = forbidden_members(server, &requester, &submission);
+            if !members.is_empty() {
+                return Reply::OutOfRegions { members };
+            }
             let _room = match store.reserve(&job, &submission) {
                 Ok(room) => room,
                 Err(NotTaken::UnderWay) => return Reply::Unknown,
@@ -204,6 +214,14 @@
             let body = store.read(|jobs| jobs.body(&job, &requester, &item).map(<[u8]>::to_vec));
             found(store, body, Reply::Body)
         }
+        Request::IsKept { job, requester } => {
+            match store.with_job(&job, |held| requester.may_use(held.tenant.as_ref())) {
+                Some(true) => Reply::Accepted,
+                Some(false) => Reply::Taken,
+                None if store.is_under_way(&job) => Reply::Unknown,
+                None => Reply::NotFound,
+            }
+        }
         Request::Accountants => Reply::Accountants(store.accountants()),
         Request::RenewSlots { name, releases } => Reply::Slots(quota.renew(store, &name, releases)),
         Request::Load(_) | Request::Run(_) | Request::TakeTokens(_) | Request::Suspects(_) => {
@@ -215,6 +233,27 @@
     }
 }
 
+/// Members of the group to which a job would go though it may not be kept there. A gateway looks at all job
+/// stores that it knows before it sends a job; this process knows who is a member.
+fn forbidden_members(
+    server: &Server,
+    requester: &Requester,
+    submission: &Submission,
+) -> Vec<String> {
+    let catalog = server.worker.catalog.load();
+    let paths = submission.items.iter().map(|item| item.path.as_str());
+    let owner = requester.owner();
+    let residency = residency_of_job(&catalog, &submission.host, owner.as_ref(), paths);
+    if residency == Residency::Anywhere {
+        return Vec::new();
+    }
+    let names: Vec<String> = server
+        .store
+        .with_core(|core, _| core.members().all().map(|member| member.name.clone()).collect());
+    server.known_zones.note(&server.fleet.load());
+    server.known_zones.forbidden(names.iter().map(String::as_str), &residency, &catalog.zones)
+}
+
 fn not_sure(store: &Store) -> Reply {
     if store.is_leader() {
         return Reply::Unsure;
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -15,13 +15,14 @@
 };
 use yokefall_core::Timestamp;
 use yokefall_quota::Assignment;
-use yokefall_serving::{ItemState, Requester, ResultPage};
+use yokefall_serving::{Catalog, ItemState, Requester, Residency, ResultPage};
 
 use crate::connections::Links;
 use crate::disk::{Disk, DiskOrder};
 use crate::intake::{Intake, NotTaken, Occupied, Reservation};
 use crate::loads::Loads;
 use crate::protocol::{Frame, Submission};
+use crate::residence::residency_of_job;
 use crate::snapshot::{decode_state, encode_state};
 use crate::state::{Applied, Command, Job, Jobs, Run};
 use crate::wal::Rewrite;
@@ -435,6 +436,11 @@
         self.intake.reserve(job, submission, occupied)
     }
 
+    /// Whether a submission is on its way into the log.
+    pub fn is_under_way(&self, job: &str) -> bool {
+        self.intake.is_pending(job)
+    }
+
     /// Proposes a command and waits until it is in force.
     pub async fn propose(&self, command: &Command) -> Result<(), ProposeError> {
         let (reply, done) = oneshot::channel();
@@ -486,6 +492,17 @@
         inner.readers.entry(job.to_owned()).or_default().clone()
     }
 
+    /// Where everything may be kept that is held: the regions that the bodies of all open items allow.
+    pub fn residency(&self, catalog: &Catalog) -> Residency {
+        let inner = self.inner.borrow();
+        let open = inner.jobs.iter().filter(|(_, job)| job.is_open());
+        let each = open.map(|(_, job)| {
+            let paths = job.open.values().map(|open| open.item.path.as_str());
+            residency_of_job(catalog, &job.host, job.tenant.as_ref(), paths)
+        });
+        each.fold(Residency::Anywhere, |all, one| all.and(&one))
+    }
+
     /// Looks at every job with the time since this replica took it.
     pub fn each_job(&self, mut look: impl FnMut(&String, &Job, std::time::Duration)) {
         let inner = self.inner.borrow();
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -11,6 +11,7 @@
 
 use crate::arrivals::{Arrivals, ReportedRate};
 use crate::dialect::BackendLoad;
+use crate::eligibility::{Distance, ZoneMap};
 use crate::model::Backend;
 use crate::outcomes::{Outcomes, RecentOutcomes};
 use crate::spread::{draw, surface, Level};
@@ -31,6 +32,9 @@
 const SILENT_EJECTION_MS: u64 = 500;
 /// Cost of standing in another zone, in parts of a back end's slots.
 const OTHER_ZONE_COST: f64 = 0.1;
+/// Cost of standing in another region: bytes between regions are priced four times those between zones, and take
+/// 8 ms each way rather than 1.4.
+const OTHER_REGION_COST: f64 = 4.0 * OTHER_ZONE_COST;
 /// Load, in parts of its slots, above which a back end loses requests that prefer it.
 const AFFINITY_LOAD_LIMIT: f64 = 0.75;
 /// Time that what everybody has in flight takes to be told and heard, beside the pause between two
@@ -95,6 +99,8 @@
     generator: SmallRng,
     policy: Policy,
     zone: String,
+    /// Regions of zones.
+    zones: Arc<ZoneMap>,
     records: HashMap<String, BackendRecord>,
     /// Processes that choose as this one does, itself included.
     choosers: usize,
@@ -116,6 +122,7 @@
             policy,
             generator: SmallRng::seed_from_u64(seed),
             zone,
+            zones: Arc::default(),
             records: HashMap::new(),
             choosers: 1,
             telling_interval_ms: FIRST_TELLING_INTERVAL_MS,
@@ -126,6 +133,11 @@
         }
     }
 
+    /// The same that knows the regions of zones.
+    pub fn with_zones(self, zones: Arc<ZoneMap>) -> Self {
+        Self { zones, ..self }
+    }
+
     /// Chooses a back end that is not in `tried`. `affinity` is a hash of what back ends may hold
     /// in memory: requests with the same one go to the same few back ends while these have room.
     /// Back ends that are left out for failures are chosen only when no other remains.
@@ -148,13 +160,32 @@
             }
         }
         let affinity = affinity.filter(|_| self.policy.prefix_affinity);
-        if let Some(backend) = affinity.and_then(|key| preferred(&open, key)) {
+        if let Some(backend) = affinity.and_then(|key| self.preferred(&open, key)) {
             return Some(backend.clone());
         }
         let least = self.least(now, &open);
         least.or(ejected.map(|(_, backend)| backend)).cloned()
     }
 
+    /// The first of the back ends that a key prefers that has room: of those of the own region, and only where
+    /// these have none of all. What each region holds in memory is read there once more; prompts and answers
+    /// that cross regions cost more.
+    fn preferred<'a>(
+        &self,
+        open: &[(f64, &'a Arc<Backend>)],
+        key: u64,
+    ) -> Option<&'a Arc<Backend>> {
+        let is_far = |backend: &Backend| {
+            self.zones.distance(&backend.zone, &self.zone) == Distance::OtherRegion
+        };
+        let near: Vec<(f64, &'a Arc<Backend>)> =
+            open.iter().filter(|(_, backend)| !is_far(backend)).copied().collect();
+        if near.len() == open.len() {
+            return preferred(open, key);
+        }
+        preferred(&near, key).or_else(|| preferred(open, key))
+    }
+
     /// How many processes choose as this one does, itself included, and how often each of them
     /// tells what it has in flight, in milliseconds.
     pub fn set_choosers(&mut self, choosers: usize, telling_interval_ms: u64) {
@@ -286,11 +317,16 @@
 
     fn cost(&self, now: Timestamp, backend: &Backend) -> f64 {
         let load = self.load(now, backend);
-        if backend.zone == self.zone || !self.policy.zone_cost {
+        if !self.policy.zone_cost {
             return load;
         }
+        let cost = match self.zones.distance(&backend.zone, &self.zone) {
+            Distance::SameZone => 0.0,
+            Distance::SameRegion => OTHER_ZONE_COST,
+            Distance::OtherRegion => OTHER_REGION_COST,
+        };
         // A free slot elsewhere is better than none here: the cost fades as slots fill.
-        load + OTHER_ZONE_COST * (1.0 - load).clamp(0.0, 1.0)
+        load + cost * (1.0 - load).clamp(0.0, 1.0)
     }
 
     /// Requests that this process has at a back end.
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -124,6 +124,16 @@
         )
     }
 
+    /// Whether any route or tenant must stay in some regions.
+    pub fn has_regions(&self) -> bool {
+        self.configuration.iter().any(|configuration| {
+            let routes = configuration.routes.iter();
+            let tenants = configuration.tenants.iter();
+            routes.clone().any(|route| !route.allowed_regions.is_empty())
+                || tenants.clone().any(|tenant| !tenant.allowed_regions.is_empty())
+        })
+    }
+
     /// Where a request of a host and path may be served; `None` where no route has them any more.
     pub fn residency_at(
         &self,
--- a/crates/serving/src/eligibility/mod.rs
+++ b/crates/serving/src/eligibility/mod.rs
@@ -16,7 +16,7 @@
 
 pub use freshness::Freshness;
 pub use residency::Residency;
-pub use zones::ZoneMap;
+pub use zones::{Distance, ZoneMap};
 
 use crate::catalog::{Catalog, CatalogCell};
 use crate::model::{Backend, BackendLife, BackendState};
--- a/crates/serving/src/eligibility/residency.rs
+++ b/crates/serving/src/eligibility/residency.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// In no region.
+    pub fn nowhere() -> Self {
+        Residency::Within(BTreeSet::new())
+    }
+
     /// Whether a request may be served in a region. A zone whose region is not known is in none that a
     /// restricted request may use.
     pub fn allows(&self, region: Option<&str>) -> bool {
--- a/crates/serving/src/eligibility/zones.rs
+++ b/crates/serving/src/eligibility/zones.rs
@@ -2,6 +2,17 @@
 
 use std::collections::BTreeMap;
 
+/// How far two zones are apart; the nearest is the least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// They are the same.
+    SameZone,
+    /// They lie in the same region, as far as known.
+    SameRegion,
+    /// They lie in different regions.
+    OtherRegion,
+}
+
 /// Region of each zone, as settings tell it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ZoneMap {
@@ -14,6 +25,18 @@
         Self { regions }
     }
 
+    /// How far two zones are apart.
+    pub fn distance(&self, one: &str, other: &str) -> Distance {
+        if one == other {
+            return Distance::SameZone;
+        }
+        match (self.region_of(one), self.region_of(other)) {
+            (Some(one), Some(other)) if one != other => Distance::OtherRegion,
+            // Of zones that settings don't name nothing says that they are far away.
+            _ => Distance::SameRegion,
+        }
+    }
+
     /// Whether a zone lies in a region.
     pub fn has_region(&self, region: &str) -> bool {
         self.regions.values().any(|known| known == region)
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,7 +30,9 @@
 pub use dialect::{
     AddressQuery, BackendLoad, BadSubmission, Dialect, HeaderNames, JobCall, PrefixPart,
 };
-pub use eligibility::{Eligibility, Freshness, Ineligible, Need, Permit, Residency, ZoneMap};
+pub use eligibility::{
+    Distance, Eligibility, Freshness, Ineligible, Need, Permit, Residency, ZoneMap,
+};
 pub use fleet::{empty_fleet, Fleet, FleetCell, FleetMember};
 pub use identity::{Caller, Requester};
 pub use job::{ItemHeader, ItemState, JobItem, PositionedResult, ResultPage};
