--- a/crates/app/src/commands/check.rs
+++ b/crates/app/src/commands/check.rs
@@ -3,7 +3,10 @@
 use std::path::PathBuf;
 
 use clap::{Args, ValueEnum};
+use yokefall_serving::eligibility::unknown_regions;
+use yokefall_serving::ZoneMap;
 use yokefall_settings::{example, Role, ServingSettings, Settings};
+use yokefall_standalone::catalog::{configurations, CatalogFile};
 use yokefall_types::limits::check_name;
 use yokefall_types::KeyDigest;
 
@@ -36,14 +39,29 @@
 /// Checks the catalog file that settings name, where they name one: routes, back ends and tenants.
 fn check_catalog(arguments: &CheckArguments, settings: &ServingSettings) -> ExitStatus {
     if let Some(catalog) = &settings.platform.catalog {
-        if let Err(error) = yokefall_standalone::catalog::read(catalog) {
-            return fail(ExitStatus::BadInput, format!("{}: {error}", catalog.display()));
+        let file = match yokefall_standalone::catalog::read(catalog) {
+            Ok(file) => file,
+            Err(error) => {
+                return fail(ExitStatus::BadInput, format!("{}: {error}", catalog.display()));
+            }
+        };
+        let zones = ZoneMap::new(settings.zones.clone());
+        let unknown = unknown_regions_of(&file, &zones);
+        if !unknown.is_empty() {
+            let text = format!("allowed_regions: no zone of [zones] is in {}", unknown.join(", "));
+            return fail(ExitStatus::BadInput, format!("{}: {text}", catalog.display()));
         }
     }
     println!("{}: good, role {:?}", arguments.file.display(), settings.role);
     ExitStatus::Done
 }
 
+/// Routes and tenants of a catalog file with a region that no zone has.
+fn unknown_regions_of(file: &CatalogFile, zones: &ZoneMap) -> Vec<String> {
+    let configurations = configurations(file).into_iter();
+    configurations.flat_map(|(_, configuration)| unknown_regions(&configuration, zones)).collect()
+}
+
 /// Whether a file names a role of the serving processes, or is near enough to one that its mistakes
 /// are best told as theirs.
 fn is_serving(file: &std::path::Path) -> bool {
--- a/crates/app/src/commands/explain.rs
+++ b/crates/app/src/commands/explain.rs
@@ -13,9 +13,10 @@
 const COMMON_FIELDS: [&str; 7] =
     ["time_ms", "uptime_ms", "level", "role", "process", "event", "id"];
 /// Events that end the story of a request or an item.
-const ENDS: [&str; 9] = [
+const ENDS: [&str; 10] = [
     "request-answered",
     "request-refused",
+    "region-refused",
     "request-failed",
     "request-rejected",
     "answer-broken",
--- a/crates/app/tests/catalog.rs
+++ b/crates/app/tests/catalog.rs
@@ -78,3 +78,31 @@
         assert!(message.contains(wanted), "{message}");
     }
 }
+
+fn restricted_to(region: &str) -> String {
+    let route = format!(
+        "[[route]]\nname = \"proofs\"\nhost = \"a.example\"\npath_prefix = \"/\"\nservice = \"pages\"\n\
+         kind = \"repeatable\"\nallowed_regions = [{region:?}]\n"
+    );
+    let tenant = tenant("school", &[DIGEST], &format!("allowed_regions = [{region:?}]"));
+    format!("version = 1\n{route}{tenant}")
+}
+
+fn in_one_region() -> String {
+    format!("{GATEWAY}[zones]\n\"hall-1\" = \"region-1\"\n")
+}
+
+#[test]
+fn regions_that_zones_have_are_accepted() {
+    assert_eq!(check(&in_one_region(), &restricted_to("region-1")), (Some(0), String::new()));
+}
+
+/// A region with a slip of the pen would have every request of its route or tenant refused.
+#[test]
+fn a_region_that_no_zone_has_is_named_with_its_route_and_tenant() {
+    let (code, errors) = check(&in_one_region(), &restricted_to("regoin-1"));
+    assert_eq!(code, Some(2), "{errors}");
+    for part in ["allowed_regions", "route proofs: regoin-1", "tenant school: regoin-1"] {
+        assert!(errors.contains(part), "{part} in {errors}");
+    }
+}
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -205,3 +205,29 @@
         assert!(leaver.is_some_and(|member| !member.accepting));
     }
 }
+
+/// Clients are told the members that others see as alive. A third of a fleet that ends at once, as a lost region
+/// does, must not be named any more when its end is known to the platform for three seconds.
+#[test]
+fn nobody_counts_a_lost_third_of_a_fleet_as_alive_after_seven_seconds() {
+    let mut fleet = Fleet::new(91, 0.01);
+    fleet.run(20_000, |_| {});
+    for number in (0..91).step_by(3) {
+        fleet.nodes[number] = None;
+    }
+    fleet.run(7_000, |_| {});
+    for number in fleet.running() {
+        let node = fleet.nodes[number].as_ref().expect("the node runs");
+        let alive = node.records().into_iter().map(|(record, _)| record);
+        let alive = alive.filter(|record| record.state == MemberState::Alive);
+        let named: Vec<String> =
+            alive.filter(is_third).map(|record| record.node.to_string()).collect();
+        assert!(named.is_empty(), "{number} still counts {named:?}");
+    }
+}
+
+fn is_third(member: &MemberRecord) -> bool {
+    let number =
+        member.node.as_str().rsplit('-').next().and_then(|text| text.parse::<usize>().ok());
+    number.is_some_and(|number| number % 3 == 0)
+}
--- a/crates/serving/src/eligibility/mod.rs
+++ b/crates/serving/src/eligibility/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod freshness;
 pub mod residency;
+pub mod unknown_regions;
 pub mod zones;
 
 use std::borrow::Cow;
@@ -16,6 +17,7 @@
 
 pub use freshness::Freshness;
 pub use residency::Residency;
+pub use unknown_regions::unknown_regions;
 pub use zones::{Distance, ZoneMap};
 
 use crate::catalog::{Catalog, CatalogCell};
--- a/crates/serving/src/observer.rs
+++ b/crates/serving/src/observer.rs
@@ -7,6 +7,9 @@
 use crate::source::{Revision, SourceError};
 use crate::watch::Observer;
 
+/// Names in a line at most.
+const MOST_NAMES: usize = 10;
+
 /// Writes lines, and tells whoever acts on a change.
 pub struct LineObserver {
     failing: RefCell<Vec<&'static str>>,
@@ -26,6 +29,14 @@
         (self.changed)();
     }
 
+    fn unknown_regions(&self, version: u64, unknown: &[String]) {
+        Line::new(EventName::RegionUnknown)
+            .field("version", version)
+            .field("count", unknown.len())
+            .field("some", &unknown[..unknown.len().min(MOST_NAMES)])
+            .write();
+    }
+
     fn backends(&self, ready: usize, revision: Revision) {
         Line::new(EventName::BackendsChanged)
             .field("ready", ready)
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -15,7 +15,7 @@
 
 use crate::catalog::{Catalog, CatalogCell, ZoneFacts};
 use crate::duty::Duty;
-use crate::eligibility::ZoneMap;
+use crate::eligibility::{unknown_regions, ZoneMap};
 use crate::listing::PartialList;
 use crate::model::{Backend, BackendState, Configuration, Evacuation};
 use crate::news::Known;
@@ -201,6 +201,8 @@
 pub trait Observer {
     /// A configuration came into force.
     fn configuration(&self, version: u64);
+    /// A configuration in force names regions that no zone has, each as `route NAME: REGION`.
+    fn unknown_regions(&self, version: u64, unknown: &[String]);
     /// Back ends changed: how many take work now, and at which revision.
     fn backends(&self, ready: usize, revision: Revision);
     /// Calls to the store began to fail, or succeed again.
@@ -260,8 +262,12 @@
 
     fn take_configuration(&self, configuration: Configuration) {
         let version = configuration.version;
+        let unknown = unknown_regions(&configuration, &self.knowledge.borrow().zones);
         if self.knowledge.borrow_mut().take_configuration(configuration) {
             self.observer.configuration(version);
+            if !unknown.is_empty() {
+                self.observer.unknown_regions(version, &unknown);
+            }
         }
     }
 
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -73,6 +73,8 @@
     DependencyRegained = "dependency-regained", Info, FAILURE_BUDGET;
     /// A configuration came into force.
     ConfigurationInForce = "configuration-in-force", Info, FAILURE_BUDGET;
+    /// A configuration in force names regions that no zone has.
+    RegionUnknown = "region-unknown", Warn, FAILURE_BUDGET;
     /// Back ends that take work changed.
     BackendsChanged = "backends-changed", Info, FAILURE_BUDGET;
     /// The machine was suspended: what others promised to this process, and it to them, has aged by that.
