Load reports stay in their region

Cause: aggregators and the one that a gateway reports to were chosen by hash alone, so that in a fleet of three regions two of three reports and answers crossed regions, ten times a second each. Change: each region with job stores has aggregators for its own gateways, which report there while one answers; only sums cross regions. Where all stand in one region nothing changes.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -11,6 +11,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use yokefall_clock::{ElapsedClock, SuspensionSource};
+use yokefall_jobstore::aggregators::ReportTarget;
 use yokefall_jobstore::{suspects, JobClient};
 use yokefall_quota::QuotaBounds;
 use yokefall_serving::discovery::PeerPorts;
@@ -177,7 +178,9 @@
         tokio::task::spawn_local(relay_port::serve(relay, shared.clone()));
         tokio::task::spawn_local(quota::assignment::maintain(shared.clone()));
         tokio::task::spawn_local(quota::assignment::try_failing(shared.clone()));
-        tokio::task::spawn_local(load::report(shared.clone(), options.name.clone()));
+        let target = ReportTarget::new(options.name.clone())
+            .standing_in(options.zone.clone(), options.zones.clone());
+        tokio::task::spawn_local(load::report(shared.clone(), target));
         let (registry, fleet) = (shared.suspects.clone(), shared.fleet.clone());
         suspects::share(registry, shared.jobs.clone(), fleet, &options.name, port);
         while !*stop.borrow() {
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -35,9 +35,9 @@
 }
 
 /// Reports for ever.
-pub async fn report(shared: Rc<Shared>, gateway: String) {
+pub async fn report(shared: Rc<Shared>, target: ReportTarget) {
     let mut known = Known {
-        target: ReportTarget::new(gateway),
+        target,
         aggregator: String::new(),
         moved_from: None,
         totals: HashMap::new(),
--- a/crates/jobstore/src/aggregators.rs
+++ b/crates/jobstore/src/aggregators.rs
@@ -1,12 +1,13 @@
 //! Which job stores add up load reports, and the exchange of their sums.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use yokefall_serving::{Fleet, FleetCell, FleetMember};
+use yokefall_serving::{Distance, Fleet, FleetCell, FleetMember, ZoneMap};
 use yokefall_types::rendezvous_score;
 
 use crate::loads::report_interval;
@@ -25,12 +26,44 @@
 /// count.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The job stores that add up load reports, the first by rendezvous score. Where one
-/// is enough, the leader does it, so that the runner of items knows loads without another hop.
-pub fn aggregators<'a>(fleet: &'a Fleet, leader: Option<&str>) -> Vec<&'a FleetMember> {
-    let wanted = fleet.gateways().count().div_ceil(GATEWAYS_PER_AGGREGATOR).max(1);
-    let mut stores: Vec<&FleetMember> =
+/// Gateways of a region, and the job stores there that take reports.
+#[derive(Default)]
+struct Region<'a> {
+    gateways: usize,
+    stores: Vec<&'a FleetMember>,
+}
+
+/// The job stores that add up load reports: some in each region that has any, so that only sums and no reports
+/// cross regions. Where all stand in one region, or nothing is known of regions, and one is enough, the leader does
+/// it, so that the runner of items knows loads without another hop.
+pub fn aggregators<'a>(
+    fleet: &'a Fleet,
+    zones: &ZoneMap,
+    leader: Option<&str>,
+) -> Vec<&'a FleetMember> {
+    let mut regions: BTreeMap<Option<&str>, Region<'a>> = BTreeMap::new();
+    for gateway in fleet.gateways() {
+        regions.entry(zones.region_of(&gateway.zone)).or_default().gateways += 1;
+    }
+    let accepting: Vec<&FleetMember> =
         fleet.job_stores().filter(|member| member.accepting).collect();
+    for store in &accepting {
+        regions.entry(zones.region_of(&store.zone)).or_default().stores.push(store);
+    }
+    regions.retain(|_, region| region.gateways > 0 && !region.stores.is_empty());
+    if regions.len() < 2 {
+        return first(accepting, fleet.gateways().count(), leader);
+    }
+    regions.into_values().flat_map(|region| first(region.stores, region.gateways, None)).collect()
+}
+
+/// As many job stores as so many gateways need, the first by rendezvous score.
+fn first<'a>(
+    mut stores: Vec<&'a FleetMember>,
+    gateways: usize,
+    leader: Option<&str>,
+) -> Vec<&'a FleetMember> {
+    let wanted = gateways.div_ceil(GATEWAYS_PER_AGGREGATOR).max(1);
     let leads = |member: &FleetMember| wanted == 1 && leader == Some(member.name.as_str());
     let score = rendezvous_score(AGGREGATOR_KEY);
     stores.sort_by_cached_key(|member| Reverse((leads(member), score(&member.name))));
@@ -38,16 +71,7 @@
     stores
 }
 
-/// The aggregator of a gateway: the one with the highest hash of both names, so that the loss of one
-/// moves only its own gateways.
-pub fn aggregator_of<'a>(
-    fleet: &'a Fleet,
-    leader: Option<&str>,
-    gateway: &str,
-) -> Option<&'a FleetMember> {
-    nearest(aggregators(fleet, leader), gateway)
-}
-
+/// The member with the highest hash of both names, so that the loss of one moves only its own gateways.
 fn nearest<'a>(members: Vec<&'a FleetMember>, gateway: &str) -> Option<&'a FleetMember> {
     let score = rendezvous_score(gateway.as_bytes());
     members.into_iter().max_by_key(|member| score(&member.name))
@@ -57,6 +81,10 @@
 #[derive(Debug)]
 pub struct ReportTarget {
     gateway: String,
+    /// Zone in which it stands.
+    zone: String,
+    /// Regions of zones.
+    zones: Arc<ZoneMap>,
     /// Who leads, by the last answer.
     leader: Option<String>,
     /// Job stores that get no report until then.
@@ -68,7 +96,19 @@
 impl ReportTarget {
     /// Nothing is known of who leads yet.
     pub fn new(gateway: String) -> Self {
-        Self { gateway, leader: None, avoided: HashMap::new(), unanswered: None }
+        Self {
+            gateway,
+            zone: String::new(),
+            zones: Arc::default(),
+            leader: None,
+            avoided: HashMap::new(),
+            unanswered: None,
+        }
+    }
+
+    /// The same for a gateway whose zone is known: it reports in its own region while it can.
+    pub fn standing_in(self, zone: String, zones: Arc<ZoneMap>) -> Self {
+        Self { zone, zones, ..self }
     }
 
     /// Name of the gateway.
@@ -81,17 +121,21 @@
         self.leader.as_deref()
     }
 
-    /// The job store that gets the next report: an aggregator, or any job store where all aggregators
-    /// are avoided.
+    /// The job store that gets the next report: an aggregator, of the own region where there is one, or any job
+    /// store where all aggregators are avoided.
     pub fn choose<'a>(&self, fleet: &'a Fleet) -> Option<&'a FleetMember> {
         let now = Instant::now();
         let may_report = |member: &&FleetMember| {
             self.avoided.get(&member.name).is_none_or(|until| *until <= now)
         };
         let nearest = |members: Vec<&'a FleetMember>| nearest(members, &self.gateway);
-        let aggregators = aggregators(fleet, self.leader());
+        let is_own = |member: &&FleetMember| {
+            self.zones.distance(&member.zone, &self.zone) != Distance::OtherRegion
+        };
+        let aggregators = aggregators(fleet, &self.zones, self.leader());
         let accepting = fleet.job_stores().filter(|member| member.accepting);
-        nearest(aggregators.iter().copied().filter(may_report).collect())
+        nearest(aggregators.iter().copied().filter(is_own).filter(may_report).collect())
+            .or_else(|| nearest(aggregators.iter().copied().filter(may_report).collect()))
             .or_else(|| nearest(accepting.filter(may_report).collect()))
             .or_else(|| nearest(aggregators))
     }
@@ -125,7 +169,7 @@
 
 /// Sends this process's sums to the other aggregators and to the leader, for ever: when they change,
 /// once an interval at most.
-pub async fn exchange(store: Rc<Store>, fleet: FleetCell, me: String) {
+pub async fn exchange(store: Rc<Store>, fleet: FleetCell, zones: Arc<ZoneMap>, me: String) {
     let mut sent: Option<LoadSums> = None;
     let mut sent_at = Instant::now();
     loop {
@@ -150,7 +194,7 @@
             gateways: 0,
         };
         let frame = Frame::Sums(sums.clone().unwrap_or(none));
-        for name in listeners(&fleet, store.leader(), &me) {
+        for name in listeners(&fleet, &zones, store.leader(), &me) {
             store.send_frame(&name, &frame);
         }
         sent = sums;
@@ -159,8 +203,8 @@
 }
 
 /// Names of the job stores that need this one's sums.
-fn listeners(fleet: &Fleet, leader: Option<String>, me: &str) -> Vec<String> {
-    let aggregators = aggregators(fleet, leader.as_deref());
+fn listeners(fleet: &Fleet, zones: &ZoneMap, leader: Option<String>, me: &str) -> Vec<String> {
+    let aggregators = aggregators(fleet, zones, leader.as_deref());
     let mut names: Vec<String> =
         aggregators.into_iter().map(|member| member.name.clone()).collect();
     names.extend(leader);
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -199,6 +199,7 @@
         tokio::task::spawn_local(aggregators::exchange(
             store.clone(),
             fleet.clone(),
+            options.zones.clone(),
             options.name.clone(),
         ));
         let voters = 2 * options.tolerated_losses + 1;
--- a/crates/jobstore/tests/loads.rs
+++ b/crates/jobstore/tests/loads.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use yokefall_jobstore::aggregators::{aggregator_of, aggregators, ReportTarget};
+use yokefall_jobstore::aggregators::{aggregators, ReportTarget};
 use yokefall_jobstore::loads::Loads;
 use yokefall_jobstore::room::Room;
 use yokefall_jobstore::{
     BackendCount, BackendOutcomes, BackendTotal, LoadReport, LoadSums, ServiceRate,
 };
-use yokefall_serving::{Fleet, FleetMember};
+use yokefall_serving::{Fleet, FleetMember, ZoneMap};
 
 fn report(gateway: usize, counts: &[(usize, u32)]) -> LoadReport {
     let count = |(backend, requests): &(usize, u32)| BackendCount {
@@ -77,6 +77,11 @@
     }
 }
 
+/// The job store to which a gateway reports that has just started.
+fn aggregator_of<'a>(fleet: &'a Fleet, gateway: &str) -> Option<&'a FleetMember> {
+    ReportTarget::new(gateway.to_owned()).choose(fleet)
+}
+
 /// What one report costs does not grow with the gateways, and what all of them cost an aggregator
 /// stays the same from 32 gateways on.
 #[tokio::test(start_paused = true)]
@@ -84,11 +89,11 @@
     let back_ends = 168;
     for gateways in [1, 10, 80, 300, 550] {
         let fleet = fleet(gateways, 45);
-        let chosen = aggregators(&fleet, None);
+        let chosen = aggregators(&fleet, &ZoneMap::default(), None);
         let mut busiest: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for gateway in 0..gateways {
             let name = format!("edge-{gateway}");
-            let aggregator = aggregator_of(&fleet, None, &name).expect("an aggregator");
+            let aggregator = aggregator_of(&fleet, &name).expect("an aggregator");
             busiest.entry(aggregator.name.clone()).or_default().push(gateway);
         }
         let most = busiest.values().max_by_key(|own| own.len()).expect("gateways");
@@ -219,16 +224,17 @@
 #[test]
 fn one_aggregator_is_the_leader_and_a_lost_one_moves_only_its_own_gateways() {
     let small = fleet(8, 3);
-    let leader = aggregator_of(&small, Some("store-2"), "edge-1").expect("an aggregator");
-    assert_eq!(leader.name, "store-2");
+    let mut target = ReportTarget::new("edge-1".into());
+    target.answered("store-0", Some("store-2".into()));
+    assert_eq!(target.choose(&small).expect("an aggregator").name, "store-2");
 
     let whole = fleet(250, 45);
     let mut less = whole.clone();
-    let lost = aggregators(&whole, None)[3].name.clone();
+    let lost = aggregators(&whole, &ZoneMap::default(), None)[3].name.clone();
     less.members.retain(|member| member.name != lost);
     let of = |fleet: &Fleet, gateway: usize| {
         let name = format!("edge-{gateway}");
-        aggregator_of(fleet, None, &name).expect("an aggregator").name.clone()
+        aggregator_of(fleet, &name).expect("an aggregator").name.clone()
     };
     let moved =
         (0..250).filter(|gateway| of(&whole, *gateway) != of(&less, *gateway)).collect::<Vec<_>>();
@@ -312,7 +318,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_gateway_leaves_a_job_store_that_does_not_know_who_leads() {
     let fleet = fleet(6, 3);
-    let cut_off = aggregator_of(&fleet, None, "edge-1").expect("an aggregator").name.clone();
+    let cut_off = aggregator_of(&fleet, "edge-1").expect("an aggregator").name.clone();
     let leader = fleet.job_stores().find(|store| store.name != cut_off).expect("another");
     let mut target = ReportTarget::new("edge-1".into());
     for _ in 0..3 {
@@ -331,7 +337,12 @@
     let own = target.choose(&fleet).expect("a job store").name.clone();
     target.answered(&own, None);
     let second = target.choose(&fleet).expect("a job store").name.clone();
-    assert!(second != own && aggregators(&fleet, None).iter().any(|store| store.name == second));
+    assert!(
+        second != own
+            && aggregators(&fleet, &ZoneMap::default(), None)
+                .iter()
+                .any(|store| store.name == second)
+    );
     target.answered(&second, Some("store-1".into()));
     tokio::time::sleep(Duration::from_millis(2_100)).await;
     assert_eq!(target.choose(&fleet).expect("a job store").name, own);
