A region keeps its own part of the requests that are not known yet

Cause: the draw reckons with requests of all processes that were not told yet; in a fleet of several regions it took all of them to come to the servers of the own region, those that had ended included, so that a region looked full at a fifth of its load. Change: servers of the own region alone are drawn from while they can take the region's part of what is expected of all; else all are. The choice by prefix stands in a module of its own.

--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -6,13 +6,14 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 use yokefall_core::Timestamp;
 
+use crate::affinity::preferred;
 use crate::arrivals::{Arrivals, ReportedRate};
 use crate::dialect::BackendLoad;
 use crate::eligibility::{Distance, ZoneMap};
 use crate::model::Backend;
+use crate::nearness::own_part;
 use crate::outcomes::{Outcomes, RecentOutcomes};
 use crate::spread::{draw, surface, Level};
 use yokefall_types::Policy;
@@ -35,8 +36,6 @@
 /// Cost of standing in another region: bytes between regions are priced four times those between zones, and take
 /// 8 ms each way rather than 1.4.
 const OTHER_REGION_COST: f64 = 4.0 * OTHER_ZONE_COST;
-/// Load, in parts of its slots, above which a back end loses requests that prefer it.
-const AFFINITY_LOAD_LIMIT: f64 = 0.75;
 /// Time that what everybody has in flight takes to be told and heard, beside the pause between two
 /// tellings, in milliseconds.
 const TELLING_MS: u64 = 50;
@@ -48,8 +47,6 @@
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
 /// Least weight of outcomes that are reported: those of three seconds ago have less.
 const LEAST_OUTCOME: f64 = 0.05;
-/// Back ends that a prefix prefers.
-const AFFINITY_CANDIDATES: usize = 2;
 
 /// How a request to a back end ended, as far as the back end's health goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -159,31 +156,39 @@
                 Some(_) => {}
             }
         }
+        let (part, open) = self.nearby(now, open);
         let affinity = affinity.filter(|_| self.policy.prefix_affinity);
-        if let Some(backend) = affinity.and_then(|key| self.preferred(&open, key)) {
+        if let Some(backend) = affinity.and_then(|key| preferred(&open, key)) {
             return Some(backend.clone());
         }
-        let least = self.least(now, &open);
+        let least = self.least(now, &open, part);
         least.or(ejected.map(|(_, backend)| backend)).cloned()
     }
 
-    /// The first of the back ends that a key prefers that has room: of those of the own region, and only where
-    /// these have none of all. What each region holds in memory is read there once more; prompts and answers
-    /// that cross regions cost more.
-    fn preferred<'a>(
+    /// Those of the own region where they can take what comes meanwhile, with the part of all requests that is
+    /// meant for them; else all. Prefixes stay in the region with them: what each region holds in memory is read
+    /// there once more, but prompts and answers that cross regions cost more.
+    fn nearby<'a>(
         &self,
-        open: &[(f64, &'a Arc<Backend>)],
-        key: u64,
-    ) -> Option<&'a Arc<Backend>> {
+        now: Timestamp,
+        open: Vec<(f64, &'a Arc<Backend>)>,
+    ) -> (f64, Vec<(f64, &'a Arc<Backend>)>) {
         let is_far = |backend: &Backend| {
             self.zones.distance(&backend.zone, &self.zone) == Distance::OtherRegion
         };
-        let near: Vec<(f64, &'a Arc<Backend>)> =
-            open.iter().filter(|(_, backend)| !is_far(backend)).copied().collect();
-        if near.len() == open.len() {
-            return preferred(open, key);
+        let Some((_, first)) = open.iter().find(|(_, backend)| is_far(backend)) else {
+            return (1.0, open);
+        };
+        // What takes longer to be told than to be done has ended by then.
+        let blind_ms = self.blind_ms(now);
+        let lasting_ms = self.service_ms(&first.service).unwrap_or(blind_ms).min(blind_ms);
+        let expected = self.others_per_ms(now, &first.service) * lasting_ms;
+        let (far, near): (Vec<_>, Vec<_>) =
+            open.iter().copied().partition(|(_, backend)| is_far(backend));
+        match own_part(&levels(&near), &levels(&far), expected) {
+            Some(part) if self.policy.zone_cost => (part, near),
+            _ => (1.0, open),
         }
-        preferred(&near, key).or_else(|| preferred(open, key))
     }
 
     /// How many processes choose as this one does, itself included, and how often each of them
@@ -236,21 +241,18 @@
         age.min(LONGEST_BLIND_MS) as f64
     }
 
-    /// One of the cheapest: the more others choose meanwhile, the more are drawn from.
+    /// One of the cheapest: the more others choose meanwhile, the more are drawn from. `part` of all requests is
+    /// meant for them.
     fn least<'a>(
         &mut self,
         now: Timestamp,
         open: &[(f64, &'a Arc<Backend>)],
+        part: f64,
     ) -> Option<&'a Arc<Backend>> {
         let service = &open.first()?.1.service;
         self.note_arrival(now, service);
         let unseen = if self.policy.poured_draw { self.unseen_arrivals(now, service) } else { 0.0 };
-        let level = |(cost, backend): &(f64, &Arc<Backend>)| Level {
-            load: *cost,
-            slots: f64::from(backend.slots.max(1)),
-        };
-        let levels: Vec<Level> = open.iter().map(level).collect();
-        let position = draw(&mut self.generator, &levels, unseen + 1.0)?;
+        let position = draw(&mut self.generator, &levels(open), unseen * part + 1.0)?;
         open.get(position).map(|(_, backend)| *backend)
     }
 
@@ -486,12 +488,7 @@
     }
 }
 
-/// The first of the back ends that a key prefers that has room.
-fn preferred<'a>(open: &[(f64, &'a Arc<Backend>)], key: u64) -> Option<&'a Arc<Backend>> {
-    let score = |backend: &Backend| xxh3_64_with_seed(backend.id.as_bytes(), key);
-    let mut ranked: Vec<(u64, f64, &'a Arc<Backend>)> =
-        open.iter().map(|(cost, backend)| (score(backend), *cost, *backend)).collect();
-    ranked.sort_unstable_by_key(|(score, _, _)| std::cmp::Reverse(*score));
-    let few = ranked.iter().take(AFFINITY_CANDIDATES);
-    few.filter(|(_, cost, _)| *cost < AFFINITY_LOAD_LIMIT).map(|(_, _, backend)| *backend).next()
+fn levels(open: &[(f64, &Arc<Backend>)]) -> Vec<Level> {
+    let slots = |backend: &Backend| f64::from(backend.slots.max(1));
+    open.iter().map(|(cost, backend)| Level { load: *cost, slots: slots(backend) }).collect()
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform adapter implements; and the decisions on them that need no input or output.
 
 pub mod admission;
+pub(crate) mod affinity;
 pub(crate) mod arrivals;
 pub mod balance;
 pub mod catalog;
@@ -15,6 +16,7 @@
 pub mod lateness;
 pub mod listing;
 pub mod model;
+pub mod nearness;
 pub mod news;
 pub mod news_exchange;
 pub mod objects;
