Clients of a zone are told of gateways of all zones, not of the first 64 by name

Now by rendezvous score with the client's zone as key: stable between processes, spread over zones and gateways.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 
-use http::StatusCode;
+use http::{StatusCode, Uri};
 
 use crate::answer::{json, plain, Answer};
+use crate::sample;
 use crate::shared::Shared;
 
 /// Most addresses in one answer.
@@ -13,11 +14,12 @@
 const LIFETIME_S: f64 = 2.0;
 
 /// Answers a query for addresses: gateways that take new work.
-pub fn addresses(shared: &Shared) -> Answer {
+pub fn addresses(shared: &Shared, uri: &Uri) -> Answer {
     let fleet = shared.fleet.load();
     let port = shared.ingress.port();
-    let mut addresses: Vec<String> = fleet
-        .gateways()
+    let zone = shared.dialect.query_zone(uri);
+    let mut addresses: Vec<String> = sample::order(fleet.gateways().collect(), zone.as_deref())
+        .into_iter()
         .map(|member| SocketAddr::new(member.ip(), port).to_string())
         .take(MAX_ADDRESSES)
         .collect();
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -173,7 +173,7 @@
     if !shared.dialect.is_address_query(request.method(), request.uri()) {
         return plain(StatusCode::NOT_FOUND, "no such call");
     }
-    directory::addresses(shared)
+    directory::addresses(shared, request.uri())
 }
 
 async fn serve_client(shared: &Rc<Shared>, request: Request<Incoming>) -> Answer {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod relay;
 pub mod relay_port;
 pub mod request;
+pub mod sample;
 pub mod shared;
 pub mod suspect;
 
