--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -4,6 +4,7 @@
 use crate::message::{MemberId, Members};
 use crate::node::{Consensus, Millis, Role};
 use crate::replication::Difference;
+use crate::spread::{least_crowded, Zones};
 
 /// Time without an answer after which a voter gives way to a member that waits, in milliseconds.
 const SILENCE_MS: Millis = 2_500;
@@ -25,6 +26,8 @@
     pub leaving: Vec<String>,
     /// Voters wanted.
     pub voters: usize,
+    /// Zones of machines.
+    pub zones: Zones,
 }
 
 /// What the leader should do next.
@@ -119,7 +122,7 @@
         let known = members.all().any(|held| held.name == member.name);
         may_join(members, wishes, member) && (known || staying < wishes.voters)
     };
-    let joining = wishes.joining.iter().find(wanted)?;
+    let joining = least_crowded(&wishes.zones, members, wishes.joining.iter().filter(wanted))?;
     let mut members = members.clone();
     members.learners.retain(|learner| learner.name != joining.name);
     members.learners.push(joining.clone());
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use yokefall_consensus::policy::{needs_claim, next_step, should_outlive, Step, Wishes};
+use yokefall_consensus::Zones;
 use yokefall_consensus::{
     Consensus, Effects, Entry, Index, MemberId, Message, Millis, Pair, Payload, Recovered, Write,
 };
@@ -476,7 +477,11 @@
                     joining.push(id);
                 }
             }
-            let wishes = Wishes { joining, leaving: self.leaving.clone(), voters: self.voters };
+            let zones = Zones::new(
+                self.nodes.iter().enumerate().map(|(n, node)| (node.name.clone(), zone(n))),
+            );
+            let leaving = self.leaving.clone();
+            let wishes = Wishes { joining, leaving, voters: self.voters, zones };
             let step = next_step(core, self.now, &wishes);
             let pair = core.pair().filter(|_| match &step {
                 Step::Change(members) => needs_claim(core, members),
@@ -1039,3 +1044,8 @@
     }
     simulation.settle()
 }
+
+/// Machines stand in three zones, one after the other.
+fn zone(number: usize) -> String {
+    format!("zone-{}", number % 3)
+}
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use yokefall_consensus::policy::{needs_claim, next_step, should_outlive, Step, Wishes};
-use yokefall_consensus::{MemberId, Pair, Role};
+use yokefall_consensus::{MemberId, Pair, Role, Zones};
 use yokefall_serving::duty::Duty;
 use yokefall_serving::source::Revision;
 use yokefall_serving::watch::{follow, Sink};
@@ -182,8 +182,8 @@
     leaving: &Leaving,
     voters: usize,
 ) -> bool {
-    let joining = spread(store, fleet, store.joining(JOIN_LIFETIME));
-    let wishes = Wishes { joining, leaving: leaving.all(), voters };
+    let joining = store.joining(JOIN_LIFETIME);
+    let wishes = Wishes { joining, leaving: leaving.all(), voters, zones: zones_of(fleet) };
     let (step, pair) = store.with_core(|core, now| {
         let step = next_step(core, now, &wishes);
         let pair = core.pair().filter(|_| match &step {
@@ -213,18 +213,10 @@
     !wishes.joining.is_empty() || !leaving.open().is_empty() || learners
 }
 
-/// Puts first those who ask from zones with few voters: a lost zone should cost few of them.
-fn spread(store: &Store, fleet: &FleetCell, mut joining: Vec<MemberId>) -> Vec<MemberId> {
+/// Zones of the job stores that are known.
+fn zones_of(fleet: &FleetCell) -> Zones {
     let fleet = fleet.load();
-    let zone_of = |name: &str| {
-        let found = fleet.members.iter().find(|member| member.name == name);
-        found.map(|member| member.zone.as_str())
-    };
-    let voters = store.with_core(|core, _| core.members().voters.clone());
-    let in_zone =
-        |zone: Option<&str>| voters.iter().filter(|voter| zone_of(&voter.name) == zone).count();
-    joining.sort_by_cached_key(|member| (in_zone(zone_of(&member.name)), member.name.clone()));
-    joining
+    Zones::new(fleet.job_stores().map(|member| (member.name.clone(), member.zone.clone())))
 }
 
 /// Claims a pair for this member; where there is none, nothing needs a claim.
