Voters stand in all zones: learners count, and a voter moves where another zone has two fewer

The one to admit is the asking machine whose zone has the fewest members, learners among them; a voter of a crowded zone gives way to a machine of one with at least two fewer, while all voters answer: it learns, then votes, then the other goes.

--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -4,7 +4,7 @@
 use crate::message::{MemberId, Members};
 use crate::node::{Consensus, Millis, Role};
 use crate::replication::Difference;
-use crate::spread::{least_crowded, Zones};
+use crate::spread::Zones;
 
 /// Time without an answer after which a voter gives way to a member that waits, in milliseconds.
 const SILENCE_MS: Millis = 2_500;
@@ -50,7 +50,8 @@
         .or_else(|| promote(node, now, members, wishes))
         .or_else(|| release(node, now, members, wishes))
         .or_else(|| drop_silent(node, now, members, wishes))
-        .or_else(|| drop_silent_learner(node, now, members));
+        .or_else(|| drop_silent_learner(node, now, members))
+        .or_else(|| spread(node, now, members, wishes));
     step.unwrap_or(Step::Rest)
 }
 
@@ -122,7 +123,7 @@
         let known = members.all().any(|held| held.name == member.name);
         may_join(members, wishes, member) && (known || staying < wishes.voters)
     };
-    let joining = least_crowded(&wishes.zones, members, wishes.joining.iter().filter(wanted))?;
+    let joining = wishes.zones.least_crowded(members, wishes.joining.iter().filter(wanted))?;
     let mut members = members.clone();
     members.learners.retain(|learner| learner.name != joining.name);
     members.learners.push(joining.clone());
@@ -156,6 +157,40 @@
     Some(Step::Change(members))
 }
 
+/// Moves a voter from a crowded zone to one with fewer, in three steps, each only while all voters answer: a
+/// machine of that zone learns, then votes, then the one in the crowded zone goes.
+fn spread(node: &Consensus, now: Millis, members: &Members, wishes: &Wishes) -> Option<Step> {
+    let answers = |member: &MemberId| node.silent_ms(now, member) < SILENCE_MS;
+    if !members.voters.iter().all(answers) || !node.members_are_settled() {
+        return None;
+    }
+    let crowded_out = |by: &MemberId| wishes.zones.crowded_out(&members.voters, by, node.id());
+    if members.voters.len() > wishes.voters {
+        let gone = members.voters.iter().find_map(crowded_out)?;
+        return Some(Step::Change(without(members, gone)));
+    }
+    if members.voters.len() < wishes.voters {
+        return None;
+    }
+    let may_vote = |learner: &&MemberId| {
+        is_caught_up(node, now, learner) && !wishes.leaving.contains(&learner.name)
+    };
+    let moves = |member: &&MemberId| crowded_out(member).is_some();
+    let mut changed = members.clone();
+    if let Some(learner) = members.learners.iter().filter(may_vote).find(moves) {
+        changed.learners.retain(|held| held != learner);
+        changed.voters.push(learner.clone());
+        return Some(Step::Change(changed));
+    }
+    if !members.learners.is_empty() {
+        return None;
+    }
+    let may_learn = |member: &&MemberId| may_join(members, wishes, member) && moves(member);
+    let asking = wishes.joining.iter().filter(may_learn);
+    changed.learners.push(wishes.zones.least_crowded(members, asking)?.clone());
+    Some(Step::Change(changed))
+}
+
 /// Removes a silent voter where others have taken its place.
 fn drop_silent(node: &Consensus, now: Millis, members: &Members, wishes: &Wishes) -> Option<Step> {
     let silent = |voter: &&MemberId| node.silent_ms(now, voter) >= SILENCE_MS;
--- a/crates/consensus/src/spread.rs
+++ b/crates/consensus/src/spread.rs
@@ -1,4 +1,4 @@
-//! Spread of members over zones.
+//! Spread of members over zones: the loss of one zone should leave a majority of the voters.
 
 use std::collections::HashMap;
 
@@ -20,22 +20,44 @@
         self.of.get(&member.name).map(String::as_str)
     }
 
-    /// How many members stand in the zone of a machine; none where that is not known.
-    pub(crate) fn beside<'a>(
+    /// How many of some members stand in the zone of a machine; none where that is not known.
+    fn beside<'a>(
         &self,
         member: &MemberId,
-        members: impl Iterator<Item = &'a MemberId>,
+        members: impl IntoIterator<Item = &'a MemberId>,
     ) -> usize {
         let Some(zone) = self.of(member) else { return 0 };
-        members.filter(|held| self.of(held) == Some(zone)).count()
+        members.into_iter().filter(|held| self.of(held) == Some(zone)).count()
+    }
+
+    /// The one to admit of some that ask: from the zone with the fewest members. Those that learn count as
+    /// well, or several would be admitted for the same place.
+    pub(crate) fn least_crowded<'a>(
+        &self,
+        members: &Members,
+        asking: impl Iterator<Item = &'a MemberId>,
+    ) -> Option<&'a MemberId> {
+        asking.min_by_key(|member| (self.beside(member, members.all()), &member.name))
     }
-}
 
-/// The one to admit of some that ask.
-pub(crate) fn least_crowded<'a>(
-    zones: &Zones,
-    members: &Members,
-    asking: impl Iterator<Item = &'a MemberId>,
-) -> Option<&'a MemberId> {
-    asking.min_by_key(|member| (zones.beside(member, members.voters.iter()), member.name.clone()))
+    /// A voter that a machine of another zone should take the place of: its zone has at least two more than
+    /// the machine's, so that the exchange makes the largest number smaller. The leader stays. Nothing is
+    /// moved while a voter's zone is not known.
+    pub(crate) fn crowded_out<'a>(
+        &self,
+        voters: &'a [MemberId],
+        by: &MemberId,
+        leader: &MemberId,
+    ) -> Option<&'a MemberId> {
+        self.of(by)?;
+        if voters.iter().any(|voter| self.of(voter).is_none()) {
+            return None;
+        }
+        let beside_it = self.beside(by, voters.iter().filter(|voter| *voter != by));
+        let crowded = |voter: &&MemberId| {
+            *voter != leader && *voter != by && self.beside(voter, voters) >= beside_it + 2
+        };
+        let most = |voter: &&MemberId| (self.beside(voter, voters), voter.name.clone());
+        voters.iter().filter(crowded).max_by_key(most)
+    }
 }
