--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -22,7 +22,7 @@
         shared.zones.region_of(zone).map(str::to_owned)
     });
     let allowed = catalog.routes.residency_of_host(&query.host.unwrap_or_default());
-    let asker = Asker { region: region.as_deref(), allowed: &allowed };
+    let asker = Asker { region: region.as_deref(), zone: query.zone.as_deref(), allowed: &allowed };
     let gateways: Vec<_> = fleet.gateways().collect();
     let chosen = choose(&gateways, &shared.zones, &asker);
     metrics::counter!("gateway_address_answers_total", "reach" => chosen.reach.name()).increment(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod relay;
 pub mod relay_port;
 pub mod request;
+pub mod sample;
 pub mod shared;
 pub mod suspect;
 
--- a/crates/gateway/src/named_gateways.rs
+++ b/crates/gateway/src/named_gateways.rs
@@ -6,6 +6,8 @@
 
 use yokefall_serving::{FleetMember, Residency, ZoneMap};
 
+use crate::sample;
+
 /// Most gateways that an answer names.
 pub const MAX_GATEWAYS: usize = 64;
 /// Least part of an even share of all gateways that a region has to have for its clients to be told of them
@@ -18,6 +20,8 @@
 pub struct Asker<'a> {
     /// Region of the client, as far as it told one.
     pub region: Option<&'a str>,
+    /// Its zone, as far as it told one.
+    pub zone: Option<&'a str>,
     /// Where the routes of the host that it asks for may be served.
     pub allowed: &'a Residency,
 }
@@ -60,7 +64,7 @@
     let (own, others): (Vec<&'a FleetMember>, Vec<&'a FleetMember>) =
         gateways.iter().copied().partition(|member| is_own(member));
     if is_enough(own.len(), gateways, zones) {
-        return limited(own, Vec::new(), Reach::Own);
+        return limited(own, Vec::new(), asker, Reach::Own);
     }
     let allowed: Vec<&'a FleetMember> = match asker.allowed {
         Residency::Anywhere => Vec::new(),
@@ -70,8 +74,8 @@
         }
     };
     match allowed.is_empty() {
-        false => limited(own, allowed, Reach::Allowed),
-        true => limited(own, others, Reach::All),
+        false => limited(own, allowed, asker, Reach::Allowed),
+        true => limited(own, others, asker, Reach::All),
     }
 }
 
@@ -86,11 +90,13 @@
 }
 
 fn limited<'a>(
-    mut gateways: Vec<&'a FleetMember>,
+    own: Vec<&'a FleetMember>,
     others: Vec<&'a FleetMember>,
+    asker: &Asker,
     reach: Reach,
 ) -> Choice<'a> {
-    gateways.extend(others);
+    let mut gateways = sample::order(own, asker.zone);
+    gateways.extend(sample::order(others, asker.zone));
     gateways.truncate(MAX_GATEWAYS);
     Choice { gateways, reach }
 }
--- a/crates/gateway/tests/named_gateways.rs
+++ b/crates/gateway/tests/named_gateways.rs
@@ -41,7 +41,7 @@
 
 fn told<'a>(fleet: &'a [FleetMember], region: Option<&str>, allowed: &Residency) -> Choice<'a> {
     let gateways: Vec<&FleetMember> = fleet.iter().collect();
-    choose(&gateways, &zones(), &Asker { region, allowed })
+    choose(&gateways, &zones(), &Asker { region, zone: None, allowed })
 }
 
 fn zones_of(choice: &Choice) -> BTreeSet<String> {
--- a/crates/jobstore/src/residence.rs
+++ b/crates/jobstore/src/residence.rs
@@ -46,10 +46,13 @@
         residency.allows(zones.get(job_store).and_then(|zone| map.region_of(zone)))
     }
 
-    /// Puts first those who ask to join the group from where everything that is held may be kept. The others come
-    /// last rather than never: without them the next lost disks could take jobs away that were accepted.
-    pub fn inside_first(&self, joining: &mut [MemberId], residency: &Residency, map: &ZoneMap) {
-        joining.sort_by_key(|member| !self.may_keep(&member.name, residency, map));
+    /// Leaves those who ask to join the group from where everything that is held may be kept. Where there are none,
+    /// the others may join: without them the next lost disks could take jobs away that were accepted.
+    pub fn prefer_inside(&self, joining: &mut Vec<MemberId>, residency: &Residency, map: &ZoneMap) {
+        let is_inside = |member: &MemberId| self.may_keep(&member.name, residency, map);
+        if joining.iter().any(is_inside) {
+            joining.retain(is_inside);
+        }
     }
 
     /// Those of these job stores at which something with this residency may not be kept.
--- a/crates/jobstore/tests/residence.rs
+++ b/crates/jobstore/tests/residence.rs
@@ -112,15 +112,17 @@
 }
 
 #[test]
-fn newcomers_from_inside_the_regions_of_held_jobs_come_first_and_the_others_last() {
+fn newcomers_from_outside_the_regions_of_held_jobs_join_only_where_none_from_inside_asks() {
     let known = KnownZones::default();
     let members = [job_store("a", "south-a"), job_store("b", "north-a"), job_store("c", "north-b")];
     known.note(&Fleet { members: members.to_vec() });
     let asking = |name: &str| MemberId { name: name.into(), incarnation: 1 };
     let mut joining = vec![asking("a"), asking("c"), asking("b")];
-    known.inside_first(&mut joining, &within(&["north"]), &zones());
-    let order: Vec<&str> = joining.iter().map(|member| member.name.as_str()).collect();
-    assert_eq!(order, ["c", "b", "a"]);
+    known.prefer_inside(&mut joining, &within(&["north"]), &zones());
+    assert_eq!(joining, [asking("c"), asking("b")]);
+    let mut outside = vec![asking("a")];
+    known.prefer_inside(&mut outside, &within(&["north"]), &zones());
+    assert_eq!(outside, [asking("a")]);
 }
 
 #[test]
