--- a/crates/serving/src/eligibility/cold_share.rs
+++ b/crates/serving/src/eligibility/cold_share.rs
@@ -15,6 +15,11 @@
 /// Part of what is allowed that nobody uses. It bears processes whose views differ: of 27 requests a second, five.
 /// From the model (`tests/cold.rs`).
 const MARGIN: f64 = 0.18;
+/// Requests a second to one back end of a process that is lost: it may not know that the back end is cold, and sends
+/// what it sends to a warm one.
+const OF_LOST: f64 = 0.25;
+/// Part of what is allowed that is used however many are lost: after a restart of most they aren't cut off.
+const LEAST_USED: f64 = 0.4;
 /// Part of the rest that is for items of jobs, which the few job stores send.
 const ITEM_SHARE: f64 = 0.18;
 /// Time in which a process sends its part, in milliseconds: a second, and 100 ms by which one that is short of
@@ -41,11 +46,13 @@
 
 impl Allowance {
     /// What a cold back end of a service may get. Where there are no job stores, gateways have it all.
-    pub fn of(bounds: &PlacementBounds, warm_up: &WarmUp, has_job_stores: bool) -> Self {
+    pub fn of(bounds: &PlacementBounds, warm_up: &WarmUp, names: &KnownNames) -> Self {
         let per_second = warm_up.per_1000_seconds as f64 / 1_000.0;
         let allowed = (per_second * bounds.cold_overage + bounds.cold_slack).floor();
-        let used = (allowed - (allowed * MARGIN).ceil()).max(allowed.min(1.0)) as u32;
-        let job_stores = match has_job_stores && used > 1 {
+        let unused = (allowed * MARGIN).ceil() + (f64::from(names.lost) * OF_LOST).ceil();
+        let least = (allowed * LEAST_USED).ceil();
+        let used = (allowed - unused).max(least) as u32;
+        let job_stores = match !names.job_stores.is_empty() && used > 1 {
             true => (f64::from(used) * ITEM_SHARE).ceil() as u32,
             false => 0,
         };
--- a/crates/serving/src/eligibility/cold_state.rs
+++ b/crates/serving/src/eligibility/cold_state.rs
@@ -176,9 +176,8 @@
     }
 
     fn allowance(&self, service: &str) -> Allowance {
-        let has_job_stores = !self.names.job_stores.is_empty();
         let warm_up = self.warmth.warm_up(service);
-        let of = |warm_up| Allowance::of(&self.bounds, warm_up, has_job_stores);
+        let of = |warm_up| Allowance::of(&self.bounds, warm_up, &self.names);
         warm_up.map(of).unwrap_or_default()
     }
 
--- a/crates/serving/src/eligibility/warmth.rs
+++ b/crates/serving/src/eligibility/warmth.rs
@@ -64,13 +64,11 @@
 /// A back end as it is known here.
 #[derive(Clone, Debug)]
 struct Known {
-    started_ms: u64,
     service: Arc<str>,
-    zone: String,
-    /// When this life of it became known.
-    known_since: Timestamp,
-    /// Remaining time as its record has it.
-    recorded_ms: u64,
+    /// When this life of it came; `None` where it was known at the start of this process.
+    appeared_at: Option<Timestamp>,
+    /// Its record: another one says anew for how long it is cold, also where it says the same.
+    record: Arc<Backend>,
     /// What the back end itself says of its life.
     stated: Option<Doubt>,
     /// What else speaks against its being warm.
@@ -100,17 +98,17 @@
         self.forget(now, catalog);
     }
 
-    fn take(&mut self, now: Timestamp, backend: &Backend, is_first: bool) {
+    fn take(&mut self, now: Timestamp, backend: &Arc<Backend>, is_first: bool) {
         let Some((service, warm_up)) = self.warm_ups.get_key_value(backend.service.as_str()) else {
             return;
         };
         let held = self.backends.get_mut(&backend.id);
-        let held =
-            held.filter(|held| held.started_ms == backend.started_ms && held.gone_since.is_none());
+        let held = held.filter(|held| {
+            held.record.started_ms == backend.started_ms && held.gone_since.is_none()
+        });
         if let Some(held) = held {
-            held.zone.clone_from(&backend.zone);
-            if held.recorded_ms != backend.cold_remaining_ms {
-                held.recorded_ms = backend.cold_remaining_ms;
+            if !Arc::ptr_eq(&held.record, backend) {
+                held.record = backend.clone();
                 held.stated = recorded(now, backend.cold_remaining_ms);
             }
             return;
@@ -119,11 +117,9 @@
         let appeared =
             Doubt { until: now.plus_millis(warm_up.duration_ms), cause: ColdCause::Appeared };
         let known = Known {
-            started_ms: backend.started_ms,
             service: service.clone(),
-            zone: backend.zone.clone(),
-            known_since: now,
-            recorded_ms: backend.cold_remaining_ms,
+            appeared_at: (!is_first).then_some(now),
+            record: backend.clone(),
             stated,
             suspected: (!is_first && stated.is_none()).then_some(appeared),
             gone_since: None,
@@ -135,9 +131,11 @@
     /// may not say so yet.
     fn return_zones(&mut self, now: Timestamp, evacuated: &BTreeSet<String>) {
         let returned: Vec<&String> = self.evacuated.difference(evacuated).collect();
-        for known in self.backends.values_mut().filter(|known| returned.contains(&&known.zone)) {
+        for known in
+            self.backends.values_mut().filter(|known| returned.contains(&&known.record.zone))
+        {
             let Some(warm_up) = self.warm_ups.get(&known.service) else { continue };
-            known.suspect(now, warm_up, ColdCause::ZoneReturned);
+            known.suspect(start_may_be_told(now, warm_up), ColdCause::ZoneReturned);
         }
         self.evacuated.clone_from(evacuated);
     }
@@ -156,23 +154,29 @@
 
     /// A back end fails for most, as their reports of the last seconds say.
     pub fn failed_for_all(&mut self, now: Timestamp, id: &str) {
-        let Some(known) = self.backends.get(id) else { return };
-        if now.millis_since(known.known_since) >= REPORTED_MS {
-            self.failed(now, id);
+        let Some(known) = self.backends.get_mut(id) else { return };
+        let is_new = |at: Timestamp| now.millis_since(at) < REPORTED_MS;
+        if !known.appeared_at.is_some_and(is_new) {
+            return self.failed(now, id);
         }
+        // Probably the life before failed, and this one is cold for as long anyway. Where it is this one, that is
+        // told again before this doubt ends.
+        known.suspect(now.plus_millis(RECORD_DELAY_MS), ColdCause::Failed);
     }
 
     /// A back end could not be reached, broke off or fell silent here.
     pub fn failed(&mut self, now: Timestamp, id: &str) {
         let Some(known) = self.backends.get_mut(id) else { return };
         let Some(warm_up) = self.warm_ups.get(&known.service) else { return };
-        known.suspect(now, warm_up, ColdCause::Failed);
+        known.suspect(start_may_be_told(now, warm_up), ColdCause::Failed);
     }
 
     /// A back end told in an answer for how much longer it is cold.
     pub fn told(&mut self, now: Timestamp, id: &str, started_ms: u64, remaining_ms: u64) {
         let known = self.backends.get_mut(id);
-        let Some(known) = known.filter(|known| known.started_ms == started_ms) else { return };
+        let Some(known) = known.filter(|known| known.record.started_ms == started_ms) else {
+            return;
+        };
         known.stated = (remaining_ms > 0)
             .then(|| Doubt { until: now.plus_millis(remaining_ms), cause: ColdCause::Told });
         known.suspected = None;
@@ -208,14 +212,18 @@
 
 impl Known {
     /// Whatever was the cause before: the later end counts.
-    fn suspect(&mut self, now: Timestamp, warm_up: &WarmUp, cause: ColdCause) {
-        let until = now.plus_millis(warm_up.duration_ms + RECORD_DELAY_MS);
+    fn suspect(&mut self, until: Timestamp, cause: ColdCause) {
         if self.suspected.is_none_or(|held| held.until < until) {
             self.suspected = Some(Doubt { until, cause });
         }
     }
 }
 
+/// When a back end that starts now is warm, and this process has long read so.
+fn start_may_be_told(now: Timestamp, warm_up: &WarmUp) -> Timestamp {
+    now.plus_millis(warm_up.duration_ms + RECORD_DELAY_MS)
+}
+
 fn recorded(now: Timestamp, remaining_ms: u64) -> Option<Doubt> {
     let until = now.plus_millis(remaining_ms);
     (remaining_ms > 0).then_some(Doubt { until, cause: ColdCause::Recorded })
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -27,6 +27,8 @@
 const FAR_FANOUT: usize = 1;
 /// Interval at which names of lost members are looked through, in milliseconds: they are kept for minutes.
 const NAMES_INTERVAL_MS: u64 = 10_000;
+/// The same while some count as lost, which they do for seconds.
+const LOST_INTERVAL_MS: u64 = 1_000;
 /// Largest datagram read, in bytes.
 const DATAGRAM_BYTES: usize = 16_384;
 
@@ -182,8 +184,10 @@
             let records = members.records();
             names.take(now, &records);
             let has_seeds = seeds.borrow().iter().any(|seed| *seed != own_address);
-            publish(records, names.names(now, &name, has_seeds), &cell);
-            names_at = now.plus_millis(NAMES_INTERVAL_MS);
+            let known = names.names(now, &name, has_seeds);
+            let interval = if known.lost > 0 { LOST_INTERVAL_MS } else { NAMES_INTERVAL_MS };
+            names_at = now.plus_millis(interval);
+            publish(records, known, &cell);
         }
         if has_changed {
             news.rank(now, Ranking::new(&cell.load().members, &zone, &name));
