--- a/crates/jobstore/src/delegation.rs
+++ b/crates/jobstore/src/delegation.rs
@@ -99,14 +99,18 @@
     /// ends are used again. `None` where this process should run them itself.
     pub fn worker_for(&self, backend: &Backend) -> Option<FleetMember> {
         let fleet = self.fleet.load();
-        let free = self.free(&fleet);
+        let voters = self.store.with_core(|core, _| core.members().voters.clone());
+        let votes = |member: &FleetMember| voters.iter().any(|voter| voter.name == member.name);
+        let mut free = self.free(&fleet);
+        free.retain(|member| !votes(member));
         let is_near = free.iter().any(|member| member.zone == backend.zone);
         let candidates = free.into_iter().filter(|member| !is_near || member.zone == backend.zone);
         let score = rendezvous_score(backend.id.as_bytes());
         candidates.max_by_key(|member| score(&member.name)).cloned()
     }
 
-    /// The member of this name, where it may be given items.
+    /// The job store of this name, where it may be given items. One that votes may: few have a share of a back end
+    /// that is cold, and in a small group all vote.
     pub fn worker_named(&self, name: &str) -> Option<FleetMember> {
         let fleet = self.fleet.load();
         self.free(&fleet).into_iter().find(|member| member.name == name).cloned()
@@ -118,17 +122,13 @@
         self.free(&fleet).into_iter().map(|member| member.name.clone()).collect()
     }
 
-    /// Job stores that do not vote, take work and have not failed lately.
+    /// Job stores that take work and have not failed lately.
     fn free<'a>(&self, fleet: &'a Fleet) -> Vec<&'a FleetMember> {
-        let voters = self.store.with_core(|core, _| core.members().voters.clone());
         let mut resting = self.resting.borrow_mut();
         let now = Instant::now();
         resting.retain(|_, until| *until > now);
-        let is_free = |member: &&FleetMember| {
-            member.accepting
-                && !resting.contains_key(&member.name)
-                && !voters.iter().any(|voter| voter.name == member.name)
-        };
+        let is_free =
+            |member: &&FleetMember| member.accepting && !resting.contains_key(&member.name);
         fleet.job_stores().filter(is_free).collect()
     }
 
