--- /dev/null
+++ b/crates/serving/tests/cold_parts.rs
@@ -0,0 +1,203 @@
+//! Parts of what is decided about back ends that are not warm: names, shares, doubts.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use yokefall_core::membership::{MemberRecord, MemberState};
+use yokefall_core::Timestamp;
+use yokefall_serving::eligibility::cold_share::{quota, Allowance, Sends, SHARE_INTERVAL_MS};
+use yokefall_serving::eligibility::warmth::{ColdCause, Warmth, RECORD_DELAY_MS};
+use yokefall_serving::names::NameMemory;
+use yokefall_serving::{
+    Backend, BackendState, Catalog, Configuration, KnownNames, PlacementBounds, Sender, Service,
+    WarmUp, ZoneFacts, ZoneMap,
+};
+
+const BOUNDS: PlacementBounds =
+    PlacementBounds { evacuation_ms: Some(5_000), cold_overage: 1.5, cold_slack: 5.0 };
+const WARM_UP: WarmUp = WarmUp { duration_ms: 3_000, per_1000_seconds: 15_000 };
+const START: Timestamp = Timestamp(100_000);
+
+fn names(gateways: usize, job_stores: usize) -> KnownNames {
+    let all = |kind: &str, count: usize| (0..count).map(|n| format!("{kind}-{n}")).collect();
+    let (gateways, job_stores) = (all("edge", gateways), all("store", job_stores));
+    KnownNames { gateways, job_stores, lost: 0, joined: true }
+}
+
+fn sum(names: &KnownNames, backend: &str) -> u32 {
+    let allowance = Allowance::of(&BOUNDS, &WARM_UP, names);
+    let of_kind = |job_store: bool| {
+        let senders = names.of_kind(job_store);
+        let senders = senders.map(|name| Sender { name: name.to_owned(), job_store });
+        senders.map(|sender| quota(allowance, names, backend, &sender)).sum::<u32>()
+    };
+    of_kind(false) + of_kind(true)
+}
+
+/// What would fail: a fleet of another size than the model's, in which the shares add up to more.
+#[test]
+fn shares_of_all_processes_stay_below_what_is_allowed_in_fleets_of_any_size() {
+    for (gateways, job_stores) in [(1, 0), (1, 1), (2, 1), (3, 3), (17, 5), (23, 0), (75, 14)] {
+        let names = names(gateways, job_stores);
+        for backend in ["a", "b", "c"] {
+            let sum = sum(&names, backend);
+            assert!((1..=22).contains(&sum), "{gateways} and {job_stores}: {sum}");
+        }
+    }
+    assert_eq!(sum(&names(75, 14), "a"), 22);
+}
+
+#[test]
+fn lost_processes_take_from_what_the_others_use_down_to_a_part() {
+    let used = |lost: u32| {
+        let allowance = Allowance::of(&BOUNDS, &WARM_UP, &KnownNames { lost, ..names(75, 14) });
+        allowance.gateways + allowance.job_stores
+    };
+    assert_eq!((used(0), used(1), used(4), used(8), used(80)), (22, 21, 21, 20, 11));
+}
+
+#[test]
+fn a_back_end_that_bears_less_than_one_request_gets_none_and_one_that_bears_one_gets_it() {
+    let used = |per_1000_seconds: u64| {
+        let warm_up = WarmUp { per_1000_seconds, ..WARM_UP };
+        let allowance = Allowance::of(&PlacementBounds::default(), &warm_up, &names(3, 3));
+        (allowance.gateways, allowance.job_stores)
+    };
+    assert_eq!((used(500), used(1_000)), ((0, 0), (1, 0)));
+}
+
+#[test]
+fn a_share_is_spent_for_more_than_a_second() {
+    let mut sends = Sends::default();
+    assert_eq!(sends.wait_ms(START, 0), None);
+    assert_eq!(sends.wait_ms(START, 1), Some(0));
+    sends.note(START);
+    assert_eq!(sends.wait_ms(START, 1), Some(SHARE_INTERVAL_MS));
+    assert_eq!(sends.wait_ms(START, 2), Some(0));
+    assert_eq!(sends.wait_ms(START.plus_millis(1_000), 1), Some(SHARE_INTERVAL_MS - 1_000));
+    assert_eq!(sends.wait_ms(START.plus_millis(SHARE_INTERVAL_MS), 1), Some(0));
+}
+
+fn record(name: &str, state: MemberState) -> (MemberRecord, u64) {
+    let record = MemberRecord {
+        node: name.into(),
+        incarnation: 1,
+        address: "127.0.0.1:1".into(),
+        zone: "z".into(),
+        region: "r".into(),
+        data: false,
+        state,
+    };
+    (record, 0)
+}
+
+/// What would fail: a process that is cut off goes on, and whoever forgets its name takes its share as well.
+#[test]
+fn names_of_lost_processes_count_for_minutes() {
+    let mut memory = NameMemory::default();
+    let own = record("own", MemberState::Alive);
+    memory.take(START, &[own.clone(), record("other", MemberState::Alive)]);
+    assert!(!NameMemory::default().names(START, "own", true).joined);
+    assert!(memory.names(START, "own", true).joined);
+    let lost_at = START.plus_millis(60_000);
+    memory.take(lost_at, &[own.clone(), record("other", MemberState::Suspect)]);
+    let known = memory.names(lost_at.plus_millis(2_000), "own", true);
+    assert_eq!((known.gateways.len(), known.lost), (2, 1));
+    // Membership forgets it sooner or later; the name counts on.
+    memory.take(lost_at.plus_millis(20_000), &[own.clone()]);
+    let known = memory.names(lost_at.plus_millis(20_000), "own", true);
+    assert_eq!((known.gateways.len(), known.lost), (2, 0));
+    memory.take(lost_at.plus_millis(700_000), &[own]);
+    assert_eq!(memory.names(lost_at.plus_millis(700_000), "own", true).gateways, ["own"]);
+}
+
+fn backend(started_ms: u64, cold_remaining_ms: u64) -> Arc<Backend> {
+    Arc::new(Backend {
+        id: "i-0".into(),
+        started_ms,
+        service: "models".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z-1".into(),
+        slots: 8,
+        state: BackendState::Ready,
+        cold_remaining_ms,
+    })
+}
+
+fn catalog(backends: &[Arc<Backend>], evacuated: &[&str]) -> Catalog {
+    let service = Service {
+        name: "models".into(),
+        health_path: "/health".into(),
+        max_connections: 64,
+        warm_up: Some(WARM_UP),
+    };
+    let configuration = Configuration { services: vec![service], ..Configuration::default() };
+    let evacuated: BTreeSet<String> = evacuated.iter().map(|zone| (*zone).to_owned()).collect();
+    let facts = ZoneFacts { evacuated, zones: Arc::new(ZoneMap::default()) };
+    Catalog::with_zones(Some(Arc::new(configuration)), backends.iter(), facts)
+}
+
+fn doubt(warmth: &Warmth, at: Timestamp) -> Option<(ColdCause, u64)> {
+    warmth.doubt(at, "i-0").map(|doubt| (doubt.cause, doubt.until.millis_since(START)))
+}
+
+#[test]
+fn a_record_tells_for_how_long_also_where_it_says_the_same_once_more() {
+    let mut warmth = Warmth::default();
+    warmth.observe(START, &catalog(&[backend(1, 3_000)], &[]));
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::Recorded, 3_000)));
+    assert_eq!(doubt(&warmth, START.plus_millis(3_000)), None);
+    let later = START.plus_millis(10_000);
+    warmth.observe(later, &catalog(&[backend(1, 3_000)], &[]));
+    assert_eq!(doubt(&warmth, later), Some((ColdCause::Recorded, 13_000)));
+    warmth.observe(later, &catalog(&[backend(1, 0)], &[]));
+    assert_eq!(doubt(&warmth, later), None);
+}
+
+#[test]
+fn another_life_is_cold_and_what_was_known_at_the_start_is_not() {
+    let mut warmth = Warmth::default();
+    warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
+    assert_eq!(doubt(&warmth, START), None);
+    warmth.observe(START, &catalog(&[backend(2, 0)], &[]));
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::Appeared, 3_000)));
+}
+
+/// What would fail: a word that came before the failure, or of another life, takes the doubt away.
+#[test]
+fn a_failure_is_outweighed_by_time_or_by_the_word_of_the_same_life() {
+    let mut warmth = Warmth::default();
+    warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
+    warmth.told(START, "i-0", 1, 0);
+    warmth.failed(START, "i-0");
+    let until = WARM_UP.duration_ms + RECORD_DELAY_MS;
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::Failed, until)));
+    warmth.told(START, "i-0", 2, 0);
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::Failed, until)));
+    assert_eq!(doubt(&warmth, START.plus_millis(until)), None);
+    warmth.told(START, "i-0", 1, 0);
+    assert_eq!(doubt(&warmth, START), None);
+    warmth.told(START, "i-0", 1, 700);
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::Told, 700)));
+}
+
+#[test]
+fn a_zone_that_returns_is_not_known_to_be_warm() {
+    let mut warmth = Warmth::default();
+    warmth.observe(START, &catalog(&[backend(1, 0)], &["z-1"]));
+    assert_eq!(doubt(&warmth, START), None);
+    warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
+    let until = WARM_UP.duration_ms + RECORD_DELAY_MS;
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::ZoneReturned, until)));
+}
+
+/// What would fail: the store loses a record for a moment, and what was sent to its back end doesn't count any more.
+#[test]
+fn a_back_end_that_is_gone_for_a_moment_is_not_forgotten() {
+    let mut warmth = Warmth::default();
+    warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
+    warmth.observe(START, &catalog(&[], &[]));
+    assert!(warmth.holds("i-0"));
+    warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::Appeared, 3_000)));
+}
