--- a/crates/serving/tests/cold_parts.rs
+++ b/crates/serving/tests/cold_parts.rs
@@ -104,7 +104,7 @@
     let known = memory.names(lost_at.plus_millis(2_000), "own", true);
     assert_eq!((known.gateways.len(), known.lost), (2, 1));
     // Membership forgets it sooner or later; the name counts on.
-    memory.take(lost_at.plus_millis(20_000), &[own.clone()]);
+    memory.take(lost_at.plus_millis(20_000), std::slice::from_ref(&own));
     let known = memory.names(lost_at.plus_millis(20_000), "own", true);
     assert_eq!((known.gateways.len(), known.lost), (2, 0));
     memory.take(lost_at.plus_millis(700_000), &[own]);
