--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -158,6 +158,8 @@
     if failing.is_empty() {
         return;
     }
+    // Whatever the fault is: some of them may start again.
+    shared.cold.failed_for_all(failing.iter().map(|life| life.id.as_str()));
     let catalog = shared.catalog.load();
     for backends in catalog.ready.values() {
         let is_failing = |backend: &&Backend| {
--- a/crates/jobstore/src/delegation.rs
+++ b/crates/jobstore/src/delegation.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
-use yokefall_serving::{Backend, FleetCell, FleetMember, Residency, ZoneMap};
+use yokefall_serving::{Backend, Fleet, FleetCell, FleetMember, Residency, ZoneMap};
 use yokefall_suspects::Registry;
 use yokefall_types::rendezvous_score;
 use yokefall_upstream::Place;
@@ -106,21 +106,40 @@
     /// the nearest to the back end (`nearest`), and of these the one with the highest hash of both names, so
     /// that connections to back ends are used again. `None` where this process should run them itself.
     pub fn worker_for(&self, backend: &Backend, residency: &Residency) -> Option<FleetMember> {
+        let fleet = self.fleet.load();
         let voters = self.store.with_core(|core, _| core.members().voters.clone());
+        let votes = |member: &FleetMember| voters.iter().any(|voter| voter.name == member.name);
+        let mut free = self.free(&fleet, residency);
+        free.retain(|member| !votes(member));
+        let score = rendezvous_score(backend.id.as_bytes());
+        let candidates = nearest(&free, &backend.zone, &self.zones).into_iter();
+        candidates.max_by_key(|member| score(&member.name)).cloned()
+    }
+
+    /// The job store of this name, where it may be given items. One that votes may: few have a share of a back end
+    /// that is cold, and in a small group all vote.
+    pub fn worker_named(&self, name: &str, residency: &Residency) -> Option<FleetMember> {
+        let fleet = self.fleet.load();
+        self.free(&fleet, residency).into_iter().find(|member| member.name == name).cloned()
+    }
+
+    /// Names of the job stores that may be given items with a residency.
+    pub fn free_names(&self, residency: &Residency) -> Vec<String> {
         let fleet = self.fleet.load();
+        self.free(&fleet, residency).into_iter().map(|member| member.name.clone()).collect()
+    }
+
+    /// Job stores that take work, have not failed lately and stand where an item may be.
+    fn free<'a>(&self, fleet: &'a Fleet, residency: &Residency) -> Vec<&'a FleetMember> {
         let mut resting = self.resting.borrow_mut();
         let now = Instant::now();
         resting.retain(|_, until| *until > now);
         let is_free = |member: &&FleetMember| {
             member.accepting
                 && !resting.contains_key(&member.name)
-                && !voters.iter().any(|voter| voter.name == member.name)
                 && residency.allows(self.zones.region_of(&member.zone))
         };
-        let free: Vec<&FleetMember> = fleet.job_stores().filter(is_free).collect();
-        let score = rendezvous_score(backend.id.as_bytes());
-        let candidates = nearest(&free, &backend.zone, &self.zones).into_iter();
-        candidates.max_by_key(|member| score(&member.name)).cloned()
+        fleet.job_stores().filter(is_free).collect()
     }
 
     /// Runs an item at a worker. The output comes into `progress`; `preempted` ends the run.
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -20,10 +20,11 @@
 use crate::backlog::{Backlog, PassFigures};
 use crate::delegation::{preemption, Delegation};
 use crate::held_items::HeldItems;
+use crate::item_worker::{ItemWorker, ItemWorkers};
 use crate::preemption::{preempted, Phase, PlacedRun};
 use crate::protocol::RunOrder;
 use crate::room::{FreeSlots, Room, ServiceSlots, SlotPool};
-use crate::run::{item_digest, ItemSender, Progress, RunEnd};
+use crate::run::{item_digest, ItemSender, NoPermit, Progress, RunEnd};
 use crate::running::{take_output, CountedItem, ItemKey, Running};
 use crate::state::{Command, OpenItem, Run};
 use crate::store::Store;
@@ -70,6 +71,7 @@
 /// The slot of an item that starts.
 struct PlacedItem {
     place: Place,
+    worker: ItemWorker,
     phase: Rc<Cell<Phase>>,
     /// Tells it to give its slot to an online request.
     preempted: Rc<Notify>,
@@ -249,9 +251,12 @@
             if !self.held.may_start(suspects, &key, &backend.id, || self.digest_of(&key)) {
                 continue;
             }
-            self.start(key, backend.clone());
+            if let Some(worker) = self.item_workers().choose(&backend, &pool.residency) {
+                self.start(key, backend.clone(), worker);
+            }
             let items = self.worker.places.with(|balancer, _| balancer.in_flight(&backend));
-            if !self.has_free_slot(&backend, items) {
+            let may_take = self.item_workers().may_take(&backend, &pool.residency);
+            if !self.has_free_slot(&backend, items) || !may_take {
                 free.remove(&backend.id);
             }
         }
@@ -271,7 +276,7 @@
         let catalog = self.worker.catalog.load();
         let room = self.room(pool);
         let need = Need { service: &pool.service, residency: &pool.residency };
-        let candidates = self.worker.eligibility.candidates(&catalog, &need);
+        let candidates = self.item_workers().candidates(&catalog, &need);
         let backends = self.worker.places.with(|balancer, now| {
             let is_free = |backend: &&Arc<Backend>| {
                 let items = balancer.in_flight(backend);
@@ -321,18 +326,11 @@
         (route.kind == RouteKind::Batch).then_some(SlotPool { service, residency })
     }
 
-    /// Where an item may be sent; nowhere while no route has its path.
-    fn residency_of(&self, sender: &ItemSender, item: &JobItem) -> Residency {
-        let catalog = self.worker.catalog.load();
-        let residency = catalog.residency_at(&sender.host, &item.path, sender.tenant.as_ref());
-        residency.unwrap_or_else(Residency::nowhere)
-    }
-
     /// The slots of a pool.
     fn room(&self, pool: &SlotPool) -> Room {
         let catalog = self.worker.catalog.load();
         let need = Need { service: &pool.service, residency: &pool.residency };
-        let candidates = self.worker.eligibility.candidates(&catalog, &need);
+        let candidates = self.item_workers().candidates(&catalog, &need);
         self.worker.places.with(|balancer, now| {
             let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
             let mut room = Room::new(self.store.loads.report_interval()).heard(coverage);
@@ -347,6 +345,12 @@
         })
     }
 
+    /// Who may run items.
+    fn item_workers(&self) -> ItemWorkers<'_> {
+        let leader = self.store.with_core(|core, _| core.id().name.clone());
+        ItemWorkers { worker: &self.worker, delegation: &self.delegation, leader }
+    }
+
     /// Whether a back end with this many items has a free slot.
     fn has_free_slot(&self, backend: &Backend, items: u32) -> bool {
         self.reported_online(backend) + items < backend.slots
@@ -379,7 +383,7 @@
         }
     }
 
-    fn start(self: &Rc<Self>, key: ItemKey, backend: Arc<Backend>) {
+    fn start(self: &Rc<Self>, key: ItemKey, backend: Arc<Backend>, worker: ItemWorker) {
         let Some(Some((sender, item, partial))) = self.store.with_job(&key.0, |job| {
             let open = job.open.get(&key.1)?;
             let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
@@ -398,7 +402,7 @@
             sender,
             item,
             progress.clone(),
-            PlacedItem { place, phase: phase.clone(), preempted: preempted.clone() },
+            PlacedItem { place, worker, phase: phase.clone(), preempted: preempted.clone() },
         ));
         let started = Instant::now();
         let backend = Some(backend);
@@ -414,10 +418,11 @@
         progress: Rc<RefCell<Progress>>,
         placed: PlacedItem,
     ) {
-        let PlacedItem { mut place, phase, preempted } = placed;
-        // An item without a route goes to no back end; as long as that is so, its body stays here.
-        let residency = self.residency_of(&sender, &item);
-        let worker = self.delegation.worker_for(&place.backend, &residency);
+        let PlacedItem { mut place, worker, phase, preempted } = placed;
+        let worker = match worker {
+            ItemWorker::Leader => None,
+            ItemWorker::Other(member) => Some(member),
+        };
         let life = place.backend.life();
         Line::new(EventName::ItemStarted)
             .id(&item.id)
@@ -485,10 +490,10 @@
         backend: &Backend,
         sender: &ItemSender,
         item: &JobItem,
-    ) -> Result<Permit, String> {
+    ) -> Result<Permit, NoPermit> {
         let is_open = self.store.with_job(job, |job| job.open.contains_key(index));
         if !self.store.serves() || is_open != Some(true) {
-            return Err("it is not wanted any more".into());
+            return Err(NoPermit::new("it is not wanted any more"));
         }
         self.worker.permit(backend, sender, item)
     }
--- a/crates/jobstore/tests/aggregators.rs
+++ b/crates/jobstore/tests/aggregators.rs
@@ -33,7 +33,7 @@
         members.extend((0..gateways).map(|n| member(format!("edge-{region}-{n}"), region, false)));
         members.extend((0..5).map(|n| member(format!("store-{region}-{n}"), region, true)));
     }
-    Fleet { members }
+    Fleet { members, ..Fleet::default() }
 }
 
 fn target(gateway: &FleetMember) -> ReportTarget {
--- a/crates/jobstore/tests/connections.rs
+++ b/crates/jobstore/tests/connections.rs
@@ -25,7 +25,8 @@
         job_store: true,
         accepting: true,
     };
-    let fleet = Arc::new(ArcSwap::from_pointee(Fleet { members: vec![member] }));
+    let fleet =
+        Arc::new(ArcSwap::from_pointee(Fleet { members: vec![member], ..Fleet::default() }));
     let links = Links::new(fleet, Addresses::new());
     let told = || links.send("store-2", &Frame::Leader("store-1".into()));
     LocalSet::new()
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::backlog::Backlog;
 use crate::duty::{Ranking, HEARTBEAT_INTERVAL_MS};
 use crate::lateness::Lateness;
+use crate::names::{KnownNames, NameMemory};
 use crate::news::{Known, News};
 
 /// Members of the own zone, and of others, that are told at once of what this process has learnt. Each
@@ -29,6 +30,10 @@
 /// Members of the own zone, and of others, that are told when the store has confirmed what this process knows. They
 /// pass its age on with their probes; begun with more of them, that takes a round less.
 pub const CONFIRMATION_FANOUT: (usize, usize) = (6, 2);
+/// Interval at which names of lost members are looked through, in milliseconds: they are kept for minutes.
+const NAMES_INTERVAL_MS: u64 = 10_000;
+/// The same while some count as lost, which they do for seconds.
+const LOST_INTERVAL_MS: u64 = 1_000;
 /// Largest datagram read, in bytes.
 const DATAGRAM_BYTES: usize = 16_384;
 
@@ -59,6 +64,8 @@
 pub struct Fleet {
     /// The members.
     pub members: Vec<FleetMember>,
+    /// Names of all processes that were heard of lately, those too that are lost.
+    pub names: Arc<KnownNames>,
 }
 
 impl Fleet {
@@ -162,10 +169,13 @@
     } = parts;
     let Notices { mut outgoing, incoming } = parts.notices;
     let (name, zone) = (identity.name.clone(), identity.zone.clone());
+    let own_address = identity.address;
     let first_seeds = texts(&seeds.borrow_and_update());
     let incarnation = identity.incarnation;
     let mut members = MemberList::new(record_of(identity), first_seeds, incarnation);
     members.set_news_port(news_port);
+    let mut names = NameMemory::default();
+    let mut names_at = Timestamp(0);
     let mut may_change = true;
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut told_leaving = false;
@@ -176,7 +186,17 @@
     loop {
         let now = clock.now();
         backlog.woken(now);
-        if publish(&mut members, &cell) {
+        let has_changed = members.take_changed();
+        if has_changed || now >= names_at {
+            let records = members.records();
+            names.take(now, &records);
+            let has_seeds = seeds.borrow().iter().any(|seed| *seed != own_address);
+            let known = names.names(now, &name, has_seeds);
+            let interval = if known.lost > 0 { LOST_INTERVAL_MS } else { NAMES_INTERVAL_MS };
+            names_at = now.plus_millis(interval);
+            publish(records, known, &cell);
+        }
+        if has_changed {
             news.rank(now, Ranking::new(&cell.load().members, &zone, &name));
         }
         news.tick(now);
@@ -310,11 +330,8 @@
     }
 }
 
-/// Puts the members into the cell where they changed; returns whether they did.
-fn publish(membership: &mut MemberList, cell: &FleetCell) -> bool {
-    if !membership.take_changed() {
-        return false;
-    }
+/// Puts the members into the cell where they changed.
+fn publish(records: Vec<(MemberRecord, u64)>, names: KnownNames, cell: &FleetCell) {
     let member = |(record, _): (MemberRecord, u64)| {
         Some(FleetMember {
             name: record.node.to_string(),
@@ -326,7 +343,9 @@
         })
     };
     let alive = |(record, _): &(MemberRecord, u64)| record.state != MemberState::Dead;
-    let members = membership.records().into_iter().filter(alive).filter_map(member).collect();
-    cell.store(Arc::new(Fleet { members }));
-    true
+    let members = records.into_iter().filter(alive).filter_map(member).collect();
+    let fleet = Fleet { members, names: Arc::new(names) };
+    if fleet != **cell.load() {
+        cell.store(Arc::new(fleet));
+    }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod listing;
 pub mod lives;
 pub mod model;
+pub mod names;
 pub mod nearness;
 pub mod news;
 pub mod news_exchange;
@@ -37,7 +38,8 @@
     AddressQuery, BackendLoad, BadSubmission, Dialect, HeaderNames, JobCall, PrefixPart,
 };
 pub use eligibility::{
-    Distance, Eligibility, Freshness, Ineligible, Need, Permit, Residency, ZoneMap,
+    ColdStart, ColdStartOptions, Distance, Eligibility, Freshness, Ineligible, Need, Permit,
+    Residency, Sender, ZoneMap,
 };
 pub use fleet::{empty_fleet, Fleet, FleetCell, FleetMember};
 pub use identity::{Caller, Requester};
@@ -47,6 +49,7 @@
     Backend, BackendLife, BackendState, BatchPolicy, Configuration, Evacuation, RequestLimits,
     Route, RouteKind, Service, SplitPart, WarmUp,
 };
+pub use names::KnownNames;
 pub use outcomes::Outcomes;
 pub use source::{
     Change, Claim, ListPage, Listing, Platform, Registry, Retirement, Source, SourceError, Watched,
