--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -210,9 +210,10 @@
             (fleet.clone(), catalog.clone(), known_zones.clone()),
             voters,
         ));
+        // It knows no regions: items of all would fill the back ends of the leader's region, though a worker near
+        // the back end sends them.
         let places = Places::new(
-            Balancer::new(options.zone.clone(), rand::random(), options.policy)
-                .with_zones(options.zones.clone()),
+            Balancer::new(options.zone.clone(), rand::random(), options.policy),
             clock(),
         );
         let suspects = Registry::new(catalog.clone(), clock());
