--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -223,8 +223,9 @@
         };
         let cold = ColdStart::new(catalog.clone(), fleet.clone(), cold_options);
         tokio::task::spawn_local(cold_start::watch(cold.clone()));
-        let balancer = Balancer::new(options.zone.clone(), rand::random(), options.policy)
-            .with_zones(options.zones.clone());
+        // It knows no regions: items of all would fill the back ends of the leader's region, though a worker near
+        // the back end sends them.
+        let balancer = Balancer::new(options.zone.clone(), rand::random(), options.policy);
         let places = Places::with_cold_start(balancer, clock(), cold.clone());
         let suspects = Registry::new(catalog.clone(), clock());
         suspects::load(&options.folder, &suspects);
