Cold back ends: nobody is looked at while none is in doubt

Each request to a service with a warm-up asked for every back end's standing; now one comparison tells that all are warm (the last doubt's end).

--- a/crates/serving/src/eligibility/cold_start.rs
+++ b/crates/serving/src/eligibility/cold_start.rs
@@ -84,7 +84,7 @@
     /// Those of a service's back ends that this process may send to now; `None` for all of them.
     pub fn open(&self, service: &str, backends: &[Arc<Backend>]) -> Option<Vec<Arc<Backend>>> {
         self.with(|state, now, age| {
-            if !state.concerns(service) {
+            if !state.concerns(service) || state.is_free_of_doubt(now, age) {
                 return None;
             }
             let may_send = |backend: &&Arc<Backend>| state.standing(now, age, backend).may_send();
--- a/crates/serving/src/eligibility/cold_state.rs
+++ b/crates/serving/src/eligibility/cold_state.rs
@@ -136,6 +136,11 @@
         news_age_ms.is_some_and(|age| age > bound)
     }
 
+    /// Whether every back end is known to be warm, so that none has to be looked at.
+    pub fn is_free_of_doubt(&self, now: Timestamp, news_age_ms: Option<u64>) -> bool {
+        self.warmth.is_free_of_doubt(now) && !self.has_old_news(news_age_ms)
+    }
+
     /// Ids of back ends that need time to get warm.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
         self.warmth.ids()
--- a/crates/serving/src/eligibility/warmth.rs
+++ b/crates/serving/src/eligibility/warmth.rs
@@ -83,6 +83,8 @@
     warm_ups: HashMap<Arc<str>, WarmUp>,
     backends: HashMap<String, Known>,
     evacuated: BTreeSet<String>,
+    /// When the last doubt ends, or later: after it nobody has to be looked at.
+    last_doubt: Timestamp,
 }
 
 impl Warmth {
@@ -96,6 +98,9 @@
         }
         self.return_zones(now, &catalog.evacuated);
         self.forget(now, catalog);
+        let doubts = self.backends.values().flat_map(|known| [known.stated, known.suspected]);
+        let ends = doubts.flatten().map(|doubt| doubt.until);
+        self.last_doubt = ends.max().unwrap_or_default();
     }
 
     fn take(&mut self, now: Timestamp, backend: &Arc<Backend>, is_first: bool) {
@@ -161,14 +166,18 @@
         }
         // Probably the life before failed, and this one is cold for as long anyway. Where it is this one, that is
         // told again before this doubt ends.
-        known.suspect(now.plus_millis(RECORD_DELAY_MS), ColdCause::Failed);
+        let until = now.plus_millis(RECORD_DELAY_MS);
+        known.suspect(until, ColdCause::Failed);
+        self.last_doubt = self.last_doubt.max(until);
     }
 
     /// A back end could not be reached, broke off or fell silent here.
     pub fn failed(&mut self, now: Timestamp, id: &str) {
         let Some(known) = self.backends.get_mut(id) else { return };
         let Some(warm_up) = self.warm_ups.get(&known.service) else { return };
-        known.suspect(start_may_be_told(now, warm_up), ColdCause::Failed);
+        let until = start_may_be_told(now, warm_up);
+        known.suspect(until, ColdCause::Failed);
+        self.last_doubt = self.last_doubt.max(until);
     }
 
     /// A back end told in an answer for how much longer it is cold.
@@ -177,9 +186,10 @@
         let Some(known) = known.filter(|known| known.record.started_ms == started_ms) else {
             return;
         };
-        known.stated = (remaining_ms > 0)
-            .then(|| Doubt { until: now.plus_millis(remaining_ms), cause: ColdCause::Told });
+        let until = now.plus_millis(remaining_ms);
+        known.stated = (remaining_ms > 0).then_some(Doubt { until, cause: ColdCause::Told });
         known.suspected = None;
+        self.last_doubt = self.last_doubt.max(until);
     }
 
     /// Why a back end is not known to be warm, and until when; `None` where it is warm, as far as its own life goes.
@@ -189,6 +199,11 @@
         doubts.filter(|doubt| doubt.until > now).max_by_key(|doubt| doubt.until)
     }
 
+    /// Whether every back end is known to be warm, as far as their own lives go.
+    pub fn is_free_of_doubt(&self, now: Timestamp) -> bool {
+        self.last_doubt <= now
+    }
+
     /// Whether back ends of a service need time to get warm.
     pub fn warm_up(&self, service: &str) -> Option<&WarmUp> {
         self.warm_ups.get(service)
