--- a/crates/serving/src/eligibility/cold_start.rs
+++ b/crates/serving/src/eligibility/cold_start.rs
@@ -163,6 +163,11 @@
         self.with(|state, now, _| state.failed(now, id));
     }
 
+    /// Something came from a back end.
+    pub fn heard(&self, id: &str) {
+        self.with(|state, now, _| state.heard(now, id));
+    }
+
     /// Back ends fail for most, as their reports say.
     pub fn failed_for_all<'a>(&self, ids: impl Iterator<Item = &'a str>) {
         self.with(|state, now, _| ids.for_each(|id| state.failed_for_all(now, id)));
--- a/crates/serving/src/eligibility/cold_state.rs
+++ b/crates/serving/src/eligibility/cold_state.rs
@@ -96,6 +96,11 @@
         self.warmth.failed(now, id);
     }
 
+    /// Something came from a back end.
+    pub fn heard(&mut self, now: Timestamp, id: &str) {
+        self.warmth.heard(now, id);
+    }
+
     /// A back end fails for most, as their reports say.
     pub fn failed_for_all(&mut self, now: Timestamp, id: &str) {
         self.warmth.failed_for_all(now, id);
--- a/crates/serving/src/eligibility/warmth.rs
+++ b/crates/serving/src/eligibility/warmth.rs
@@ -21,6 +21,10 @@
 /// Time for which failures are reported, in milliseconds: those of the life before are still told then.
 const REPORTED_MS: u64 = 3_500;
 
+/// Time for which a back end that was heard counts as alive, in milliseconds: as long as one is waited for until it
+/// counts as silent.
+const HEARD_MS: u64 = 450;
+
 /// Why a back end is not known to be warm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdCause {
@@ -65,6 +69,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     service: Arc<str>,
+    /// When something last came from it here.
+    heard_at: Option<Timestamp>,
     /// When this life of it came; `None` where it was known at the start of this process.
     appeared_at: Option<Timestamp>,
     /// Its record: another one says anew for how long it is cold, also where it says the same.
@@ -123,6 +129,7 @@
             Doubt { until: now.plus_millis(warm_up.duration_ms), cause: ColdCause::Appeared };
         let known = Known {
             service: service.clone(),
+            heard_at: None,
             appeared_at: (!is_first).then_some(now),
             record: backend.clone(),
             stated,
@@ -157,9 +164,20 @@
         });
     }
 
-    /// A back end fails for most, as their reports of the last seconds say.
+    /// Something came from a back end.
+    pub fn heard(&mut self, now: Timestamp, id: &str) {
+        if let Some(known) = self.backends.get_mut(id) {
+            known.heard_at = Some(now);
+        }
+    }
+
+    /// A back end fails for most, as their reports of the last seconds say. One that is heard here has too much to
+    /// do: taken for cold, it would do less still, and the others more.
     pub fn failed_for_all(&mut self, now: Timestamp, id: &str) {
         let Some(known) = self.backends.get_mut(id) else { return };
+        if known.heard_at.is_some_and(|at| now.millis_since(at) < HEARD_MS) {
+            return;
+        }
         let is_new = |at: Timestamp| now.millis_since(at) < REPORTED_MS;
         if !known.appeared_at.is_some_and(is_new) {
             return self.failed(now, id);
--- a/crates/serving/tests/cold_parts.rs
+++ b/crates/serving/tests/cold_parts.rs
@@ -6,6 +6,7 @@
 use yokefall_core::membership::{MemberRecord, MemberState};
 use yokefall_core::Timestamp;
 use yokefall_serving::eligibility::cold_share::{quota, Allowance, Sends, SHARE_INTERVAL_MS};
+use yokefall_serving::eligibility::cold_state::{ColdState, Standing, ENTRY_MS};
 use yokefall_serving::eligibility::warmth::{ColdCause, Warmth, RECORD_DELAY_MS};
 use yokefall_serving::names::NameMemory;
 use yokefall_serving::{
@@ -201,3 +202,63 @@
     warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
     assert_eq!(doubt(&warmth, START), Some((ColdCause::Appeared, 3_000)));
 }
+
+fn state(remaining_ms: u64, names: KnownNames) -> ColdState {
+    let sender = Sender { name: "edge-0".into(), job_store: false };
+    let mut state = ColdState::new(START, sender, BOUNDS);
+    state.observe(START, &catalog(&[backend(1, remaining_ms)], &[]));
+    state.set_names(Arc::new(names));
+    state
+}
+
+/// What would fail: a process that starts again sends what it sent a moment ago once more, or takes the place of
+/// others whose names it has not heard yet.
+#[test]
+fn a_process_uses_its_share_some_seconds_after_its_start_and_once_it_has_met_others() {
+    let backend = backend(1, 60_000);
+    let mut met = state(60_000, names(3, 0));
+    assert!(!met.standing(START.plus_millis(ENTRY_MS - 1), None, &backend).may_send());
+    let entered = START.plus_millis(ENTRY_MS);
+    assert!(met.standing(entered, None, &backend).may_send());
+    let mut alone = state(60_000, KnownNames { joined: false, ..names(1, 0) });
+    assert!(!alone.standing(entered.plus_millis(10_000), None, &backend).may_send());
+}
+
+/// What would fail: a process that is cut off sends on as it knew, while back ends turned cold.
+#[test]
+fn nothing_is_known_to_be_warm_by_old_news() {
+    let (backend, now) = (backend(1, 0), START.plus_millis(ENTRY_MS));
+    let mut state = state(0, names(75, 14));
+    assert_eq!(state.standing(now, Some(5_000), &backend), Standing::Warm);
+    let standing = state.standing(now, Some(5_001), &backend);
+    assert!(matches!(standing, Standing::Cold { cause: ColdCause::OldNews, .. }), "{standing:?}");
+    assert!(!state.is_free_of_doubt(now, Some(5_001)));
+}
+
+#[test]
+fn a_leader_gives_each_job_store_with_a_share_one_item_in_an_interval() {
+    let backend = backend(1, 60_000);
+    let mut state = state(60_000, names(75, 14));
+    let mut given = BTreeSet::new();
+    while let Some(name) = state.item_sender(START, &backend, |_| true) {
+        state.gave_item(START, &backend.id, name.clone());
+        assert!(given.insert(name), "one got two");
+    }
+    assert_eq!(given.len(), 4);
+    let later = START.plus_millis(SHARE_INTERVAL_MS);
+    assert!(state.item_sender(later, &backend, |_| true).is_some());
+    assert!(state.item_sender(later, &backend, |_| false).is_none());
+}
+
+/// What would fail: back ends with too much to do fail for most, and get little on top of that.
+#[test]
+fn a_back_end_that_is_heard_here_is_not_cold_for_what_others_report() {
+    let mut warmth = Warmth::default();
+    warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
+    warmth.heard(START, "i-0");
+    warmth.failed_for_all(START.plus_millis(400), "i-0");
+    assert_eq!(doubt(&warmth, START.plus_millis(400)), None);
+    let later = START.plus_millis(500);
+    warmth.failed_for_all(later, "i-0");
+    assert_eq!(doubt(&warmth, later).map(|(cause, _)| cause), Some(ColdCause::Failed));
+}
--- a/crates/serving/tests/cold_world/mod.rs
+++ b/crates/serving/tests/cold_world/mod.rs
@@ -328,6 +328,7 @@
                     back_end.failures.push(now);
                     continue;
                 }
+                process.state.heard(Timestamp(now), &record);
                 // One short of processor time writes late what it was permitted to.
                 let sent = now + self.rng.random_range(0..80);
                 let arrived = sent + self.rng.random_range(1..5);
--- a/crates/upstream/src/place.rs
+++ b/crates/upstream/src/place.rs
@@ -79,17 +79,17 @@
     /// Something came from the back end.
     pub fn heard(&self) {
         self.places.with(|balancer, now| balancer.heard(now, &self.backend.id));
+        if let Some(cold) = &self.places.cold {
+            cold.heard(&self.backend.id);
+        }
     }
 
     /// The back end has said nothing on this request for a while. Returns whether it is left out.
     pub fn fell_silent(&self, silence: Duration) -> bool {
         let silence_ms = silence.as_millis() as u64;
         let id = &self.backend.id;
-        let is_silent = self.places.with(|balancer, now| balancer.fell_silent(now, id, silence_ms));
-        if is_silent {
-            self.broke();
-        }
-        is_silent
+        // No sign that it started again: one that has too much to do is silent as well, and the connection stands.
+        self.places.with(|balancer, now| balancer.fell_silent(now, id, silence_ms))
     }
 
     /// The back end broke off, or gave no answer in time.
