--- a/crates/serving/src/eligibility/cold_start.rs
+++ b/crates/serving/src/eligibility/cold_start.rs
@@ -84,7 +84,7 @@
     /// Those of a service's back ends that this process may send to now; `None` for all of them.
     pub fn open(&self, service: &str, backends: &[Arc<Backend>]) -> Option<Vec<Arc<Backend>>> {
         self.with(|state, now, age| {
-            if !state.concerns(service) {
+            if !state.concerns(service) || state.is_free_of_doubt(now, age) {
                 return None;
             }
             let may_send = |backend: &&Arc<Backend>| state.standing(now, age, backend).may_send();
@@ -163,6 +163,11 @@
         self.with(|state, now, _| state.failed(now, id));
     }
 
+    /// Something came from a back end.
+    pub fn heard(&self, id: &str) {
+        self.with(|state, now, _| state.heard(now, id));
+    }
+
     /// Back ends fail for most, as their reports say.
     pub fn failed_for_all<'a>(&self, ids: impl Iterator<Item = &'a str>) {
         self.with(|state, now, _| ids.for_each(|id| state.failed_for_all(now, id)));
--- a/crates/serving/src/eligibility/cold_state.rs
+++ b/crates/serving/src/eligibility/cold_state.rs
@@ -96,6 +96,11 @@
         self.warmth.failed(now, id);
     }
 
+    /// Something came from a back end.
+    pub fn heard(&mut self, now: Timestamp, id: &str) {
+        self.warmth.heard(now, id);
+    }
+
     /// A back end fails for most, as their reports say.
     pub fn failed_for_all(&mut self, now: Timestamp, id: &str) {
         self.warmth.failed_for_all(now, id);
@@ -136,6 +141,11 @@
         news_age_ms.is_some_and(|age| age > bound)
     }
 
+    /// Whether every back end is known to be warm, so that none has to be looked at.
+    pub fn is_free_of_doubt(&self, now: Timestamp, news_age_ms: Option<u64>) -> bool {
+        self.warmth.is_free_of_doubt(now) && !self.has_old_news(news_age_ms)
+    }
+
     /// Ids of back ends that need time to get warm.
     pub fn ids(&self) -> impl Iterator<Item = &str> {
         self.warmth.ids()
--- a/crates/serving/src/eligibility/warmth.rs
+++ b/crates/serving/src/eligibility/warmth.rs
@@ -21,6 +21,10 @@
 /// Time for which failures are reported, in milliseconds: those of the life before are still told then.
 const REPORTED_MS: u64 = 3_500;
 
+/// Time for which a back end that was heard counts as alive, in milliseconds: as long as one is waited for until it
+/// counts as silent.
+const HEARD_MS: u64 = 450;
+
 /// Why a back end is not known to be warm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdCause {
@@ -65,6 +69,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     service: Arc<str>,
+    /// When something last came from it here.
+    heard_at: Option<Timestamp>,
     /// When this life of it came; `None` where it was known at the start of this process.
     appeared_at: Option<Timestamp>,
     /// Its record: another one says anew for how long it is cold, also where it says the same.
@@ -83,6 +89,8 @@
     warm_ups: HashMap<Arc<str>, WarmUp>,
     backends: HashMap<String, Known>,
     evacuated: BTreeSet<String>,
+    /// When the last doubt ends, or later: after it nobody has to be looked at.
+    last_doubt: Timestamp,
 }
 
 impl Warmth {
@@ -96,6 +104,9 @@
         }
         self.return_zones(now, &catalog.evacuated);
         self.forget(now, catalog);
+        let doubts = self.backends.values().flat_map(|known| [known.stated, known.suspected]);
+        let ends = doubts.flatten().map(|doubt| doubt.until);
+        self.last_doubt = ends.max().unwrap_or_default();
     }
 
     fn take(&mut self, now: Timestamp, backend: &Arc<Backend>, is_first: bool) {
@@ -118,6 +129,7 @@
             Doubt { until: now.plus_millis(warm_up.duration_ms), cause: ColdCause::Appeared };
         let known = Known {
             service: service.clone(),
+            heard_at: None,
             appeared_at: (!is_first).then_some(now),
             record: backend.clone(),
             stated,
@@ -152,23 +164,38 @@
         });
     }
 
-    /// A back end fails for most, as their reports of the last seconds say.
+    /// Something came from a back end.
+    pub fn heard(&mut self, now: Timestamp, id: &str) {
+        if let Some(known) = self.backends.get_mut(id) {
+            known.heard_at = Some(now);
+        }
+    }
+
+    /// A back end fails for most, as their reports of the last seconds say. One that is heard here has too much to
+    /// do: taken for cold, it would do less still, and the others more.
     pub fn failed_for_all(&mut self, now: Timestamp, id: &str) {
         let Some(known) = self.backends.get_mut(id) else { return };
+        if known.heard_at.is_some_and(|at| now.millis_since(at) < HEARD_MS) {
+            return;
+        }
         let is_new = |at: Timestamp| now.millis_since(at) < REPORTED_MS;
         if !known.appeared_at.is_some_and(is_new) {
             return self.failed(now, id);
         }
         // Probably the life before failed, and this one is cold for as long anyway. Where it is this one, that is
         // told again before this doubt ends.
-        known.suspect(now.plus_millis(RECORD_DELAY_MS), ColdCause::Failed);
+        let until = now.plus_millis(RECORD_DELAY_MS);
+        known.suspect(until, ColdCause::Failed);
+        self.last_doubt = self.last_doubt.max(until);
     }
 
     /// A back end could not be reached, broke off or fell silent here.
     pub fn failed(&mut self, now: Timestamp, id: &str) {
         let Some(known) = self.backends.get_mut(id) else { return };
         let Some(warm_up) = self.warm_ups.get(&known.service) else { return };
-        known.suspect(start_may_be_told(now, warm_up), ColdCause::Failed);
+        let until = start_may_be_told(now, warm_up);
+        known.suspect(until, ColdCause::Failed);
+        self.last_doubt = self.last_doubt.max(until);
     }
 
     /// A back end told in an answer for how much longer it is cold.
@@ -177,9 +204,10 @@
         let Some(known) = known.filter(|known| known.record.started_ms == started_ms) else {
             return;
         };
-        known.stated = (remaining_ms > 0)
-            .then(|| Doubt { until: now.plus_millis(remaining_ms), cause: ColdCause::Told });
+        let until = now.plus_millis(remaining_ms);
+        known.stated = (remaining_ms > 0).then_some(Doubt { until, cause: ColdCause::Told });
         known.suspected = None;
+        self.last_doubt = self.last_doubt.max(until);
     }
 
     /// Why a back end is not known to be warm, and until when; `None` where it is warm, as far as its own life goes.
@@ -189,6 +217,11 @@
         doubts.filter(|doubt| doubt.until > now).max_by_key(|doubt| doubt.until)
     }
 
+    /// Whether every back end is known to be warm, as far as their own lives go.
+    pub fn is_free_of_doubt(&self, now: Timestamp) -> bool {
+        self.last_doubt <= now
+    }
+
     /// Whether back ends of a service need time to get warm.
     pub fn warm_up(&self, service: &str) -> Option<&WarmUp> {
         self.warm_ups.get(service)
