Runner and table of suspects split by job

Moves only: slots.rs (what items may have), item_run.rs (one run of an item), entry.rs (what is held against one request). The tests of both crates pass unchanged.

--- /dev/null
+++ b/crates/jobstore/src/item_run.rs
@@ -0,0 +1,229 @@
+//! One run of an item as its leader sees it: from the slot that it got to what is recorded of its end.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use yokefall_serving::{Backend, ItemState, JobItem, Permit};
+use yokefall_telemetry::{EventName, Line};
+use yokefall_upstream::Place;
+
+use crate::delegation::preemption;
+use crate::item_worker::ItemWorker;
+use crate::preemption::Phase;
+use crate::protocol::RunOrder;
+use crate::run::{item_digest, ItemSender, NoPermit, Progress, RunEnd};
+use crate::runner::Runner;
+use crate::running::{take_output, CountedItem, ItemKey, Running};
+use crate::state::{Command, Run};
+
+/// Pause before an item that could not run is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// The slot of an item that starts.
+struct PlacedItem {
+    place: Place,
+    worker: ItemWorker,
+    phase: Rc<Cell<Phase>>,
+    /// Tells it to give its slot to an online request.
+    preempted: Rc<Notify>,
+}
+
+impl Runner {
+    pub(crate) fn start(self: &Rc<Self>, key: ItemKey, backend: Arc<Backend>, worker: ItemWorker) {
+        let Some(Some((sender, item, partial))) = self.store.with_job(&key.0, |job| {
+            let open = job.open.get(&key.1)?;
+            let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
+            Some((sender, open.item.clone(), open.partial.last_event))
+        }) else {
+            return;
+        };
+        let run = Run { number: rand::random(), asked_after: partial };
+        let progress = Progress { run, kept_event: partial, last_event: partial, text: None };
+        let progress = Rc::new(RefCell::new(progress));
+        let place = self.worker.places.take(backend.clone());
+        let preempted = Rc::new(Notify::new());
+        let phase = Rc::new(Cell::new(Phase::Placed));
+        let task = tokio::task::spawn_local(self.clone().run_item(
+            key.clone(),
+            sender,
+            item,
+            progress.clone(),
+            PlacedItem { place, worker, phase: phase.clone(), preempted: preempted.clone() },
+        ));
+        let started = Instant::now();
+        let backend = Some(backend);
+        let running = Running { task, progress, backend, started, phase, preempted };
+        self.running.borrow_mut().insert(key, running);
+    }
+
+    async fn run_item(
+        self: Rc<Self>,
+        key: ItemKey,
+        sender: ItemSender,
+        item: Arc<JobItem>,
+        progress: Rc<RefCell<Progress>>,
+        placed: PlacedItem,
+    ) {
+        let PlacedItem { mut place, worker, phase, preempted } = placed;
+        let worker = match worker {
+            ItemWorker::Leader => None,
+            ItemWorker::Other(member) => Some(member),
+        };
+        let life = place.backend.life();
+        Line::new(EventName::ItemStarted)
+            .id(&item.id)
+            .text("job", &key.0)
+            .text("backend", &place.backend.id)
+            .field("worker", worker.as_ref().map(|worker| worker.name.clone()))
+            .field("online", self.store.loads.online(&life))
+            .field("items", self.store.loads.items(&life))
+            .field("after_event", progress.borrow().last_event)
+            .write();
+        let counted = CountedItem::new(self.store.clone(), life);
+        let (began, events_before) = (Instant::now(), progress.borrow().last_event);
+        let end = match worker {
+            Some(worker) => {
+                let order = RunOrder {
+                    backend: Backend::clone(&place.backend),
+                    host: sender.host.clone(),
+                    tenant: sender.tenant.clone(),
+                    item: JobItem::clone(&item),
+                    after_event: events_before,
+                };
+                self.delegation.run(&worker, order, &mut place, &progress, &preempted).await
+            }
+            None => {
+                let backend = place.backend.clone();
+                let permit = || self.permit(&key, &backend, &sender, &item);
+                let items = &self.worker.items;
+                tokio::select! {
+                    end = items.run_at(&mut place, &sender, &item, &progress, permit) => end,
+                    () = preempted.notified() => preemption(),
+                }
+            }
+        };
+        drop(place);
+        drop(counted);
+        phase.set(Phase::Ended);
+        let suspects = &self.worker.items.suspects;
+        if !suspects.is_empty() {
+            let digest = item_digest(&sender, &item);
+            match end.is_whole_answer() {
+                true => suspects.note_answer(&digest),
+                false => {
+                    // One that gave no event may have waited in the back end's queue.
+                    let gave_events = progress.borrow().last_event > events_before;
+                    let worked = if gave_events { began.elapsed() } else { Duration::ZERO };
+                    suspects.note_concluded(&digest, worked);
+                }
+            }
+        }
+        if end == RunEnd::Completed {
+            let events = progress.borrow().last_event;
+            let mut pace = self.pace.get();
+            pace.finished(item.tokens, events, events - events_before, began.elapsed());
+            self.pace.set(pace);
+        }
+        self.finish(&key, &item, &progress, end).await;
+        self.running.borrow_mut().remove(&key);
+        self.store.work_changed.notify_one();
+    }
+
+    /// The right to send an item that is still wanted to a back end; else the cause.
+    fn permit(
+        &self,
+        (job, index): &ItemKey,
+        backend: &Backend,
+        sender: &ItemSender,
+        item: &JobItem,
+    ) -> Result<Permit, NoPermit> {
+        let is_open = self.store.with_job(job, |job| job.open.contains_key(index));
+        if !self.store.serves() || is_open != Some(true) {
+            return Err(NoPermit::new("it is not wanted any more"));
+        }
+        self.worker.permit(backend, sender, item)
+    }
+
+    async fn finish(
+        &self,
+        key: &ItemKey,
+        item: &JobItem,
+        progress: &Rc<RefCell<Progress>>,
+        end: RunEnd,
+    ) {
+        let (job, index) = key.clone();
+        match end {
+            RunEnd::Completed => {
+                let Progress { run, kept_event, text, .. } = progress.borrow().clone();
+                Line::new(EventName::ItemFinished)
+                    .id(&item.id)
+                    .text("job", &job)
+                    .field("events", progress.borrow().last_event)
+                    .write();
+                let command = Command::Finish {
+                    job,
+                    item: index,
+                    state: ItemState::Completed,
+                    run,
+                    after_event: kept_event,
+                    text,
+                };
+                let _ = self.store.propose(&command).await;
+            }
+            RunEnd::Impossible => {
+                self.tell_abandoned(item, &job, "a back end told that it can never be done");
+                // In a task of its own: those of a leader end with its lead.
+                let store = self.store.clone();
+                let recording = tokio::task::spawn_local(async move {
+                    store.abandon_impossible(&job, index).await;
+                });
+                let _ = recording.await;
+            }
+            RunEnd::ItemFailed => self.count_failure(job, index, item).await,
+            RunEnd::Again { cause, pause } => {
+                Line::new(EventName::ItemRetried)
+                    .id(&item.id)
+                    .text("job", &job)
+                    .field("after_event", progress.borrow().last_event)
+                    .field("cause", cause)
+                    .write();
+                // The next run asks for what follows the text in the log: it must be there first.
+                if let Some(command) = take_output(key, progress) {
+                    let _ = self.store.propose(&command).await;
+                }
+                let kept_event = progress.borrow().kept_event;
+                self.store.kept(&key.0, key.1, kept_event).await;
+                if pause {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn tell_abandoned(&self, item: &JobItem, job: &str, cause: &'static str) {
+        Line::new(EventName::ItemAbandoned)
+            .id(&item.id)
+            .field("job", job)
+            .field("cause", cause)
+            .write();
+    }
+
+    async fn count_failure(&self, job: String, index: u32, item: &JobItem) {
+        let counted = Command::CountFailure { job: job.clone(), item: index };
+        let _ = self.store.propose(&counted).await;
+        let spent = self.store.with_job(&job, |job| {
+            job.open.get(&index).is_some_and(|open| open.failures >= job.max_attempts)
+        });
+        if spent == Some(true) {
+            self.tell_abandoned(item, &job, "every attempt failed");
+            // Where the lead is lost, the failures are in the log, and the next leader gives it up.
+            let _ = self.store.abandon(&job, index).await;
+            return;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -1,38 +1,29 @@
 //! Decides which item runs at which back end while this replica leads. Online requests go first: an
-//! item gets a slot only where online requests leave some free. Who reads the events is `delegation`'s.
+//! item gets a slot only where online requests leave some free (`slots`). One run of an item, from its start to what is
+//! recorded of it, is in `item_run`; who reads the events is `delegation`'s.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
 use tokio::time::Instant;
-use yokefall_serving::{
-    Backend, BackendLife, FleetCell, InFlight, ItemState, JobItem, Need, Permit, Policy, Residency,
-    RouteKind,
-};
+use yokefall_serving::{BackendLife, FleetCell, InFlight, Policy};
 use yokefall_suspects::RequestDigest;
 use yokefall_telemetry::{EventName, Line};
-use yokefall_upstream::Place;
 
 use crate::backlog::{Backlog, PassFigures};
-use crate::delegation::{preemption, Delegation};
+use crate::delegation::Delegation;
 use crate::held_items::HeldItems;
-use crate::item_worker::{ItemWorker, ItemWorkers};
-use crate::preemption::{preempted, Phase, PlacedRun};
-use crate::protocol::RunOrder;
-use crate::room::{FreeSlots, Room, ServiceSlots, SlotPool};
-use crate::run::{item_digest, ItemSender, NoPermit, Progress, RunEnd};
-use crate::running::{take_output, CountedItem, ItemKey, Running};
-use crate::state::{Command, OpenItem, Run};
+use crate::preemption::Phase;
+use crate::room::FreeSlots;
+use crate::run::{item_digest, ItemSender};
+use crate::running::{take_output, ItemKey, Running};
+use crate::state::{Command, OpenItem};
 use crate::store::Store;
 use crate::urgency::{Pace, WaitingItem, WaitingJob};
 use crate::worker::Worker;
 
-/// Pause before an item that could not run is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which the output of running items is made durable.
 const KEEP_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Least interval between two scheduling passes; load reports come as often where gateways are few.
@@ -44,17 +35,17 @@
 
 /// The runner's state, shared between its tasks.
 pub struct Runner {
-    store: Rc<Store>,
-    worker: Rc<Worker>,
-    delegation: Delegation,
-    fleet: FleetCell,
-    running: RefCell<HashMap<ItemKey, Running>>,
+    pub(crate) store: Rc<Store>,
+    pub(crate) worker: Rc<Worker>,
+    pub(crate) delegation: Delegation,
+    pub(crate) fleet: FleetCell,
+    pub(crate) running: RefCell<HashMap<ItemKey, Running>>,
     /// How fast items are done.
-    pace: Cell<Pace>,
+    pub(crate) pace: Cell<Pace>,
     backlog: Backlog,
     /// Items that wait because back ends ended under them.
     held: HeldItems,
-    options: RunnerOptions,
+    pub(crate) options: RunnerOptions,
 }
 
 /// What a runner is given at its start.
@@ -68,15 +59,6 @@
     pub policy: Policy,
 }
 
-/// The slot of an item that starts.
-struct PlacedItem {
-    place: Place,
-    worker: ItemWorker,
-    phase: Rc<Cell<Phase>>,
-    /// Tells it to give its slot to an online request.
-    preempted: Rc<Notify>,
-}
-
 impl Runner {
     /// A runner that gives items to `worker`, and through `delegation` to other job stores.
     pub fn new(
@@ -271,22 +253,6 @@
         })?
     }
 
-    /// Back ends of a pool with a free slot, and how many items may start there.
-    fn free_slots(&self, pool: &SlotPool) -> ServiceSlots {
-        let catalog = self.worker.catalog.load();
-        let room = self.room(pool);
-        let need = Need { service: &pool.service, residency: &pool.residency };
-        let candidates = self.item_workers().candidates(&catalog, &need);
-        let backends = self.worker.places.with(|balancer, now| {
-            let is_free = |backend: &&Arc<Backend>| {
-                let items = balancer.in_flight(backend);
-                self.has_free_slot(backend, items) && !balancer.is_ejected(now, backend)
-            };
-            candidates.iter().filter(is_free).cloned().collect()
-        });
-        ServiceSlots::new(room, backends)
-    }
-
     /// Gives up an item that waited too long; it counts as running until that is in the log.
     fn give_up(self: &Rc<Self>, key: ItemKey) {
         let (runner, item) = (self.clone(), key.clone());
@@ -312,271 +278,6 @@
         self.running.borrow_mut().insert(key, running);
     }
 
-    /// The slots that the configuration in force gives an item.
-    fn pool_of(&self, key: &ItemKey) -> Option<SlotPool> {
-        let catalog = self.worker.catalog.load();
-        let (sender, path) = self.store.with_job(&key.0, |job| {
-            let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
-            job.open.get(&key.1).map(|open| (sender, open.item.path.clone()))
-        })??;
-        let route = catalog.routes.find(&sender.host, &path)?;
-        let part = route.split.iter().max_by_key(|part| part.weight)?;
-        let residency = catalog.residency(route, sender.tenant.as_ref());
-        let service = part.service.clone();
-        (route.kind == RouteKind::Batch).then_some(SlotPool { service, residency })
-    }
-
-    /// The slots of a pool.
-    fn room(&self, pool: &SlotPool) -> Room {
-        let catalog = self.worker.catalog.load();
-        let need = Need { service: &pool.service, residency: &pool.residency };
-        let candidates = self.item_workers().candidates(&catalog, &need);
-        self.worker.places.with(|balancer, now| {
-            let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
-            let mut room = Room::new(self.store.loads.report_interval()).heard(coverage);
-            for backend in candidates.iter() {
-                if balancer.is_ejected(now, backend) {
-                    continue;
-                }
-                let online = self.reported_online(backend);
-                room.add(backend.slots, online + balancer.in_flight(backend));
-            }
-            room
-        })
-    }
-
-    /// Who may run items.
-    fn item_workers(&self) -> ItemWorkers<'_> {
-        let leader = self.store.with_core(|core, _| core.id().name.clone());
-        ItemWorkers { worker: &self.worker, delegation: &self.delegation, leader }
-    }
-
-    /// Whether a back end with this many items has a free slot.
-    fn has_free_slot(&self, backend: &Backend, items: u32) -> bool {
-        self.reported_online(backend) + items < backend.slots
-    }
-
-    /// Online requests at a back end of the gateways that are heard. Those of the others are in the
-    /// reserve of the service (`Coverage`), at which back end is not known.
-    fn reported_online(&self, backend: &Backend) -> u32 {
-        self.store.loads.online(&backend.life()).unwrap_or(0)
-    }
-
-    /// Where online requests need the slots of items, the newest items are preempted.
-    fn preempt(&self) {
-        if !self.options.policy.give_way {
-            return;
-        }
-        let running = self.running.borrow();
-        let placed: Vec<(&Running, &Arc<Backend>)> = running
-            .values()
-            .filter_map(|run| run.backend.as_ref().map(|backend| (run, backend)))
-            .collect();
-        let runs: Vec<PlacedRun> = placed.iter().map(|(run, backend)| run.at(backend)).collect();
-        let online = |backend: &Backend| self.reported_online(backend);
-        let lacking = |service: &str| {
-            let pool = SlotPool { service: service.to_owned(), residency: Residency::Anywhere };
-            self.room(&pool).lacking() as usize
-        };
-        for position in preempted(&runs, online, lacking) {
-            placed[position].0.preempt();
-        }
-    }
-
-    fn start(self: &Rc<Self>, key: ItemKey, backend: Arc<Backend>, worker: ItemWorker) {
-        let Some(Some((sender, item, partial))) = self.store.with_job(&key.0, |job| {
-            let open = job.open.get(&key.1)?;
-            let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
-            Some((sender, open.item.clone(), open.partial.last_event))
-        }) else {
-            return;
-        };
-        let run = Run { number: rand::random(), asked_after: partial };
-        let progress = Progress { run, kept_event: partial, last_event: partial, text: None };
-        let progress = Rc::new(RefCell::new(progress));
-        let place = self.worker.places.take(backend.clone());
-        let preempted = Rc::new(Notify::new());
-        let phase = Rc::new(Cell::new(Phase::Placed));
-        let task = tokio::task::spawn_local(self.clone().run_item(
-            key.clone(),
-            sender,
-            item,
-            progress.clone(),
-            PlacedItem { place, worker, phase: phase.clone(), preempted: preempted.clone() },
-        ));
-        let started = Instant::now();
-        let backend = Some(backend);
-        let running = Running { task, progress, backend, started, phase, preempted };
-        self.running.borrow_mut().insert(key, running);
-    }
-
-    async fn run_item(
-        self: Rc<Self>,
-        key: ItemKey,
-        sender: ItemSender,
-        item: Arc<JobItem>,
-        progress: Rc<RefCell<Progress>>,
-        placed: PlacedItem,
-    ) {
-        let PlacedItem { mut place, worker, phase, preempted } = placed;
-        let worker = match worker {
-            ItemWorker::Leader => None,
-            ItemWorker::Other(member) => Some(member),
-        };
-        let life = place.backend.life();
-        Line::new(EventName::ItemStarted)
-            .id(&item.id)
-            .text("job", &key.0)
-            .text("backend", &place.backend.id)
-            .field("worker", worker.as_ref().map(|worker| worker.name.clone()))
-            .field("online", self.store.loads.online(&life))
-            .field("items", self.store.loads.items(&life))
-            .field("after_event", progress.borrow().last_event)
-            .write();
-        let counted = CountedItem::new(self.store.clone(), life);
-        let (began, events_before) = (Instant::now(), progress.borrow().last_event);
-        let end = match worker {
-            Some(worker) => {
-                let order = RunOrder {
-                    backend: Backend::clone(&place.backend),
-                    host: sender.host.clone(),
-                    tenant: sender.tenant.clone(),
-                    item: JobItem::clone(&item),
-                    after_event: events_before,
-                };
-                self.delegation.run(&worker, order, &mut place, &progress, &preempted).await
-            }
-            None => {
-                let backend = place.backend.clone();
-                let permit = || self.permit(&key, &backend, &sender, &item);
-                let items = &self.worker.items;
-                tokio::select! {
-                    end = items.run_at(&mut place, &sender, &item, &progress, permit) => end,
-                    () = preempted.notified() => preemption(),
-                }
-            }
-        };
-        drop(place);
-        drop(counted);
-        phase.set(Phase::Ended);
-        let suspects = &self.worker.items.suspects;
-        if !suspects.is_empty() {
-            let digest = item_digest(&sender, &item);
-            match end.is_whole_answer() {
-                true => suspects.note_answer(&digest),
-                false => {
-                    // One that gave no event may have waited in the back end's queue.
-                    let gave_events = progress.borrow().last_event > events_before;
-                    let worked = if gave_events { began.elapsed() } else { Duration::ZERO };
-                    suspects.note_concluded(&digest, worked);
-                }
-            }
-        }
-        if end == RunEnd::Completed {
-            let events = progress.borrow().last_event;
-            let mut pace = self.pace.get();
-            pace.finished(item.tokens, events, events - events_before, began.elapsed());
-            self.pace.set(pace);
-        }
-        self.finish(&key, &item, &progress, end).await;
-        self.running.borrow_mut().remove(&key);
-        self.store.work_changed.notify_one();
-    }
-
-    /// The right to send an item that is still wanted to a back end; else the cause.
-    fn permit(
-        &self,
-        (job, index): &ItemKey,
-        backend: &Backend,
-        sender: &ItemSender,
-        item: &JobItem,
-    ) -> Result<Permit, NoPermit> {
-        let is_open = self.store.with_job(job, |job| job.open.contains_key(index));
-        if !self.store.serves() || is_open != Some(true) {
-            return Err(NoPermit::new("it is not wanted any more"));
-        }
-        self.worker.permit(backend, sender, item)
-    }
-
-    async fn finish(
-        &self,
-        key: &ItemKey,
-        item: &JobItem,
-        progress: &Rc<RefCell<Progress>>,
-        end: RunEnd,
-    ) {
-        let (job, index) = key.clone();
-        match end {
-            RunEnd::Completed => {
-                let Progress { run, kept_event, text, .. } = progress.borrow().clone();
-                Line::new(EventName::ItemFinished)
-                    .id(&item.id)
-                    .text("job", &job)
-                    .field("events", progress.borrow().last_event)
-                    .write();
-                let command = Command::Finish {
-                    job,
-                    item: index,
-                    state: ItemState::Completed,
-                    run,
-                    after_event: kept_event,
-                    text,
-                };
-                let _ = self.store.propose(&command).await;
-            }
-            RunEnd::Impossible => {
-                self.tell_abandoned(item, &job, "a back end told that it can never be done");
-                // In a task of its own: those of a leader end with its lead.
-                let store = self.store.clone();
-                let recording = tokio::task::spawn_local(async move {
-                    store.abandon_impossible(&job, index).await;
-                });
-                let _ = recording.await;
-            }
-            RunEnd::ItemFailed => self.count_failure(job, index, item).await,
-            RunEnd::Again { cause, pause } => {
-                Line::new(EventName::ItemRetried)
-                    .id(&item.id)
-                    .text("job", &job)
-                    .field("after_event", progress.borrow().last_event)
-                    .field("cause", cause)
-                    .write();
-                // The next run asks for what follows the text in the log: it must be there first.
-                if let Some(command) = take_output(key, progress) {
-                    let _ = self.store.propose(&command).await;
-                }
-                let kept_event = progress.borrow().kept_event;
-                self.store.kept(&key.0, key.1, kept_event).await;
-                if pause {
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    fn tell_abandoned(&self, item: &JobItem, job: &str, cause: &'static str) {
-        Line::new(EventName::ItemAbandoned)
-            .id(&item.id)
-            .field("job", job)
-            .field("cause", cause)
-            .write();
-    }
-
-    async fn count_failure(&self, job: String, index: u32, item: &JobItem) {
-        let counted = Command::CountFailure { job: job.clone(), item: index };
-        let _ = self.store.propose(&counted).await;
-        let spent = self.store.with_job(&job, |job| {
-            job.open.get(&index).is_some_and(|open| open.failures >= job.max_attempts)
-        });
-        if spent == Some(true) {
-            self.tell_abandoned(item, &job, "every attempt failed");
-            // Where the lead is lost, the failures are in the log, and the next leader gives it up.
-            let _ = self.store.abandon(&job, index).await;
-            return;
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-
     /// Makes the output of running items durable, so that another leader goes on from there.
     fn keep_output(&self) {
         let running = self.running.borrow();
--- /dev/null
+++ b/crates/jobstore/src/slots.rs
@@ -0,0 +1,102 @@
+//! Slots that items may have: those that online requests leave free at back ends where an item may be served, and
+//! those that online requests get back.
+
+use std::sync::Arc;
+
+use yokefall_serving::{Backend, Need, Residency, RouteKind};
+
+use crate::item_worker::ItemWorkers;
+use crate::preemption::{preempted, PlacedRun};
+use crate::room::{Room, ServiceSlots, SlotPool};
+use crate::run::ItemSender;
+use crate::runner::Runner;
+use crate::running::{ItemKey, Running};
+
+impl Runner {
+    /// Back ends of a pool with a free slot, and how many items may start there.
+    pub(crate) fn free_slots(&self, pool: &SlotPool) -> ServiceSlots {
+        let catalog = self.worker.catalog.load();
+        let room = self.room(pool);
+        let need = Need { service: &pool.service, residency: &pool.residency };
+        let candidates = self.item_workers().candidates(&catalog, &need);
+        let backends = self.worker.places.with(|balancer, now| {
+            let is_free = |backend: &&Arc<Backend>| {
+                let items = balancer.in_flight(backend);
+                self.has_free_slot(backend, items) && !balancer.is_ejected(now, backend)
+            };
+            candidates.iter().filter(is_free).cloned().collect()
+        });
+        ServiceSlots::new(room, backends)
+    }
+
+    /// The slots that the configuration in force gives an item.
+    pub(crate) fn pool_of(&self, key: &ItemKey) -> Option<SlotPool> {
+        let catalog = self.worker.catalog.load();
+        let (sender, path) = self.store.with_job(&key.0, |job| {
+            let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
+            job.open.get(&key.1).map(|open| (sender, open.item.path.clone()))
+        })??;
+        let route = catalog.routes.find(&sender.host, &path)?;
+        let part = route.split.iter().max_by_key(|part| part.weight)?;
+        let residency = catalog.residency(route, sender.tenant.as_ref());
+        let service = part.service.clone();
+        (route.kind == RouteKind::Batch).then_some(SlotPool { service, residency })
+    }
+
+    /// The slots of a pool.
+    fn room(&self, pool: &SlotPool) -> Room {
+        let catalog = self.worker.catalog.load();
+        let need = Need { service: &pool.service, residency: &pool.residency };
+        let candidates = self.item_workers().candidates(&catalog, &need);
+        self.worker.places.with(|balancer, now| {
+            let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
+            let mut room = Room::new(self.store.loads.report_interval()).heard(coverage);
+            for backend in candidates.iter() {
+                if balancer.is_ejected(now, backend) {
+                    continue;
+                }
+                let online = self.reported_online(backend);
+                room.add(backend.slots, online + balancer.in_flight(backend));
+            }
+            room
+        })
+    }
+
+    /// Who may run items.
+    pub(crate) fn item_workers(&self) -> ItemWorkers<'_> {
+        let leader = self.store.with_core(|core, _| core.id().name.clone());
+        ItemWorkers { worker: &self.worker, delegation: &self.delegation, leader }
+    }
+
+    /// Whether a back end with this many items has a free slot.
+    pub(crate) fn has_free_slot(&self, backend: &Backend, items: u32) -> bool {
+        self.reported_online(backend) + items < backend.slots
+    }
+
+    /// Online requests at a back end of the gateways that are heard. Those of the others are in the
+    /// reserve of the service (`Coverage`), at which back end is not known.
+    fn reported_online(&self, backend: &Backend) -> u32 {
+        self.store.loads.online(&backend.life()).unwrap_or(0)
+    }
+
+    /// Where online requests need the slots of items, the newest items are preempted.
+    pub(crate) fn preempt(&self) {
+        if !self.options.policy.give_way {
+            return;
+        }
+        let running = self.running.borrow();
+        let placed: Vec<(&Running, &Arc<Backend>)> = running
+            .values()
+            .filter_map(|run| run.backend.as_ref().map(|backend| (run, backend)))
+            .collect();
+        let runs: Vec<PlacedRun> = placed.iter().map(|(run, backend)| run.at(backend)).collect();
+        let online = |backend: &Backend| self.reported_online(backend);
+        let lacking = |service: &str| {
+            let pool = SlotPool { service: service.to_owned(), residency: Residency::Anywhere };
+            self.room(&pool).lacking() as usize
+        };
+        for position in preempted(&runs, online, lacking) {
+            placed[position].0.preempt();
+        }
+    }
+}
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -15,8 +15,9 @@
 use crate::background::is_same_end;
 use crate::digest::RequestDigest;
 use crate::ended::EndChecks;
+use crate::entry::{Sender, Standing};
 use crate::message::{Grant, SuspectNews, SuspectReport};
-use crate::table::{Sender, Standing, Table};
+use crate::table::Table;
 
 /// Time of this process's table before its start, in milliseconds: a day, which is longer than anything is kept.
 const TIME_BEFORE_START_MS: u64 = 86_400_000;
