--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -195,7 +195,7 @@
             ("jobs ended by their clients", jobs(|job| job.end_asked)),
             ("results read", known.jobs.values().map(|job| job.results.len()).sum()),
             ("runs at back ends", ledger.runs()),
-            ("back ends that started again under their id", ledger.idle_ones().0),
+            ("back ends that had to get something after they started again", ledger.idle_ones().0),
             ("calls that end back ends", ledger.ends().len()),
             ("back ends that ended under one of them, at most", most_ends),
         ]
