What may be sent to cold back ends costs as many steps as there are doubts

Cause: while any back end was in doubt, each request looked at every back end of its service twice or more, with a hash of its id each time, and the leader worked out who holds a share for each cold back end anew, with a hash for each pair of job stores.

Change: warmth keeps which back ends may be in doubt; candidates are told apart by their place in memory; who holds a share is worked out once for the present names. The permit, which keeps the promise, is as it was. Tests: those of serving (model of cold back ends), jobstore, platform cold, evacuation and jobs pass unchanged.

--- a/crates/serving/src/eligibility/cold_start.rs
+++ b/crates/serving/src/eligibility/cold_start.rs
@@ -87,8 +87,21 @@
             if !state.concerns(service) || state.is_free_of_doubt(now, age) {
                 return None;
             }
-            let may_send = |backend: &&Arc<Backend>| state.standing(now, age, backend).may_send();
-            let open: Vec<Arc<Backend>> = backends.iter().filter(may_send).cloned().collect();
+            let open: Vec<Arc<Backend>> = match state.closed(now, age, service) {
+                Some(closed) if closed.is_empty() => return None,
+                // A record that has just changed is another one than the candidate: its permit is not given then.
+                Some(closed) => {
+                    let is_open = |backend: &&Arc<Backend>| {
+                        closed.binary_search(&Arc::as_ptr(backend)).is_err()
+                    };
+                    backends.iter().filter(is_open).cloned().collect()
+                }
+                None => {
+                    let may_send =
+                        |backend: &&Arc<Backend>| state.standing(now, age, backend).may_send();
+                    backends.iter().filter(may_send).cloned().collect()
+                }
+            };
             (open.len() < backends.len()).then_some(open)
         })?
     }
--- a/crates/serving/src/eligibility/cold_state.rs
+++ b/crates/serving/src/eligibility/cold_state.rs
@@ -51,6 +51,8 @@
     sends: Sends,
     /// Job stores that the leader gave items for it.
     given: Vec<(String, Timestamp)>,
+    /// Job stores that have a share; `None` until they are worked out for the present names.
+    holders: Option<Vec<String>>,
 }
 
 /// The state of one process.
@@ -88,6 +90,7 @@
     fn forget_quotas(&mut self) {
         for share in self.shares.values_mut() {
             share.quota = None;
+            share.holders = None;
         }
     }
 
@@ -151,6 +154,26 @@
         self.warmth.ids()
     }
 
+    /// Back ends of a service that this process may not send to now, in the order of their addresses in memory;
+    /// `None` where what is known of the platform is too old, and each has to be looked at.
+    pub fn closed(
+        &mut self,
+        now: Timestamp,
+        news_age_ms: Option<u64>,
+        service: &str,
+    ) -> Option<Vec<*const Backend>> {
+        if self.has_old_news(news_age_ms) {
+            return None;
+        }
+        let doubted: Vec<Arc<Backend>> = self.warmth.doubted(now, service).cloned().collect();
+        let is_closed =
+            |backend: &&Arc<Backend>| !self.standing(now, news_age_ms, backend).may_send();
+        let mut closed: Vec<*const Backend> =
+            doubted.iter().filter(is_closed).map(Arc::as_ptr).collect();
+        closed.sort_unstable();
+        Some(closed)
+    }
+
     /// What this process may send to a back end now.
     pub fn standing(
         &mut self,
@@ -206,23 +229,26 @@
     /// The job store that the leader gives an item for a back end that is not known to be warm: one of those that
     /// have a share there, are `usable`, and got none in this interval.
     pub fn item_sender(
-        &self,
+        &mut self,
         now: Timestamp,
         backend: &Backend,
         usable: impl Fn(&str) -> bool,
     ) -> Option<String> {
         let allowance = self.allowance(&backend.service);
-        let share = self.shares.get(&backend.id);
-        let is_free = |name: &str| {
-            let given = share.iter().flat_map(|share| &share.given);
-            !given.clone().any(|(to, at)| to == name && now.millis_since(*at) < SHARE_INTERVAL_MS)
+        let names = &self.names;
+        let has_share = |name: &&String| {
+            let sender = Sender { name: (*name).clone(), job_store: true };
+            quota(allowance, names, &backend.id, &sender) > 0
         };
-        let has_share = |name: &str| {
-            let sender = Sender { name: name.to_owned(), job_store: true };
-            quota(allowance, &self.names, &backend.id, &sender) > 0
+        let worked_out = || names.job_stores.iter().filter(has_share).cloned().collect();
+        let share = self.shares.entry(backend.id.clone()).or_default();
+        // Worked out once for the present names: it takes a hash for each pair of job stores.
+        let holders = share.holders.get_or_insert_with(worked_out);
+        let is_free = |name: &str| {
+            let mut given = share.given.iter();
+            !given.any(|(to, at)| to == name && now.millis_since(*at) < SHARE_INTERVAL_MS)
         };
-        let mut names = self.names.job_stores.iter();
-        names.find(|name| usable(name) && is_free(name) && has_share(name)).cloned()
+        holders.iter().find(|name| usable(name) && is_free(name)).cloned()
     }
 
     /// The leader gave a job store an item for a back end that is not known to be warm.
--- a/crates/serving/src/eligibility/warmth.rs
+++ b/crates/serving/src/eligibility/warmth.rs
@@ -89,6 +89,9 @@
     warm_ups: HashMap<Arc<str>, WarmUp>,
     backends: HashMap<String, Known>,
     evacuated: BTreeSet<String>,
+    /// Ids of back ends that may be in doubt; those that are in none any more are dropped with the next catalog.
+    /// With it a look costs as many steps as there are doubts, and not as there are back ends.
+    doubted: BTreeSet<String>,
     /// When the last doubt ends, or later: after it nobody has to be looked at.
     last_doubt: Timestamp,
 }
@@ -104,9 +107,33 @@
         }
         self.return_zones(now, &catalog.evacuated);
         self.forget(now, catalog);
-        let doubts = self.backends.values().flat_map(|known| [known.stated, known.suspected]);
-        let ends = doubts.flatten().map(|doubt| doubt.until);
-        self.last_doubt = ends.max().unwrap_or_default();
+        let end_of = |known: &Known| {
+            let doubts = [known.stated, known.suspected].into_iter().flatten();
+            doubts.map(|doubt| doubt.until).max().filter(|until| *until > now)
+        };
+        let ends = self.backends.iter().filter_map(|(id, known)| Some((id, end_of(known)?)));
+        let ends: Vec<(&String, Timestamp)> = ends.collect();
+        self.last_doubt = ends.iter().map(|(_, until)| *until).max().unwrap_or_default();
+        self.doubted = ends.into_iter().map(|(id, _)| id.clone()).collect();
+    }
+
+    /// Notes a doubt of a back end that lasts until a moment.
+    fn note_doubt(&mut self, id: &str, until: Timestamp) {
+        self.last_doubt = self.last_doubt.max(until);
+        if !self.doubted.contains(id) {
+            self.doubted.insert(id.to_owned());
+        }
+    }
+
+    /// Records of a service's back ends that are in doubt now.
+    pub fn doubted<'a>(
+        &'a self,
+        now: Timestamp,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Arc<Backend>> {
+        let is_in_doubt = move |id: &&String| self.doubt(now, id).is_some();
+        let known = self.doubted.iter().filter(is_in_doubt).filter_map(|id| self.backends.get(id));
+        known.filter(move |known| *known.service == *service).map(|known| &known.record)
     }
 
     fn take(&mut self, now: Timestamp, backend: &Arc<Backend>, is_first: bool) {
@@ -186,7 +213,7 @@
         // told again before this doubt ends.
         let until = now.plus_millis(RECORD_DELAY_MS);
         known.suspect(until, ColdCause::Failed);
-        self.last_doubt = self.last_doubt.max(until);
+        self.note_doubt(id, until);
     }
 
     /// A back end could not be reached, broke off or fell silent here.
@@ -195,7 +222,7 @@
         let Some(warm_up) = self.warm_ups.get(&known.service) else { return };
         let until = start_may_be_told(now, warm_up);
         known.suspect(until, ColdCause::Failed);
-        self.last_doubt = self.last_doubt.max(until);
+        self.note_doubt(id, until);
     }
 
     /// A back end told in an answer for how much longer it is cold.
@@ -207,7 +234,7 @@
         let until = now.plus_millis(remaining_ms);
         known.stated = (remaining_ms > 0).then_some(Doubt { until, cause: ColdCause::Told });
         known.suspected = None;
-        self.last_doubt = self.last_doubt.max(until);
+        self.note_doubt(id, until);
     }
 
     /// Why a back end is not known to be warm, and until when; `None` where it is warm, as far as its own life goes.
