--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -182,11 +182,13 @@
         tokio::task::spawn_local(relay_port::serve(relay, shared.clone()));
         tokio::task::spawn_local(quota::assignment::maintain(shared.clone()));
         tokio::task::spawn_local(quota::assignment::try_failing(shared.clone()));
-        let target = ReportTarget::new(options.name.clone())
-            .standing_in(options.zone.clone(), options.zones.clone());
-        tokio::task::spawn_local(load::report(shared.clone(), target));
+        let target = || {
+            ReportTarget::new(options.name.clone())
+                .standing_in(options.zone.clone(), options.zones.clone())
+        };
+        tokio::task::spawn_local(load::report(shared.clone(), target()));
         let (registry, fleet) = (shared.suspects.clone(), shared.fleet.clone());
-        suspects::share(registry, shared.jobs.clone(), fleet, &options.name, port);
+        suspects::share(registry, shared.jobs.clone(), fleet, target(), port);
         while !*stop.borrow() {
             if stop.changed().await.is_err() {
                 break;
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -23,6 +23,7 @@
 use yokefall_telemetry::{EventName, Line};
 use yokefall_upstream::Places;
 
+use crate::aggregators::ReportTarget;
 use crate::client::JobClient;
 use crate::connections::Links;
 use crate::delegation::Delegation;
@@ -231,7 +232,9 @@
         suspects::load(&options.folder, &suspects);
         tokio::task::spawn_local(suspects::keep(options.folder.clone(), suspects.clone()));
         let client = Rc::new(JobClient::new(fleet.clone()));
-        suspects::share(suspects.clone(), client, fleet.clone(), &options.name, port);
+        let target = ReportTarget::new(options.name.clone())
+            .standing_in(options.zone.clone(), options.zones.clone());
+        suspects::share(suspects.clone(), client, fleet.clone(), target, port);
         let items = ItemRunner::new(platform.dialect(), suspects.clone());
         let worker =
             Worker::new(catalog.clone(), cold, freshness, items, places, options.most_runs);
--- a/crates/jobstore/src/suspects.rs
+++ b/crates/jobstore/src/suspects.rs
@@ -62,25 +62,29 @@
     }
 }
 
-/// Starts what keeps knowledge of suspects alike in all processes. `me` is the name of this process.
+/// Starts what keeps knowledge of suspects alike in all processes. `target` names this process.
 pub fn share(
     registry: Rc<Registry>,
     client: Rc<JobClient>,
     fleet: FleetCell,
-    me: &str,
+    target: ReportTarget,
     port: NoticePort,
 ) {
     let NoticePort { outgoing, incoming } = port;
     tokio::task::spawn_local(notices::tell(registry.clone(), fleet.clone(), outgoing));
     tokio::task::spawn_local(notices::hear(registry.clone(), incoming));
-    tokio::task::spawn_local(exchange(registry, client, fleet, me.to_owned()));
+    tokio::task::spawn_local(exchange(registry, client, fleet, target));
 }
 
-/// Exchanges with job stores, for ever. `me` is the name of this process.
-async fn exchange(registry: Rc<Registry>, client: Rc<JobClient>, fleet: FleetCell, me: String) {
+/// Exchanges with job stores, for ever: with those of this process's own region, as load reports.
+async fn exchange(
+    registry: Rc<Registry>,
+    client: Rc<JobClient>,
+    fleet: FleetCell,
+    mut target: ReportTarget,
+) {
     let mut rounds: u32 = 0;
     let mut has_learnt = false;
-    let mut target = ReportTarget::new(me.clone());
     loop {
         rounds = rounds.wrapping_add(1);
         if rounds % ROUNDS_TO_FORGET == 0 {
@@ -91,7 +95,7 @@
         if tokio::time::timeout(wait, registry.observed.notified()).await.is_ok() {
             tokio::time::sleep(OBSERVED_PAUSE).await;
         }
-        let Some(peer) = peer(&fleet.load(), &target, &me) else { continue };
+        let Some(peer) = peer(&fleet.load(), &target) else { continue };
         let first = SuspectExchange::without_report(&registry);
         let Some(answer) = ask(&client, peer.address, first).await else {
             target.failed(&peer.name);
@@ -111,7 +115,8 @@
 
 /// The job store to exchange with: one of those that add up loads, to which gateways have connections anyway;
 /// for such a one any other, so that all of them hear of each other.
-fn peer(fleet: &Fleet, target: &ReportTarget, me: &str) -> Option<FleetMember> {
+fn peer(fleet: &Fleet, target: &ReportTarget) -> Option<FleetMember> {
+    let me = target.gateway();
     let is_other = |member: &&FleetMember| member.accepting && member.name != me;
     let chosen = target.choose(fleet).filter(|member| member.name != me);
     chosen.or_else(|| fleet.job_stores().filter(is_other).choose(&mut rand::rng())).cloned()
