Out of many back ends a request chooses among some that are drawn

Change: above 256 back ends 128 are drawn by chance, each as likely as any other, and the two that a prefix prefers are found by ranking parts of the table. Where all drawn ones are left out for failures, the choice is among all as before. Records of back ends by which no choice would go are dropped. Weighed: a stable part for each gateway (few back ends, connections used again) leaves load uneven where gateways get uneven load and has to widen in trouble; a draw is even by itself. Tests: drawn.rs (as many at 1,000 and 20,000; even up to nine tenths of the slots; a prefix keeps its back end; all drawn ones left out).

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -164,10 +164,13 @@
 /// are sent. Where none is known to live, requests are not held: the choice says what is wrong.
 fn has_room(shared: &Shared, need: &Need, target: Duration) -> bool {
     let catalog = shared.catalog.load();
-    let candidates = shared.eligibility.candidates(&catalog, need);
     shared.places.with(|balancer, now| {
         let Some(service_ms) = balancer.service_ms(need.service) else { return true };
-        let level = balancer.online_level(now, &candidates);
+        let drawn = shared.eligibility.draw(&catalog, need, None, balancer.generator());
+        let level = match drawn {
+            Some(drawn) => balancer.online_level_of_part(now, &drawn.backends, drawn.part),
+            None => balancer.online_level(now, &shared.eligibility.candidates(&catalog, need)),
+        };
         level.is_none_or(|level| level <= load_limit(target, service_ms))
     })
 }
@@ -180,9 +183,15 @@
     affinity: Option<u64>,
 ) -> Option<Place> {
     let catalog = shared.catalog.load_full();
-    let candidates = shared.eligibility.candidates(&catalog, need);
-    let backend =
-        shared.places.with(|balancer, now| balancer.choose(now, &candidates, tried, affinity))?;
+    let backend = shared.places.with(|balancer, now| {
+        let drawn = shared.eligibility.draw(&catalog, need, affinity, balancer.generator());
+        let chosen = drawn.and_then(|drawn| balancer.choose_drawn(now, &drawn, tried));
+        chosen.or_else(|| {
+            // There are few of them, or all that were drawn are left out for failures.
+            let candidates = shared.eligibility.candidates(&catalog, need);
+            balancer.choose(now, &candidates, tried, affinity)
+        })
+    })?;
     Some(shared.places.take(backend))
 }
 
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -120,7 +120,10 @@
 fn forget_gone(shared: &Shared) {
     let catalog = shared.catalog.load();
     shared.pool.retain(|life| catalog.is_ready_life(life));
-    shared.places.with(|balancer, _| balancer.retain(|life| catalog.is_ready_life(life)));
+    shared.places.with(|balancer, now| {
+        balancer.retain(|life| catalog.is_ready_life(life));
+        balancer.forget_idle(now);
+    });
 }
 
 fn counts(shared: &Shared) -> Vec<BackendCount> {
--- a/crates/serving/src/affinity.rs
+++ b/crates/serving/src/affinity.rs
@@ -11,6 +11,11 @@
 /// Back ends that a prefix prefers.
 const AFFINITY_CANDIDATES: usize = 2;
 
+/// Whether a back end with a cost keeps the requests that prefer it.
+pub(crate) fn has_room(cost: f64) -> bool {
+    cost < AFFINITY_LOAD_LIMIT
+}
+
 /// The first of the back ends that a key prefers that has room.
 pub(crate) fn preferred<'a>(
     open: &[(f64, &'a Arc<Backend>)],
@@ -21,5 +26,5 @@
         open.iter().map(|(cost, backend)| (score(backend), *cost, *backend)).collect();
     ranked.sort_unstable_by_key(|(score, _, _)| std::cmp::Reverse(*score));
     let few = ranked.iter().take(AFFINITY_CANDIDATES);
-    few.filter(|(_, cost, _)| *cost < AFFINITY_LOAD_LIMIT).map(|(_, _, backend)| *backend).next()
+    few.filter(|(_, cost, _)| has_room(*cost)).map(|(_, _, backend)| *backend).next()
 }
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -8,10 +8,10 @@
 use rand::SeedableRng;
 use yokefall_core::Timestamp;
 
-use crate::affinity::preferred;
+use crate::affinity::{has_room, preferred};
 use crate::arrivals::{Arrivals, ReportedRate};
 use crate::dialect::BackendLoad;
-use crate::eligibility::{Distance, ZoneMap};
+use crate::eligibility::{Distance, Drawn, ZoneMap};
 use crate::lives::ByLife;
 use crate::model::{Backend, BackendLife};
 use crate::nearness::own_part;
@@ -146,24 +146,59 @@
         tried: &[String],
         affinity: Option<u64>,
     ) -> Option<Arc<Backend>> {
-        let mut open: Vec<(f64, &Arc<Backend>)> = Vec::with_capacity(candidates.len());
+        let Open { open, ejected } = self.open(now, candidates, tried);
+        let (part, open) = self.nearby(now, open);
+        let affinity = affinity.filter(|_| self.policy.prefix_affinity);
+        if let Some(backend) = affinity.and_then(|key| preferred(&open, key)) {
+            return Some(backend.clone());
+        }
+        let least = self.least(now, &open, part);
+        least.or(ejected).cloned()
+    }
+
+    /// The same among back ends that were drawn out of many; `None` where all of them are left out.
+    pub fn choose_drawn(
+        &mut self,
+        now: Timestamp,
+        drawn: &Drawn,
+        tried: &[String],
+    ) -> Option<Arc<Backend>> {
+        if self.policy.prefix_affinity {
+            let Open { open, .. } = self.open(now, &drawn.preferred, tried);
+            if let Some((_, backend)) = open.into_iter().find(|(cost, _)| has_room(*cost)) {
+                return Some(backend.clone());
+            }
+        }
+        let Open { open, .. } = self.open(now, &drawn.backends, tried);
+        let (part, open) = self.nearby(now, open);
+        self.least(now, &open, part * drawn.part).cloned()
+    }
+
+    /// Candidates that are not left out, each with its cost, and of the others the one that is back first.
+    fn open<'a>(
+        &self,
+        now: Timestamp,
+        candidates: &'a [Arc<Backend>],
+        tried: &[String],
+    ) -> Open<'a> {
+        let mut open = Vec::with_capacity(candidates.len());
         let mut ejected: Option<(Timestamp, &Arc<Backend>)> = None;
         for backend in candidates.iter().filter(|backend| !tried.contains(&backend.id)) {
-            match self.ejected_until(now, backend) {
-                None => open.push((self.cost(now, backend), backend)),
+            let record = self.records.get(backend);
+            match record.and_then(|record| self.ejected_until(now, record)) {
+                None => open.push((self.cost(now, backend, record), backend)),
                 Some(until) if ejected.is_none_or(|(first, _)| until < first) => {
                     ejected = Some((until, backend));
                 }
                 Some(_) => {}
             }
         }
-        let (part, open) = self.nearby(now, open);
-        let affinity = affinity.filter(|_| self.policy.prefix_affinity);
-        if let Some(backend) = affinity.and_then(|key| preferred(&open, key)) {
-            return Some(backend.clone());
-        }
-        let least = self.least(now, &open, part);
-        least.or(ejected.map(|(_, backend)| backend)).cloned()
+        Open { open, ejected: ejected.map(|(_, backend)| backend) }
+    }
+
+    /// Draws of this balancer.
+    pub fn generator(&mut self) -> &mut SmallRng {
+        &mut self.generator
     }
 
     /// Those of the own region where they can take what comes meanwhile, with the part of all requests that is
@@ -260,6 +295,16 @@
     /// Load that the emptiest back ends have with one more online request, in parts of their slots;
     /// `None` where all are left out. Items do not count, since they are preempted.
     pub fn online_level(&self, now: Timestamp, candidates: &[Arc<Backend>]) -> Option<f64> {
+        self.online_level_of_part(now, candidates, 1.0)
+    }
+
+    /// The same by back ends that are a part of all, drawn by chance.
+    pub fn online_level_of_part(
+        &self,
+        now: Timestamp,
+        candidates: &[Arc<Backend>],
+        part: f64,
+    ) -> Option<f64> {
         let service = &candidates.first()?.service;
         let age = self.blind_ms(now);
         // What is older than a request takes has ended, whether it was seen or not.
@@ -276,7 +321,7 @@
         let is_informed = self.heard_at.is_some_and(|at| now.millis_since(at) < LOAD_LIFETIME_MS);
         let unseen =
             if is_informed { self.others_per_ms(now, service) * age.min(service_ms) } else { 0.0 };
-        surface(&levels, unseen + 1.0)
+        surface(&levels, unseen * part + 1.0)
     }
 
     /// `remaining` is the part of others' requests that has not ended since they were told.
@@ -303,23 +348,29 @@
 
     /// Whether a back end is left out for a while.
     pub fn is_ejected(&self, now: Timestamp, backend: &Backend) -> bool {
-        self.ejected_until(now, backend).is_some()
+        let record = self.records.get(backend);
+        record.is_some_and(|record| self.ejected_until(now, record).is_some())
     }
 
-    fn ejected_until(&self, now: Timestamp, backend: &Backend) -> Option<Timestamp> {
-        let until = self.records.get(backend)?.ejected_until.filter(|_| self.policy.ejection)?;
+    /// Back ends that are left out for a while, each by its id and the start of its life.
+    pub fn ejected(&self, now: Timestamp) -> impl Iterator<Item = (&str, u64)> {
+        let ejected = move |record: &BackendRecord| self.ejected_until(now, record).is_some();
+        let records = self.records.iter().filter(move |(_, _, record)| ejected(record));
+        records.map(|(id, started_ms, _)| (id, started_ms))
+    }
+
+    fn ejected_until(&self, now: Timestamp, record: &BackendRecord) -> Option<Timestamp> {
+        let until = record.ejected_until.filter(|_| self.policy.ejection)?;
         (until > now).then_some(until)
     }
 
     /// Load of a back end in parts of its slots.
     pub fn load(&self, now: Timestamp, backend: &Backend) -> f64 {
-        let Some(record) = self.records.get(backend) else { return 0.0 };
-        let requests = f64::from(record.in_flight) + record.foreign * record.weight(now);
-        requests / f64::from(backend.slots.max(1))
+        load(now, backend, self.records.get(backend))
     }
 
-    fn cost(&self, now: Timestamp, backend: &Backend) -> f64 {
-        let load = self.load(now, backend);
+    fn cost(&self, now: Timestamp, backend: &Backend, record: Option<&BackendRecord>) -> f64 {
+        let load = load(now, backend, record);
         if !self.policy.zone_cost {
             return load;
         }
@@ -465,6 +516,26 @@
     pub fn retain(&mut self, known: impl Fn(&BackendLife) -> bool) {
         self.records.retain(|life, record| record.in_flight > 0 || known(life));
     }
+
+    /// Forgets what no choice would go by any more: each report of loads walks over all that is held.
+    pub fn forget_idle(&mut self, now: Timestamp) {
+        self.records.retain(|_, record| record.in_flight > 0 || record.says_something(now));
+    }
+}
+
+/// Candidates of a choice.
+struct Open<'a> {
+    /// Those that are not left out, each with its cost.
+    open: Vec<(f64, &'a Arc<Backend>)>,
+    /// The one that is left out for the shortest time.
+    ejected: Option<&'a Arc<Backend>>,
+}
+
+/// Load of a back end in parts of its slots.
+fn load(now: Timestamp, backend: &Backend, record: Option<&BackendRecord>) -> f64 {
+    let Some(record) = record else { return 0.0 };
+    let requests = f64::from(record.in_flight) + record.foreign * record.weight(now);
+    requests / f64::from(backend.slots.max(1))
 }
 
 impl BackendRecord {
@@ -474,6 +545,16 @@
         1.0 - (age.min(LOAD_LIFETIME_MS) as f64 / LOAD_LIFETIME_MS as f64)
     }
 
+    /// Whether a choice goes by anything in it.
+    fn says_something(&self, now: Timestamp) -> bool {
+        let outcomes = self.outcomes.sums(now);
+        self.ejections > 0
+            || self.failures > 0
+            || self.ejected_until.is_some_and(|until| until > now)
+            || self.foreign * self.weight(now) > 0.0
+            || outcomes.failed + outcomes.answered >= LEAST_OUTCOME
+    }
+
     fn eject(&mut self, now: Timestamp) {
         let longer = FIRST_EJECTION_MS << self.ejections.min(3);
         self.ejected_until = Some(now.plus_millis(longer.min(LONGEST_EJECTION_MS)));
--- a/crates/serving/src/eligibility/cold_start.rs
+++ b/crates/serving/src/eligibility/cold_start.rs
@@ -106,6 +106,17 @@
         })?
     }
 
+    /// Back ends of a service that are not known to be warm; `None` where what is known is too old to tell.
+    pub fn doubted(&self, service: &str) -> Option<Vec<Arc<Backend>>> {
+        self.with(|state, now, age| {
+            if !state.concerns(service) {
+                return Some(Vec::new());
+            }
+            state.doubted(now, age, service)
+        })
+        .unwrap_or_else(|| Some(Vec::new()))
+    }
+
     /// Milliseconds until this process may send to the first of these back ends; `None` where it may now, or where
     /// there are none.
     pub fn wait_ms(&self, backends: &[Arc<Backend>]) -> Option<u64> {
--- a/crates/serving/src/eligibility/cold_state.rs
+++ b/crates/serving/src/eligibility/cold_state.rs
@@ -157,6 +157,17 @@
         self.warmth.ids()
     }
 
+    /// Back ends of a service that are not known to be warm; `None` where what is known of the platform is too old.
+    pub fn doubted(
+        &self,
+        now: Timestamp,
+        news_age_ms: Option<u64>,
+        service: &str,
+    ) -> Option<Vec<Arc<Backend>>> {
+        let is_known = !self.has_old_news(news_age_ms);
+        is_known.then(|| self.warmth.doubted(now, service).cloned().collect())
+    }
+
     /// Back ends of a service that this process may not send to now, in the order of their addresses in memory;
     /// `None` where what is known of the platform is too old, and each has to be looked at.
     pub fn closed(
@@ -165,10 +176,7 @@
         news_age_ms: Option<u64>,
         service: &str,
     ) -> Option<Vec<*const Backend>> {
-        if self.has_old_news(news_age_ms) {
-            return None;
-        }
-        let doubted: Vec<Arc<Backend>> = self.warmth.doubted(now, service).cloned().collect();
+        let doubted = self.doubted(now, news_age_ms, service)?;
         let is_closed =
             |backend: &&Arc<Backend>| !self.standing(now, news_age_ms, backend).may_send();
         let mut closed: Vec<*const Backend> =
--- a/crates/serving/src/eligibility/mod.rs
+++ b/crates/serving/src/eligibility/mod.rs
@@ -9,6 +9,7 @@
 pub mod cold_share;
 pub mod cold_start;
 pub mod cold_state;
+pub mod drawn;
 pub mod freshness;
 pub mod residency;
 pub mod unknown_regions;
@@ -22,13 +23,16 @@
 
 pub use cold_share::Sender;
 pub use cold_start::{ColdStart, ColdStartOptions};
+pub use drawn::Drawn;
 pub use freshness::Freshness;
 pub use residency::Residency;
 pub use unknown_regions::unknown_regions;
 pub use zones::{Distance, ZoneMap};
 
+use rand::Rng;
 use yokefall_telemetry::{EventName, Line};
 
+use crate::backend_table::BackendTable;
 use crate::catalog::{Catalog, CatalogCell};
 use crate::model::{Backend, BackendLife, BackendState};
 
@@ -151,6 +155,73 @@
         open.map_or(placed, Cow::Owned)
     }
 
+    /// The same as tables, with those that this process may not use now still in them.
+    pub fn tables<'a>(&self, catalog: &'a Catalog, need: &'a Need) -> Vec<&'a BackendTable> {
+        match need.residency {
+            Residency::Anywhere => catalog.ready_table(need.service).into_iter().collect(),
+            Residency::Within(regions) => {
+                catalog.ready_tables_within(need.service, regions).collect()
+            }
+        }
+    }
+
+    /// Back ends out of many for one request, by chance, with those that its `affinity` prefers; `None` where there
+    /// are so few that all are looked at, or where this process may use none of them.
+    pub fn draw(
+        &self,
+        catalog: &Catalog,
+        need: &Need,
+        affinity: Option<u64>,
+        generator: &mut impl Rng,
+    ) -> Option<Drawn> {
+        let drawn = Drawn::of(&self.tables(catalog, need), affinity, generator)?;
+        let Some(cold) = &self.cold else { return Some(drawn) };
+        let drawn = drawn.filtered(|backends| cold.open(need.service, backends));
+        (!drawn.backends.is_empty()).then_some(drawn)
+    }
+
+    /// The same for an item; see `item_candidates`.
+    pub fn draw_for_items(
+        &self,
+        catalog: &Catalog,
+        need: &Need,
+        usable: impl Fn(&str) -> bool,
+        generator: &mut impl Rng,
+    ) -> Option<Drawn> {
+        let drawn = Drawn::of(&self.tables(catalog, need), None, generator)?;
+        let Some(cold) = &self.cold else { return Some(drawn) };
+        let drawn = drawn.filtered(|backends| {
+            cold.open(need.service, backends)?;
+            Some(self.usable_for_items(cold, backends, &usable))
+        });
+        (!drawn.backends.is_empty()).then_some(drawn)
+    }
+
+    /// Back ends of a service that may not take an item now because they are not known to be warm; `None` where
+    /// what is known is too old, so that each is to be looked at.
+    pub fn closed_to_items(
+        &self,
+        service: &str,
+        usable: impl Fn(&str) -> bool,
+    ) -> Option<Vec<Arc<Backend>>> {
+        let Some(cold) = &self.cold else { return Some(Vec::new()) };
+        let mut doubted = cold.doubted(service)?;
+        doubted.retain(|backend| cold.item_sender(backend, &usable).is_none());
+        Some(doubted)
+    }
+
+    fn usable_for_items(
+        &self,
+        cold: &ColdStart,
+        backends: &[Arc<Backend>],
+        usable: impl Fn(&str) -> bool,
+    ) -> Vec<Arc<Backend>> {
+        let may_go = |backend: &&Arc<Backend>| {
+            cold.is_warm(backend) || cold.item_sender(backend, &usable).is_some()
+        };
+        backends.iter().filter(may_go).cloned().collect()
+    }
+
     /// Back ends that may take an item: of those that are not known to be warm the ones for which a job store that
     /// is `usable` has a share left, as far as the leader who gave them items knows.
     pub fn item_candidates<'a>(
@@ -164,10 +235,7 @@
         if cold.open(need.service, &placed).is_none() {
             return placed;
         }
-        let may_go = |backend: &&Arc<Backend>| {
-            cold.is_warm(backend) || cold.item_sender(backend, &usable).is_some()
-        };
-        Cow::Owned(placed.iter().filter(may_go).cloned().collect())
+        Cow::Owned(self.usable_for_items(cold, &placed, usable))
     }
 
     /// Where every back end that might take a request is cold and this process has no share left: milliseconds
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -40,7 +40,7 @@
     AddressQuery, BackendLoad, BadSubmission, Dialect, HeaderNames, JobCall, PrefixPart,
 };
 pub use eligibility::{
-    ColdStart, ColdStartOptions, Distance, Eligibility, Freshness, Ineligible, Need, Permit,
+    ColdStart, ColdStartOptions, Distance, Drawn, Eligibility, Freshness, Ineligible, Need, Permit,
     Residency, Sender, ZoneMap,
 };
 pub use fleet::{empty_fleet, Fleet, FleetCell, FleetMember};
