The leader counts free slots from sums and the back ends with work

Cause: each scheduling pass, up to fifty a second, looked at all back ends of a service three times, with a copy of each id, and each item that started at all of them again. Change: slots of a pool are the sums of its tables less those that are left out, and only back ends with work are looked at; an item starts at one of those drawn. Where few, as before.

--- a/crates/jobstore/src/item_worker.rs
+++ b/crates/jobstore/src/item_worker.rs
@@ -4,7 +4,8 @@
 use std::borrow::Cow;
 use std::sync::Arc;
 
-use yokefall_serving::{Backend, Catalog, FleetMember, Need, Residency};
+use rand::Rng;
+use yokefall_serving::{Backend, Catalog, Drawn, FleetMember, Need, Residency};
 
 use crate::delegation::Delegation;
 use crate::worker::Worker;
@@ -36,6 +37,20 @@
         self.worker.eligibility.item_candidates(catalog, need, usable)
     }
 
+    /// Back ends out of many that may take an item now, by chance; `None` where all are to be looked at.
+    pub fn draw(&self, catalog: &Catalog, need: &Need, generator: &mut impl Rng) -> Option<Drawn> {
+        let free = self.delegation.free_names(need.residency);
+        let usable = |name: &str| self.is_usable(&free, name);
+        self.worker.eligibility.draw_for_items(catalog, need, usable, generator)
+    }
+
+    /// Back ends that may not take an item now because they are not known to be warm; `None` where each is to be
+    /// looked at.
+    pub fn closed(&self, need: &Need) -> Option<Vec<Arc<Backend>>> {
+        let free = self.delegation.free_names(need.residency);
+        self.worker.eligibility.closed_to_items(need.service, |name| self.is_usable(&free, name))
+    }
+
     /// Whether a further item with a residency may go to a back end now.
     pub fn may_take(&self, backend: &Backend, residency: &Residency) -> bool {
         self.worker.cold.is_warm(backend) || self.share_holder(backend, residency).is_some()
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod kept_file;
 pub mod loads;
 pub mod packed;
+pub mod pool_slots;
 pub mod preemption;
 pub mod protocol;
 pub mod quota;
--- a/crates/jobstore/src/loads.rs
+++ b/crates/jobstore/src/loads.rs
@@ -326,6 +326,16 @@
         (sums.reporters > 0).then(|| sums.totals.get(backend).map_or(0, |total| total.online))
     }
 
+    /// Back ends with online requests of the gateways that are heard, and how many.
+    pub fn each_online(&self, mut take: impl FnMut(&BackendLife, u32)) {
+        let sums = &mut *self.sums.borrow_mut();
+        self.expire(sums);
+        if sums.reporters > 0 {
+            let totals = sums.totals.iter().filter(|(_, total)| total.online > 0);
+            totals.for_each(|(life, total)| take(life, total.online));
+        }
+    }
+
     /// Interval between two reports of a gateway, as many as report.
     pub fn report_interval(&self) -> Duration {
         report_interval(self.sums.borrow().reporters as usize)
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -303,6 +303,9 @@
         });
         let catalog = self.worker.catalog.load();
         self.worker.items.pool.retain(|life| catalog.is_ready_life(life));
-        self.worker.places.with(|balancer, _| balancer.retain(|life| catalog.is_ready_life(life)));
+        self.worker.places.with(|balancer, now| {
+            balancer.retain(|life| catalog.is_ready_life(life));
+            balancer.forget_idle(now);
+        });
     }
 }
--- a/crates/jobstore/src/slots.rs
+++ b/crates/jobstore/src/slots.rs
@@ -1,11 +1,13 @@
 //! Slots that items may have: those that online requests leave free at back ends where an item may be served, and
 //! those that online requests get back.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 
 use yokefall_serving::{Backend, Need, Residency, RouteKind};
 
 use crate::item_worker::ItemWorkers;
+use crate::pool_slots::PoolSlots;
 use crate::preemption::{preempted, PlacedRun};
 use crate::room::{Room, ServiceSlots, SlotPool};
 use crate::run::ItemSender;
@@ -18,8 +20,13 @@
         let catalog = self.worker.catalog.load();
         let room = self.room(pool);
         let need = Need { service: &pool.service, residency: &pool.residency };
-        let candidates = self.item_workers().candidates(&catalog, &need);
+        let workers = self.item_workers();
         let backends = self.worker.places.with(|balancer, now| {
+            let drawn = workers.draw(&catalog, &need, balancer.generator());
+            let candidates = match drawn {
+                Some(drawn) => Cow::Owned(drawn.backends),
+                None => workers.candidates(&catalog, &need),
+            };
             let is_free = |backend: &&Arc<Backend>| {
                 let items = balancer.in_flight(backend);
                 self.has_free_slot(backend, items) && !balancer.is_ejected(now, backend)
@@ -43,23 +50,36 @@
         (route.kind == RouteKind::Batch).then_some(SlotPool { service, residency })
     }
 
-    /// The slots of a pool.
+    /// The slots of a pool. Of back ends that may take an item only those are looked at that have work: with all of
+    /// them it took 4.5 ms of a core at 10,000 back ends, up to fifty times a second.
     fn room(&self, pool: &SlotPool) -> Room {
         let catalog = self.worker.catalog.load();
         let need = Need { service: &pool.service, residency: &pool.residency };
-        let candidates = self.item_workers().candidates(&catalog, &need);
+        let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
+        let room = Room::new(self.store.loads.report_interval()).heard(coverage);
+        let Some(closed) = self.item_workers().closed(&need) else {
+            // What is known is too old to tell that any of them is warm.
+            return self.room_of_each(room, &self.item_workers().candidates(&catalog, &need));
+        };
+        let tables = self.worker.eligibility.tables(&catalog, &need);
+        self.worker.places.with(|balancer, now| {
+            let mut counted = PoolSlots::new(&tables);
+            closed.iter().for_each(|backend| counted.leave_out(&backend.id, backend.started_ms));
+            balancer.ejected(now).for_each(|(id, started_ms)| counted.leave_out(id, started_ms));
+            self.store.loads.each_online(|life, requests| counted.take(life, requests));
+            balancer.all_in_flight().for_each(|(life, items)| counted.take(&life, items));
+            counted.add_to(room)
+        })
+    }
+
+    fn room_of_each(&self, mut room: Room, candidates: &[Arc<Backend>]) -> Room {
         self.worker.places.with(|balancer, now| {
-            let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
-            let mut room = Room::new(self.store.loads.report_interval()).heard(coverage);
-            for backend in candidates.iter() {
-                if balancer.is_ejected(now, backend) {
-                    continue;
-                }
+            for backend in candidates.iter().filter(|backend| !balancer.is_ejected(now, backend)) {
                 let online = self.reported_online(backend);
                 room.add(backend.slots, online + balancer.in_flight(backend));
             }
-            room
-        })
+        });
+        room
     }
 
     /// Who may run items.
