A test of what a start of all costs the seeds, failing

Cause, found by counting under virtual time: a member that starts asks the seeds who there is, and they tell each the whole list.

--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -38,6 +38,8 @@
     frozen: HashSet<usize>,
     generator: SmallRng,
     by_address: HashMap<String, usize>,
+    /// Bytes and datagrams that each has sent.
+    sent: Vec<(usize, usize)>,
 }
 
 impl Fleet {
@@ -51,6 +53,7 @@
             frozen: HashSet::new(),
             generator: SmallRng::seed_from_u64(5),
             by_address: (0..size).map(|n| (address(n), n)).collect(),
+            sent: vec![(0, 0); size],
         };
         fleet.nodes = (0..size).map(|n| Some(fleet.member(n, 1))).collect();
         fleet
@@ -63,6 +66,8 @@
 
     fn send(&mut self, at: u64, from: usize, outgoing: Vec<Outgoing>) {
         for datagram in outgoing {
+            let bytes = borsh::to_vec(&datagram.datagram).expect("a datagram").len();
+            self.sent[from] = (self.sent[from].0 + bytes, self.sent[from].1 + 1);
             if !self.generator.random_bool(self.loss) {
                 self.queue.push_back((at + DELAY_MS, from, datagram));
             }
@@ -281,3 +286,24 @@
         member.node.as_str().rsplit('-').next().and_then(|text| text.parse::<usize>().ok());
     number.is_some_and(|number| number % 3 == 0)
 }
+
+/// Bytes and datagrams that the members of a fleet send in the ten seconds after all start at once: the mean, and
+/// those of the member that sends most.
+fn cost_of_a_start(size: usize) -> ((usize, usize), (usize, usize)) {
+    let mut fleet = Fleet::new(size, 0.01);
+    fleet.run(10_000, |_| {});
+    assert!(fleet.all_see(size), "{size} members know each other");
+    let sum = |pick: fn(&(usize, usize)) -> usize| fleet.sent.iter().map(pick).sum::<usize>();
+    let mean = (sum(|sent| sent.0) / size, sum(|sent| sent.1) / size);
+    (mean, fleet.sent.iter().copied().max().expect("a member"))
+}
+
+/// Everybody asks the seeds first. They told each the whole list, which is a square of the members: 99 MB within ten
+/// seconds of a start of 1,000, for which a link of 30 Mbit/s needs 26 s.
+#[test]
+fn a_start_of_all_costs_a_seed_no_more_than_its_members_grow() {
+    let (_, small) = cost_of_a_start(100);
+    let (mean, large) = cost_of_a_start(400);
+    assert!(large.0 <= small.0 * 6, "the busiest sent {small:?} among 100, {large:?} among 400");
+    assert!(large.0 <= mean.0 * 20, "the busiest sent {large:?} where the mean is {mean:?}");
+}
