A process takes a new view of the fleet twenty times a second at most

Change: the first change after a while is seen at once, those of the next 50 ms together. At 2,000 members that is 2.4 % of a core at most while members come and go, and nothing in calm.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -166,6 +166,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Whether `take_changed` would tell a change.
+    pub fn has_changed(&self) -> bool {
+        self.changed
+    }
+
     /// Announces that this daemon is stopping, or that it is gone.
     pub fn announce(&mut self, state: MemberState) {
         self.changed = true;
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -30,6 +30,9 @@
 /// Members of the own zone, and of others, that are told when the store has confirmed what this process knows. They
 /// pass its age on with their probes; begun with more of them, that takes a round less.
 pub const CONFIRMATION_FANOUT: (usize, usize) = (6, 2);
+/// Least interval between two views of the fleet, in milliseconds: one takes 0.6 ms of a core at 1,000 members, and
+/// after a start of all each datagram brings a change. The first change after a while is seen at once.
+const VIEW_INTERVAL_MS: u64 = 50;
 /// Interval at which names of lost members are looked through, in milliseconds: they are kept for minutes.
 const NAMES_INTERVAL_MS: u64 = 10_000;
 /// The same while some count as lost, which they do for seconds.
@@ -176,6 +179,7 @@
     members.set_news_port(news_port);
     let mut names = NameMemory::default();
     let mut names_at = Timestamp(0);
+    let mut view_at = Timestamp(0);
     let mut may_change = true;
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut told_leaving = false;
@@ -186,7 +190,7 @@
     loop {
         let now = clock.now();
         backlog.woken(now);
-        let has_changed = members.take_changed();
+        let has_changed = now >= view_at && members.take_changed();
         if has_changed || now >= names_at {
             let records = members.records();
             names.take(now, &records);
@@ -197,6 +201,7 @@
             publish(records, known, &cell);
         }
         if has_changed {
+            view_at = now.plus_millis(VIEW_INTERVAL_MS);
             news.rank(now, Ranking::new(&cell.load().members, &zone, &name));
         }
         news.tick(now);
@@ -220,6 +225,9 @@
         if news.watches() {
             deadline = deadline.min(heartbeat_at);
         }
+        if members.has_changed() {
+            deadline = deadline.min(view_at);
+        }
         let wait = deadline.millis_since(now).max(1);
         backlog.waits(now, wait);
         tokio::select! {
