A process waits for back ends while peers that know them are heard

Cause, by reading: 4 s after its start a process that knows no back ends reads them from the store. Peers tell 10,000 of them to all of 986 processes in some 6 s, so that most read 50 pages each: 40,000 calls of which the store answers 320 a second. Change: each datagram of a peer that knows them puts that off by 2.5 s, up to 8 s and a spread after the start. Test: a_process_waits_for_back_ends_while_peers_that_know_them_are_heard; it does not compile before.

--- a/crates/serving/src/duty.rs
+++ b/crates/serving/src/duty.rs
@@ -39,6 +39,10 @@
 /// members five exchanges.
 const BACKENDS_PATIENCE_MS: u64 = 2_500;
 const BACKENDS_SPREAD_MS: u64 = 1_500;
+/// Time from its start after which a process reads back ends itself though peers know them, in milliseconds: these tell
+/// two whole lists at once each, so that 1,000 members know 10,000 back ends after some 6 s. Where all that had
+/// waited 4 s read them, 836 made 50 calls each, of which the store answers 320 a second.
+const LONGEST_BACKENDS_PATIENCE_MS: u64 = 8_000;
 /// Time for which a process reads the store after peers could not give what they know, in
 /// milliseconds: a list and what follows it.
 const CATCH_UP_MS: u64 = 2_000;
@@ -119,6 +123,8 @@
     ask_at: Timestamp,
     /// The same for back ends, where others are to read them.
     ask_backends_at: Timestamp,
+    /// By how much later than others this process asks, in milliseconds.
+    backends_spread_ms: u64,
     ranking: Ranking,
     ranked_at: Timestamp,
     /// When watchers were last heard, by name.
@@ -134,12 +140,12 @@
             false => (PATIENCE_MS, PATIENCE_SPREAD_MS),
         };
         let patience = patience + (range as f64 * spread) as u64;
+        let backends_spread_ms = (BACKENDS_SPREAD_MS as f64 * spread) as u64;
         Self {
             started: now,
             ask_at: now.plus_millis(patience),
-            ask_backends_at: now
-                .plus_millis(patience + BACKENDS_PATIENCE_MS)
-                .plus_millis((BACKENDS_SPREAD_MS as f64 * spread) as u64),
+            ask_backends_at: now.plus_millis(patience + BACKENDS_PATIENCE_MS + backends_spread_ms),
+            backends_spread_ms,
             ranking: Ranking::default(),
             ranked_at: now,
             heard: HashMap::new(),
@@ -160,6 +166,14 @@
         self.heard.insert(name.to_owned(), now);
     }
 
+    /// A peer knows back ends, so that they come from there.
+    pub fn heard_of_backends(&mut self, now: Timestamp) {
+        let latest =
+            self.started.plus_millis(LONGEST_BACKENDS_PATIENCE_MS + self.backends_spread_ms);
+        let put_off = now.plus_millis(BACKENDS_PATIENCE_MS).min(latest);
+        self.ask_backends_at = self.ask_backends_at.max(put_off);
+    }
+
     /// Peers know more and could not tell it.
     pub fn catch_up(&mut self, now: Timestamp) {
         self.catch_up_until = Some(now.plus_millis(CATCH_UP_MS));
--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -224,6 +224,9 @@
     pub fn hear(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
         self.knowledge.borrow_mut().confirm_evacuations(peer);
         let own = self.own();
+        if own.backends_revision == 0 && peer.backends_revision > 0 {
+            self.roster.borrow_mut().heard_of_backends(now);
+        }
         if !own.lacks(peer) {
             return;
         }
--- a/crates/serving/tests/duty.rs
+++ b/crates/serving/tests/duty.rs
@@ -224,3 +224,31 @@
     }
     assert_eq!(idle, count - (WATCHERS + STANDBYS) * zones);
 }
+
+/// Found before 10,000 back ends: the list had not reached most of 986 processes when these lost patience, and each of
+/// them asked the store for 50 pages.
+#[test]
+fn a_process_waits_for_back_ends_while_peers_that_know_them_are_heard() {
+    let members: Vec<FleetMember> = (0..20).map(|index| member(index, 1)).collect();
+    let rankings = (0..20).map(|index| Ranking::new(&members, "zone-0", &format!("node-{index}")));
+    let last = rankings.max_by_key(|ranking| ranking.rank).expect("a ranking");
+    let reads_after = |spread: f64, heard_until: u64| {
+        let mut roster = Roster::new(Timestamp(0), false, spread);
+        roster.rank(Timestamp(0), last.clone());
+        let reads = |now: &u64| {
+            if *now < heard_until {
+                roster.heard_of_backends(Timestamp(*now));
+            }
+            roster.reads_backends(Timestamp(*now), false)
+        };
+        (0..20_000).step_by(STEP_MS as usize).find(reads)
+    };
+    for spread in [0.0, 1.0] {
+        let alone = reads_after(spread, 0).expect("it reads them in the end");
+        let heard = reads_after(spread, 5_000).expect("it reads them in the end");
+        let always = reads_after(spread, 20_000).expect("it reads them in the end");
+        assert!(alone <= 4_500, "nobody knows them: {alone}");
+        assert!((7_400..=7_600).contains(&heard), "those who knew them are silent: {heard}");
+        assert!((8_000..=9_600).contains(&always), "those who know them don't tell: {always}");
+    }
+}
