Whole lists are told to as many peers at once as a link takes in time

Cause: eight askers were answered at once, whatever their answers were. Eight lists of 10,000 back ends (1.1 MB each) take a link of 30 Mbit/s 2.3 s, and each asker gives up after 1.5 s: none has one, and all ask again. Change: answers under way are counted in bytes, 2.7 MB at once, or a single larger one; who finds no room is turned away at once as before. An answer counts until its asker closes, since it waits in the system's buffers. Test: no_more_whole_lists..., at 3,000, 10,000 and 20,000 back ends. Frames are as before.

--- a/crates/serving/src/discovery.rs
+++ b/crates/serving/src/discovery.rs
@@ -88,10 +88,7 @@
     let (news, duties) = News::new(knowledge.clone(), take, roster);
     let refresh = news.refresh.clone();
     let news_port = ports.news.local_addr().map_or(0, |address| address.port());
-    tokio::task::spawn_local(serve(
-        ports.news,
-        Rc::new(move |request| knowledge.borrow().answer(request)),
-    ));
+    tokio::task::spawn_local(serve(ports.news, knowledge));
     tokio::task::spawn_local(run_membership(Membership {
         socket: ports.datagrams,
         identity: options.identity,
--- a/crates/serving/src/knowledge.rs
+++ b/crates/serving/src/knowledge.rs
@@ -4,6 +4,7 @@
 //! by one of a higher version; an object only by one of a later life or of a higher revision; and a list
 //! that is older than what is held removes nothing.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,7 +20,9 @@
 use crate::eligibility::{Freshness, ZoneMap};
 use crate::model::{Backend, BackendState, Configuration, Evacuation};
 use crate::news::Known;
-use crate::news_exchange::{BackendNews, NamedBackend, NamedEvacuation, NewsAnswer, NewsRequest};
+use crate::news_exchange::{
+    BackendNews, NamedBackend, NamedEvacuation, NewsAnswer, NewsRequest, Teller,
+};
 use crate::objects::{Changed, Objects};
 use crate::source::{Change, Listing, Revision, SourceError};
 
@@ -227,9 +230,22 @@
         }
     }
 
-    fn backend_news(&self, request: &NewsRequest) -> BackendNews {
+    /// Revision after which a peer is told what changed; `None` where it is told all.
+    fn told_since(&self, request: &NewsRequest) -> Option<Revision> {
         let known = request.known.backends_revision;
-        let since = (!request.whole && self.backends.covers(known)).then_some(known);
+        (!request.whole && self.backends.covers(known)).then_some(known)
+    }
+
+    /// How many back ends a peer that knows less is told.
+    pub fn backends_to_tell(&self, request: &NewsRequest) -> usize {
+        match self.told_since(request) {
+            None => self.backends.len(),
+            Some(revision) => self.backends.changed_after(revision).count(),
+        }
+    }
+
+    fn backend_news(&self, request: &NewsRequest) -> BackendNews {
+        let since = self.told_since(request);
         let after = since.unwrap_or(0);
         let changed = |(name, revision, backend): (&String, Revision, &Arc<Backend>)| {
             let (name, backend) = (name.clone(), Backend::clone(backend));
@@ -314,6 +330,16 @@
     }
 }
 
+impl Teller for RefCell<Knowledge> {
+    fn backends_to_tell(&self, request: &NewsRequest) -> usize {
+        self.borrow().backends_to_tell(request)
+    }
+
+    fn answer(&self, request: &NewsRequest) -> NewsAnswer {
+        self.borrow().answer(request)
+    }
+}
+
 /// Digest of what decides whether a back end may be used. Its load and the like change with each of its
 /// heartbeats, and are not worth an exchange.
 fn digest_of(backend: &Arc<Backend>) -> u64 {
--- a/crates/serving/src/news_exchange.rs
+++ b/crates/serving/src/news_exchange.rs
@@ -1,6 +1,7 @@
 //! The exchange of configuration and back ends between peers: one request and one answer on a TCP
 //! connection, borsh, each prefixed by its length.
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,12 +17,16 @@
 use crate::news::Known;
 use crate::source::Revision;
 
-/// Longest time for an exchange: 3,000 back ends are 300 KB, which eight askers at once share a link of
-/// 30 Mbit/s for (0.7 s), twice.
+/// Longest time for an exchange, twice what the largest answers at once need on a link of 30 Mbit/s.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Peers that are answered at once. One more is turned away and asks another: after a restart of all,
 /// everybody asks the first who know, and none would have its answer in time.
 const MOST_ANSWERED: usize = 8;
+/// Bytes of answers that are sent at once, but for a single larger one: a link of 30 Mbit/s takes 0.7 s for them. Eight
+/// lists of 10,000 back ends, of 1 MB each, would take 2.3 s together, and no asker would have one in time.
+const MOST_BYTES_AT_ONCE: usize = 2_700_000;
+/// Bytes of one back end in an answer, as the longest names in use have it.
+const BACKEND_BYTES: usize = 130;
 /// Largest message in bytes: a configuration of 1 MB, which is what an object of the platform's store
 /// may hold, and 10,000 back ends.
 const MAX_MESSAGE_BYTES: u32 = 4 * 1024 * 1024;
@@ -128,14 +133,56 @@
     }
 }
 
+/// Bytes of answers that are on their way.
+#[derive(Debug, Default)]
+pub struct AnswerBytes {
+    under_way: Cell<usize>,
+}
+
+/// Room for the bytes of one answer, given back when it is dropped.
+#[derive(Debug)]
+pub struct AnswerRoom {
+    bytes: Rc<AnswerBytes>,
+    taken: usize,
+}
+
+impl AnswerBytes {
+    /// Room for an answer of about so many back ends; `None` where those under way leave none. An answer that is too
+    /// large for all of the room is sent by itself.
+    pub fn take(self: &Rc<Self>, backends: usize) -> Option<AnswerRoom> {
+        let taken = backends * BACKEND_BYTES;
+        let under_way = self.under_way.get();
+        if under_way > 0 && under_way + taken > MOST_BYTES_AT_ONCE {
+            return None;
+        }
+        self.under_way.set(under_way + taken);
+        Some(AnswerRoom { bytes: self.clone(), taken })
+    }
+}
+
+impl Drop for AnswerRoom {
+    fn drop(&mut self) {
+        self.bytes.under_way.set(self.bytes.under_way.get() - self.taken);
+    }
+}
+
+/// What a process tells its peers.
+pub trait Teller {
+    /// How many back ends an answer would tell.
+    fn backends_to_tell(&self, request: &NewsRequest) -> usize;
+    /// The answer.
+    fn answer(&self, request: &NewsRequest) -> NewsAnswer;
+}
+
 /// Answers peers for ever.
-pub async fn serve(listener: TcpListener, answer: Rc<dyn Fn(&NewsRequest) -> NewsAnswer>) {
+pub async fn serve(listener: TcpListener, teller: Rc<dyn Teller>) {
     let free = Arc::new(Semaphore::new(MOST_ANSWERED));
+    let bytes = Rc::new(AnswerBytes::default());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Ok(permit) = free.clone().try_acquire_owned() else { continue };
-                let answering = serve_one(stream, answer.clone());
+                let answering = serve_one(stream, teller.clone(), bytes.clone());
                 tokio::task::spawn_local(async move {
                     answering.await;
                     drop(permit);
@@ -146,13 +193,18 @@
     }
 }
 
-async fn serve_one(mut stream: TcpStream, answer: Rc<dyn Fn(&NewsRequest) -> NewsAnswer>) {
+async fn serve_one(mut stream: TcpStream, teller: Rc<dyn Teller>, bytes: Rc<AnswerBytes>) {
     let exchange = async {
         let request: NewsRequest = receive(&mut stream).await?;
-        send(&mut stream, &answer(&request)).await
+        let Some(room) = bytes.take(teller.backends_to_tell(&request)) else { return Ok(()) };
+        let sent = send(&mut stream, &teller.answer(&request)).await;
+        // Answers wait in the system's buffers: that the peer has this one shows when it closes.
+        let _ = stream.read(&mut [0]).await;
+        drop(room);
+        sent
     };
     // A peer that got no answer asks another one.
-    let _ = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
+    let _: Result<std::io::Result<()>, _> = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
 }
 
 async fn send(stream: &mut TcpStream, message: &impl BorshSerialize) -> std::io::Result<()> {
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -192,6 +192,16 @@
         self.held.iter().map(|(name, (revision, value))| (name, *revision, value))
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
     /// Revision up to which everything is known.
     pub fn revision(&self) -> Revision {
         self.revision
--- a/crates/serving/tests/news_exchange.rs
+++ b/crates/serving/tests/news_exchange.rs
@@ -10,7 +10,7 @@
 use yokefall_core::Timestamp;
 use yokefall_serving::duty::Roster;
 use yokefall_serving::news::News;
-use yokefall_serving::news_exchange::{fetch, serve, NewsRequest};
+use yokefall_serving::news_exchange::{fetch, serve, AnswerBytes, NewsRequest};
 use yokefall_serving::observer::LineObserver;
 use yokefall_serving::watch::{Following, Knowledge, SharedKnowledge, Sink};
 use yokefall_serving::{
@@ -489,9 +489,7 @@
 async fn start_answering(process: &Process) -> std::net::SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let knowledge = process.knowledge.clone();
-    let answer = Rc::new(move |request: &NewsRequest| knowledge.borrow().answer(request));
-    tokio::task::spawn_local(serve(listener, answer));
+    tokio::task::spawn_local(serve(listener, process.knowledge.clone()));
     address
 }
 
@@ -584,3 +582,23 @@
         })
         .await;
 }
+
+/// Eight askers at once shared a link of 30 Mbit/s for a list of 10,000 back ends each: after 1.5 s all of them gave
+/// up, and asked again.
+#[test]
+fn no_more_whole_lists_are_told_at_once_than_a_link_takes_in_time() {
+    const LINK_BYTES_PER_MS: usize = 30_000 / 8;
+    const ASKERS_PATIENCE_MS: usize = 1_500;
+    for backends in [3_000, 10_000, 20_000] {
+        let bytes = Rc::new(AnswerBytes::default());
+        let rooms: Vec<_> = std::iter::from_fn(|| bytes.take(backends)).take(100).collect();
+        let told_ms = rooms.len() * backends * 110 / LINK_BYTES_PER_MS;
+        assert!(
+            !rooms.is_empty() && told_ms < ASKERS_PATIENCE_MS / 2 + 200,
+            "{backends}: {told_ms} ms"
+        );
+        assert!(bytes.take(1).is_some() || rooms.len() == 1, "small answers find room");
+        drop(rooms);
+        assert!(bytes.take(backends).is_some(), "room is given back");
+    }
+}
