Changes of back ends are gathered between exchanges, and whole lists come from the own zone

Change: after an exchange a process rests 0.25 ms for each member, 0.3 s at most, before it asks for back ends alone; a configuration and evacuated zones wait for nothing, and no later word of a peer that knows less takes their place. For 2.5 s after its start a process that knows no back ends asks peers of its zone alone. Tests: changes_of_back_ends_are_gathered..., a_configuration_does_not_wait...; they don't compile before.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -166,6 +166,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Whether a member is known to stand in the zone of this daemon.
+    pub fn is_near(&self, node: &NodeName) -> bool {
+        self.members.get(node).is_some_and(|entry| entry.record.zone == self.me.zone)
+    }
+
     /// Whether `take_changed` would tell a change.
     pub fn has_changed(&self) -> bool {
         self.changed
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -202,7 +202,8 @@
         }
         if has_changed {
             view_at = now.plus_millis(VIEW_INTERVAL_MS);
-            news.rank(now, Ranking::new(&cell.load().members, &zone, &name));
+            let fleet = cell.load();
+            news.rank(now, Ranking::new(&fleet.members, &zone, &name), fleet.members.len());
         }
         news.tick(now);
         let own = news.own();
@@ -236,7 +237,8 @@
                     let now = clock.now();
                     if let Ok(datagram) = borsh::from_slice::<Datagram>(&buffer[..length]) {
                         backlog.woken(now);
-                        hear(&news, now, &datagram, source);
+                        let is_near = members.is_near(&datagram.from);
+                        hear(&news, now, &datagram, source, is_near);
                         // What waited here for an unknown time says nothing of the present.
                         let underway = members.asked_ms_ago(now, &datagram);
                         if let Some(delay_ms) = underway.or_else(|| backlog.delay_ms()) {
@@ -299,8 +301,12 @@
 }
 
 /// Takes what a datagram says beside the members.
-fn hear(news: &Rc<News>, now: Timestamp, datagram: &Datagram, source: SocketAddr) {
-    news.hear(now, known(datagram), SocketAddr::new(source.ip(), datagram.news_port));
+fn hear(news: &Rc<News>, now: Timestamp, datagram: &Datagram, source: SocketAddr, is_near: bool) {
+    let address = SocketAddr::new(source.ip(), datagram.news_port);
+    match is_near {
+        true => news.hear(now, known(datagram), address),
+        false => news.hear_far(now, known(datagram), address),
+    }
     if datagram.kind == DatagramKind::Watching {
         news.heard_watcher(now, datagram.from.as_str());
     }
--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -5,9 +5,11 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
 use yokefall_core::membership::{NewsAges, ObjectDigest};
 use yokefall_core::Timestamp;
 use yokefall_telemetry::{EventName, Line};
@@ -19,9 +21,25 @@
 /// Time for which a peer must know more before a process asks the store again, in milliseconds:
 /// news reaches processes within this time of each other.
 const PATIENCE_MS: u64 = 300;
+/// Time from its start for which a process without back ends asks peers of its own zone alone, in milliseconds: as
+/// long as watchers need to read a list of 10,000 in 50 pages, and their first peers to take it over.
+const NEAR_PATIENCE_MS: u64 = 2_500;
 /// Least time between two such askings, in milliseconds.
 const LEAST_INTERVAL_MS: u64 = 1_000;
 
+/// Time for which a process rests between two exchanges that bring back ends alone, for each member of the fleet: each
+/// change comes to each member by an exchange of its own, so that a fleet makes 4,000 of them a second at most.
+const REST_PER_MEMBER: Duration = Duration::from_micros(250);
+/// Longest such rest. A change takes some six of them to reach 1,000 members, well within the 5 s after which nothing
+/// may go to a back end that leaves.
+const LONGEST_REST: Duration = Duration::from_millis(300);
+
+/// For how long a process of a fleet with so many members rests after an exchange before it asks for back ends again.
+pub fn exchange_rest(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    REST_PER_MEMBER.saturating_mul(members).min(LONGEST_REST)
+}
+
 /// What one process knows, in numbers that fit a datagram.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Known {
@@ -98,6 +116,11 @@
         self.version < peer.version || self.lacks_backends(peer) || self.lacks_evacuations(peer)
     }
 
+    /// Whether a peer knows more beside back ends, which nothing is to wait for.
+    fn lacks_urgently(self, peer: Known) -> bool {
+        self.version < peer.version || self.lacks_evacuations(peer)
+    }
+
     /// Whether a peer knows more of back ends.
     pub fn lacks_backends(self, peer: Known) -> bool {
         self.backends_digest != peer.backends_digest
@@ -119,6 +142,10 @@
     next: Option<(Known, SocketAddr)>,
     /// Whether the last peer that was asked gave no answer.
     failed: bool,
+    /// When back ends may be asked for again.
+    rested_at: Instant,
+    /// Rest after an exchange.
+    rest: Duration,
 }
 
 /// What this process reads of the platform's store.
@@ -146,6 +173,8 @@
     /// Whether it reads back ends there.
     reads_backends: watch::Sender<bool>,
     changed: Rc<Notify>,
+    /// Woken when a peer knows what is not to wait.
+    urgent: Notify,
     /// Ends the present watches, so that the store is asked again.
     pub refresh: Refresh,
 }
@@ -189,7 +218,14 @@
             knowledge,
             take,
             comparison: RefCell::default(),
-            sources: RefCell::new(Sources { asking: false, next: None, failed: false }),
+            sources: RefCell::new(Sources {
+                asking: false,
+                next: None,
+                failed: false,
+                rested_at: Instant::now(),
+                rest: Duration::ZERO,
+            }),
+            urgent: Notify::new(),
             roster: RefCell::new(roster),
             watches,
             reads_backends,
@@ -220,6 +256,14 @@
         self.knowledge.borrow_mut().hear_ages(peer, ages, delay_ms);
     }
 
+    /// A peer of another zone told what it knows. Soon after a start the whole list is wanted, and is taken from a peer
+    /// of the own zone: each zone has watchers that read it, and bytes between zones are paid for.
+    pub fn hear_far(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
+        if self.knows_backends() || now >= Timestamp(NEAR_PATIENCE_MS) {
+            self.hear(now, peer, address);
+        }
+    }
+
     /// A peer told what it knows; `address` is where it tells the whole of it.
     pub fn hear(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
         self.knowledge.borrow_mut().confirm_evacuations(peer);
@@ -241,27 +285,43 @@
     /// Asks a peer; where one is being asked already, this one is asked next if it still knows more.
     fn ask(self: &Rc<Self>, peer: Known, address: SocketAddr) {
         let mut sources = self.sources.borrow_mut();
-        if sources.asking {
+        let own = self.own();
+        let is_urgent = own.lacks_urgently(peer);
+        if is_urgent || !sources.next.is_some_and(|(next, _)| own.lacks_urgently(next)) {
             sources.next = Some((peer, address));
-            return;
         }
-        sources.asking = true;
-        tokio::task::spawn_local(self.clone().ask_peers(address));
+        if is_urgent {
+            self.urgent.notify_one();
+        }
+        if !std::mem::replace(&mut sources.asking, true) {
+            tokio::task::spawn_local(self.clone().ask_peers());
+        }
     }
 
-    async fn ask_peers(self: Rc<Self>, first: SocketAddr) {
-        let mut address = first;
+    async fn ask_peers(self: Rc<Self>) {
         loop {
+            self.rest().await;
+            let next = self.sources.borrow_mut().next.take();
+            let Some((_, address)) = next.filter(|(known, _)| self.own().lacks(*known)) else {
+                self.sources.borrow_mut().asking = false;
+                return;
+            };
             let outcome = self.ask_one(address).await;
             let mut sources = self.sources.borrow_mut();
             sources.failed = outcome.is_err();
-            match sources.next.take().filter(|(known, _)| self.own().lacks(*known)) {
-                Some((_, next)) => address = next,
-                None => {
-                    sources.asking = false;
-                    return;
-                }
-            }
+            sources.rested_at = Instant::now() + sources.rest;
+        }
+    }
+
+    /// Waits until back ends may be asked for again, or something else is known that can't wait.
+    async fn rest(&self) {
+        let (rested_at, next) = {
+            let sources = self.sources.borrow();
+            (sources.rested_at, sources.next)
+        };
+        let is_urgent = next.is_some_and(|(known, _)| self.own().lacks_urgently(known));
+        if next.is_some() && !is_urgent {
+            let _ = tokio::time::timeout_at(rested_at, self.urgent.notified()).await;
         }
     }
 
@@ -284,8 +344,9 @@
     }
 
     /// The live members changed.
-    pub fn rank(&self, now: Timestamp, ranking: Ranking) {
+    pub fn rank(&self, now: Timestamp, ranking: Ranking, members: usize) {
         self.roster.borrow_mut().rank(now, ranking);
+        self.sources.borrow_mut().rest = exchange_rest(members);
     }
 
     /// Time has passed: asks the store again where a peer has known more for long enough, and takes up
--- a/crates/serving/tests/news_exchange.rs
+++ b/crates/serving/tests/news_exchange.rs
@@ -1,6 +1,6 @@
 //! What processes learn of configuration and back ends from each other.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -8,9 +8,9 @@
 use quickcheck::{quickcheck, Arbitrary, Gen};
 use yokefall_clock::SuspensionSource;
 use yokefall_core::Timestamp;
-use yokefall_serving::duty::Roster;
-use yokefall_serving::news::News;
-use yokefall_serving::news_exchange::{fetch, serve, AnswerBytes, NewsRequest};
+use yokefall_serving::duty::{Ranking, Roster};
+use yokefall_serving::news::{exchange_rest, News};
+use yokefall_serving::news_exchange::{fetch, serve, AnswerBytes, NewsAnswer, NewsRequest};
 use yokefall_serving::observer::LineObserver;
 use yokefall_serving::watch::{Following, Knowledge, SharedKnowledge, Sink};
 use yokefall_serving::{
@@ -602,3 +602,82 @@
         assert!(bytes.take(backends).is_some(), "room is given back");
     }
 }
+
+/// A service that is replaced changes many times a second, and each change went by an exchange of its own to each of
+/// 986 processes: 119 exchanges for each within 7 s of a start of all.
+#[tokio::test]
+async fn changes_of_back_ends_are_gathered_where_members_are_many() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let (told, asking) = (process(), process());
+            let address = start_answering(&told).await;
+            let exchanges = Rc::new(Cell::new(0_u32));
+            let take = {
+                let (asking, exchanges) = (asking.clone(), exchanges.clone());
+                Box::new(move |answer| {
+                    exchanges.set(exchanges.get() + 1);
+                    asking.take_news(answer)
+                })
+            };
+            let roster = Roster::new(Timestamp(0), false, 1.0);
+            let (news, _duty) = News::new(asking.knowledge.clone(), take, roster);
+            news.rank(Timestamp(0), Ranking::default(), 1_000);
+            let known = |process: &Process| process.knowledge.borrow().known();
+            let began = std::time::Instant::now();
+            for revision in 1..=50_u64 {
+                let ready = Some(BackendState::Ready);
+                apply(&told, vec![change(revision as u8, revision, ready)], revision);
+                news.hear(Timestamp(1), known(&told), address);
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+            while known(&asking) != known(&told) {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+            // The first at once, and one after each rest that has passed.
+            let most = 2 + (began.elapsed().as_millis() / exchange_rest(1_000).as_millis()) as u32;
+            assert!(exchanges.get() <= most, "{} exchanges, {most} at most", exchanges.get());
+        })
+        .await;
+    // Few members exchange each change as soon as it is known.
+    assert!(exchange_rest(11).as_millis() < 3);
+    assert_eq!(exchange_rest(2_000), exchange_rest(20_000));
+}
+
+/// A configuration and evacuated zones wait for nothing, also while back ends rest.
+#[tokio::test]
+async fn a_configuration_does_not_wait_for_back_ends_to_be_gathered() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let (told, asking) = (process(), process());
+            let address = start_answering(&told).await;
+            let order = Rc::new(RefCell::new(Vec::new()));
+            let take = {
+                let (asking, order) = (asking.clone(), order.clone());
+                Box::new(move |answer: NewsAnswer| {
+                    order.borrow_mut().push(answer.known.version);
+                    asking.take_news(answer)
+                })
+            };
+            let roster = Roster::new(Timestamp(0), false, 1.0);
+            let (news, _duty) = News::new(asking.knowledge.clone(), take, roster);
+            news.rank(Timestamp(0), Ranking::default(), 1_000);
+            let known = |process: &Process| process.knowledge.borrow().known();
+            for step in 1..=3_u64 {
+                apply(&told, vec![change(step as u8, step, Some(BackendState::Ready))], step);
+                news.hear(Timestamp(1), known(&told), address);
+                tokio::task::yield_now().await;
+            }
+            // One that knows less is heard after it, and must not take its place.
+            let before = known(&told);
+            configure(&told, 7);
+            news.hear(Timestamp(1), known(&told), address);
+            news.hear(Timestamp(1), before, address);
+            while known(&asking).version != 7 {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+            assert!(order.borrow().len() <= 2, "asked for the configuration at once: {order:?}");
+        })
+        .await;
+}
