A job store names a command that it can't read, and each process its build

Cause: a command of the log that a later version wrote ended an older job store in a panic without a cause; and nothing showed which build a process runs. Change: the command's variant, its position and this build are told, and the process ends with the code of a failed data folder; what is synced stays for a program that knows it. Not done: a version told among members, below whose lowest no new command is proposed (docs/design/upgrades.md). Until then no new kind of command may be added.

--- a/crates/app/src/main.rs
+++ b/crates/app/src/main.rs
@@ -54,6 +54,7 @@
 }
 
 fn main() -> std::process::ExitCode {
+    yokefall_telemetry::version::set_build(env!("YOKEFALL_BUILD"));
     let command = match Arguments::parse().command {
         Command::Gateway(arguments) => return serving::run_gateway(&arguments).into(),
         Command::JobStore(arguments) => return serving::run_job_store(&arguments).into(),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,7 +23,7 @@
     PlacementBounds, Platform, Policy, Sender, ZoneMap,
 };
 use yokefall_suspects::Registry;
-use yokefall_telemetry::{EventName, Line};
+use yokefall_telemetry::{version, EventName, Line};
 use yokefall_upstream::{Places, Pool};
 
 use crate::admission::{self, Admission};
@@ -165,6 +165,8 @@
             .text("ingress", options.ingress)
             .text("peer", options.peer)
             .text("zone", &options.zone)
+            .text("build", version::build())
+            .field("formats", version::FORMAT_VERSION)
             .write();
         let shared = Rc::new(shared_state(&options, &platform));
         let (notices, port) = Notices::channel();
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -20,7 +20,7 @@
     Platform, Policy, Sender, ZoneMap,
 };
 use yokefall_suspects::Registry;
-use yokefall_telemetry::{EventName, Line};
+use yokefall_telemetry::{version, EventName, Line};
 use yokefall_upstream::Places;
 
 use crate::aggregators::ReportTarget;
@@ -32,7 +32,7 @@
 use crate::residence::KnownZones;
 use crate::run::ItemRunner;
 use crate::runner::{Runner, RunnerOptions};
-use crate::state::Applied;
+use crate::state::{Applied, UnreadableCommand};
 use crate::store::{Store, StoreLimits, StoreObserver};
 use crate::wal::Wal;
 use crate::worker::Worker;
@@ -141,6 +141,8 @@
             .id(&me)
             .text("peer", peer)
             .text("zone", &options.zone)
+            .text("build", version::build())
+            .field("formats", version::FORMAT_VERSION)
             .field("empty_disk", opened.was_empty)
             .field("last_position", opened.recovered.last_index())
             .write();
@@ -324,7 +326,23 @@
 
 struct LogObserver;
 
+/// Exit code of a process whose log holds what it can't read: that of a data folder that failed.
+const EXIT_UNREADABLE_LOG: i32 = 4;
+
 impl StoreObserver for LogObserver {
+    fn unreadable(&self, index: Index, error: &UnreadableCommand) {
+        Line::new(EventName::LogUnreadable)
+            .field("position", index)
+            .text("cause", error)
+            .text("build", version::build())
+            .field("formats", version::FORMAT_VERSION)
+            .write();
+        // Lines are written by a thread of their own, which may not come to this one any more.
+        eprintln!("yokefall: position {index} of the log: {error}");
+        // Nothing is lost: what is synced stays, and a program that knows the command goes on from here.
+        std::process::exit(EXIT_UNREADABLE_LOG);
+    }
+
     fn role(&self, role: Role, term: Term, leader: Option<&MemberId>) {
         let leads = if role == Role::Leader { 1.0 } else { 0.0 };
         metrics::gauge!("job_store_leads").set(leads);
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -2,6 +2,7 @@
 //! commands in the same order and holds the same state.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -90,6 +91,39 @@
     AssignSlots(Vec<SlotAssignment>),
 }
 
+/// A command of the log that this program cannot read: a later version wrote it. Whoever passed it over would hold
+/// another state than the others from then on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableCommand {
+    /// Its variant; `None` for a command without any bytes.
+    pub variant: Option<u8>,
+    /// What was wrong with it.
+    pub cause: String,
+}
+
+impl fmt::Display for UnreadableCommand {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let variant = self.variant.map_or("none".to_owned(), |variant| variant.to_string());
+        write!(
+            formatter,
+            "a command of variant {variant} that this program cannot read: {}",
+            self.cause
+        )
+    }
+}
+
+impl std::error::Error for UnreadableCommand {}
+
+impl Command {
+    /// Decodes a command of the log.
+    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableCommand> {
+        borsh::from_slice(bytes).map_err(|error| UnreadableCommand {
+            variant: bytes.first().copied(),
+            cause: error.to_string(),
+        })
+    }
+}
+
 /// A slot and the name of its next accountant.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct SlotAssignment {
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -22,7 +22,7 @@
 use crate::loads::Loads;
 use crate::protocol::{Frame, Submission};
 use crate::snapshot::{decode_state, encode_state};
-use crate::state::{Applied, Command, Jobs};
+use crate::state::{Applied, Command, Jobs, UnreadableCommand};
 use crate::wal::Rewrite;
 
 /// Time for which another member's word of who leads counts.
@@ -79,6 +79,8 @@
     fn state_taken(&self, index: Index, bytes: usize);
     /// A command was applied.
     fn applied(&self, index: Index, applied: &Applied);
+    /// A command can't be read. This replica must not go on: it would hold another state than the others.
+    fn unreadable(&self, index: Index, error: &UnreadableCommand);
 }
 
 /// One replica.
@@ -305,13 +307,13 @@
                 self.observer.members(members.voters.len(), members.learners.len(), index);
                 self.group_changed.notify_one();
             }
-            Payload::Command(bytes) => {
-                // Commands are encoded by the same program; one that another version wrote and this
-                // one cannot read must not be passed over in silence.
-                let command: Command = borsh::from_slice(&bytes).expect("a command of the log");
-                let applied = inner.jobs.apply(command);
-                self.note_applied(inner, index, applied);
-            }
+            Payload::Command(bytes) => match Command::decode(&bytes) {
+                Ok(command) => {
+                    let applied = inner.jobs.apply(command);
+                    self.note_applied(inner, index, applied);
+                }
+                Err(error) => self.observer.unreadable(index, &error),
+            },
         }
         if let Some(proposal) = inner.proposals.remove(&index) {
             if proposal.term == term {
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -61,6 +61,8 @@
 events! {
     /// The process started.
     Started = "started", Info, FAILURE_BUDGET;
+    /// The replicated log holds a command that this program cannot read, and the process ends.
+    LogUnreadable = "log-unreadable", Error, FAILURE_BUDGET;
     /// A planned stop has begun.
     Stopping = "stopping", Info, FAILURE_BUDGET;
     /// The process ends.
