Answers are read on for clients that read slowly, within a bound over all

Cause, by reading: an answer was read from its back end as the client took it. Back ends cut off what is left unread for some seconds, so that a client that pauses lost its answer, and the back end held it in its memory until then. Change: where a client takes nothing for 500 ms while there is more, the rest is read into the gateway's memory; over all clients half of what bodies of requests may take. At the bound an answer goes on one piece ahead, as before. A client that leaves closes the connection to the back end at once. Nothing runs for clients that read: no task, no copy; a look every 250 ms while answers are passed on. Figures gateway_slow_readers_total and gateway_read_ahead_bytes. Not held yet: pages of results that are left unread (256 kB each) are bounded one by one only.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -32,9 +32,13 @@
 use crate::ingress::{accept, Port};
 use crate::load;
 use crate::quota::{self, Quota};
+use crate::read_ahead::{self, ReadAhead};
 use crate::relay_port;
 use crate::shared::Shared;
 
+/// Part of the bytes for bodies of requests, as one in so many, that answers may take which clients leave unread: both
+/// are there at once, and requests come first.
+const READ_AHEAD_SHARE: usize = 2;
 /// Part of the time for a stop in which new requests are still served: clients keep addresses for a
 /// while. What comes later may not be done in time, and is refused.
 const SERVING_SHARE: f64 = 0.35;
@@ -180,6 +184,7 @@
             tokio::task::spawn_local(accepting);
         }
         tokio::task::spawn_local(admission::run(shared.clone()));
+        tokio::task::spawn_local(read_ahead::watch(shared.ahead.clone()));
         tokio::task::spawn_local(cold_start::watch(shared.cold.clone()));
         tokio::task::spawn_local(relay_port::serve(relay, shared.clone()));
         tokio::task::spawn_local(quota::assignment::maintain(shared.clone()));
@@ -239,6 +244,7 @@
         serving: Cell::new(0),
         held_bytes: Cell::new(0),
         most_held_bytes: options.held_body_bytes,
+        ahead: ReadAhead::new(options.held_body_bytes / READ_AHEAD_SHARE),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod named_gateways;
 pub mod order;
 pub mod quota;
+pub mod read_ahead;
 pub mod regions;
 pub mod relay;
 pub mod relay_port;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -65,7 +65,7 @@
     };
     let body = match first {
         None => AnswerBody::whole(collected.freeze()),
-        Some(first) => AnswerBody::passed(Box::pin(relay.into_pieces(first))),
+        Some(first) => AnswerBody::passed(shared.ahead.pass(Box::pin(relay.into_pieces(first)))),
     };
     Ok(respond(head.status, &head.headers, body))
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::admission::Admission;
 use crate::crowding::Crowding;
 use crate::quota::Quota;
+use crate::read_ahead::ReadAhead;
 
 /// State of the traffic thread.
 pub struct Shared {
@@ -49,6 +50,8 @@
     pub pool: Pool,
     /// What gives way when no connection can be taken.
     pub crowding: Crowding,
+    /// Answers that are being passed on, and what is held of them for slow clients.
+    pub ahead: Rc<ReadAhead>,
     /// Calls to the job store.
     pub jobs: Rc<JobClient>,
     /// Address for clients; the other gateways use the same port.
