Processes know some back ends first, and few read the list

Of members that learn of each other most rank themselves first of their zone for some hundred milliseconds and begin to read 50 pages each; the store answers 320 pages a second, and who had begun read on after its duty had ended. What is read is of use only after the last page, and goes from peer to peer in lists of 1 MB. Change: a rank counts once it has stood for 350 ms; pages are read while the duty lasts; each page is used as it comes; a process that knows no back end asks any peer for 512 of them, drawn by chance, which peers that know only some tell as well, and then a peer of its zone for all. An answer that tells a part has revision 0, so that nobody takes it for the whole, and takes none away. Warm-ups: what comes with the whole list was there before. Frames are as before: the wish stands in the digest of the request, which peers of the build before do not read: they tell all.

--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -32,6 +32,8 @@
     ready_by_region: HashMap<String, Lists>,
     /// Every back end by its id, those too that take no work.
     pub known: BackendTable,
+    /// Whether only some of the back ends are known yet.
+    pub is_partial: bool,
     /// Zones whose back ends get nothing new.
     pub evacuated: BTreeSet<String>,
     /// Regions of zones.
--- a/crates/serving/src/duty.rs
+++ b/crates/serving/src/duty.rs
@@ -34,6 +34,10 @@
 /// The same where the whole system starts for the first time, before there are callers.
 const FIRST_START_PATIENCE_MS: u64 = 1_500;
 const FIRST_START_SPREAD_MS: u64 = 3_000;
+/// Time for which a rank must stand before a process reads back ends by it, in milliseconds: lists of members are
+/// compared every 100 ms after a start, and each comparison that tells of more changes the rank of those who are first
+/// by mistake. Of 986 processes that started again most read, and the store answers 320 of their pages a second.
+const RANK_SETTLED_MS: u64 = 350;
 /// Time from its start for which a process waits for back ends from peers where others read them, in
 /// milliseconds, and the spread of it: a list of 3,000 takes a reader under a second, and its way to 300
 /// members five exchanges.
@@ -71,6 +75,11 @@
         self.becomes(true).await;
     }
 
+    /// Whether it has begun and not ended.
+    pub fn holds(&self) -> bool {
+        self.receiver.as_ref().is_none_or(|receiver| *receiver.borrow())
+    }
+
     /// Waits until the duty has ended.
     pub async fn ended(&mut self) {
         match self.receiver {
@@ -206,7 +215,9 @@
         if knows_backends {
             return false;
         }
-        let is_first = self.ranking.rank < WATCHERS && now >= self.ask_at;
+        // A process that knows few members yet is the first of them.
+        let is_settled = now.millis_since(self.ranked_at) >= RANK_SETTLED_MS;
+        let is_first = self.ranking.rank < WATCHERS && is_settled && now >= self.ask_at;
         is_first || now >= self.ask_backends_at
     }
 
--- a/crates/serving/src/eligibility/warmth.rs
+++ b/crates/serving/src/eligibility/warmth.rs
@@ -101,6 +101,8 @@
     evacuated: BTreeSet<String>,
     /// What the last catalog knew: only what differs in the next one is looked at.
     seen: BackendTable,
+    /// Whether the last catalog knew only some of the back ends: those that come with the next were there before.
+    follows_part: bool,
     /// Ids of back ends that nobody knows any more and that are remembered for a while.
     gone: BTreeSet<String>,
     /// Ids of back ends that may be in doubt; those that are in none any more are dropped with the next catalog.
@@ -121,7 +123,8 @@
             self.seen = BackendTable::default();
         }
         // What is known at the start of this process was there before it.
-        let is_first = self.backends.is_empty();
+        let is_first = self.backends.is_empty() || self.follows_part;
+        self.follows_part = catalog.is_partial;
         if !self.warm_ups.is_empty() {
             let seen = std::mem::replace(&mut self.seen, catalog.known.clone());
             for change in catalog.known.changes_since(&seen) {
--- a/crates/serving/src/knowledge.rs
+++ b/crates/serving/src/knowledge.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 use yokefall_clock::SuspensionSource;
@@ -26,6 +27,10 @@
 use crate::objects::{Changed, Objects};
 use crate::source::{Change, Listing, Revision, SourceError};
 
+/// Back ends that a process is told first which knows none: enough to serve with until it knows all, and 60 kB, which a
+/// link of 30 Mbit/s takes 16 ms for. A list of 10,000 takes it 0.3 s, and as long at each peer that tells it.
+pub const PART_BACKENDS: usize = 512;
+
 /// All that is known, and the cell that others read it from.
 #[derive(Debug)]
 pub struct Knowledge {
@@ -222,10 +227,15 @@
         let held = self.configuration.as_ref();
         let configuration = held.filter(|held| held.version > request.known.version);
         let own = self.known();
+        let (backends, backends_revision) = match self.tells_part(request) {
+            // Of a part nobody may take that it is all.
+            true => (self.part(), 0),
+            false => (self.backend_news(request), own.backends_revision),
+        };
         NewsAnswer {
-            known: own,
+            known: Known { backends_revision, ..own },
             configuration: configuration.map(|held| Configuration::clone(held)),
-            backends: self.backend_news(request),
+            backends,
             evacuations: request.known.lacks_evacuations(own).then(|| self.evacuation_news()),
         }
     }
@@ -238,12 +248,33 @@
 
     /// How many back ends a peer that knows less is told.
     pub fn backends_to_tell(&self, request: &NewsRequest) -> usize {
+        if self.tells_part(request) {
+            return self.backends.len().min(PART_BACKENDS);
+        }
         match self.told_since(request) {
             None => self.backends.len(),
             Some(revision) => self.backends.changed_after(revision).count(),
         }
     }
 
+    /// Whether a peer is told some of the back ends: it wants no more, or no more is known here.
+    fn tells_part(&self, request: &NewsRequest) -> bool {
+        let is_many = self.backends.len() > PART_BACKENDS;
+        self.backends.revision() == 0 || (request.known.wants_part() && is_many)
+    }
+
+    /// Some back ends, drawn by chance so that processes that start together do not all use the same ones.
+    fn part(&self) -> BackendNews {
+        let all = self.backends.named();
+        let drawn = all.choose_multiple(&mut rand::rng(), PART_BACKENDS);
+        let named = drawn.into_iter().map(|(name, revision, backend)| NamedBackend {
+            name: name.clone(),
+            revision,
+            backend: Backend::clone(backend),
+        });
+        BackendNews { since: None, changed: named.collect(), removed: Vec::new() }
+    }
+
     fn backend_news(&self, request: &NewsRequest) -> BackendNews {
         let since = self.told_since(request);
         let after = since.unwrap_or(0);
@@ -270,11 +301,7 @@
     pub fn take_backend_news(&mut self, peer: Known, news: BackendNews) -> bool {
         let revision = peer.backends_revision;
         let BackendNews { since, changed, removed } = news;
-        let changes = changed.into_iter().map(|named| Change {
-            name: named.name,
-            revision: named.revision,
-            value: Some(named.backend),
-        });
+        let changes = changed.into_iter().map(Change::from);
         let changed = match since {
             None => {
                 let listing = Listing { items: changes.collect(), revision };
@@ -291,6 +318,15 @@
         self.backends.revision() != revision || self.digest == peer.backends_digest
     }
 
+    /// Takes some back ends, as a peer or a page of a list tells them, until all are known. It takes none away.
+    pub fn take_part(&mut self, changes: Vec<Change<Backend>>) {
+        if self.backends.revision() > 0 || changes.is_empty() {
+            return;
+        }
+        let changed = self.backends.apply(changes, 0);
+        self.publish_backends(&changed);
+    }
+
     /// A peer that knows the same evacuated zones at a higher revision: so does this process. An older peer could
     /// else tell what was true before them.
     pub fn confirm_evacuations(&mut self, peer: Known) {
@@ -308,8 +344,9 @@
         let before = sum(&mut changes.iter().filter_map(|change| change.before.as_ref()));
         let after = sum(&mut changes.iter().filter_map(|change| change.after.as_ref()));
         self.digest = self.digest.wrapping_sub(before).wrapping_add(after);
-        let catalog = Catalog::clone(&self.cell.load());
-        self.publish(catalog.with_changes(changes));
+        let mut catalog = Catalog::clone(&self.cell.load()).with_changes(changes);
+        catalog.is_partial = self.backends.revision() == 0;
+        self.publish(catalog);
     }
 
     /// Puts what is known of zones into force.
--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -27,6 +27,8 @@
 /// Least time between two such askings, in milliseconds.
 const LEAST_INTERVAL_MS: u64 = 1_000;
 
+/// Digest in a request of a process that knows no back ends, by which it asks for some of them: no list has it.
+const PART_WANTED: u64 = 1;
 /// Time for which a process rests between two exchanges that bring back ends alone, for each member of the fleet: each
 /// change comes to each member by an exchange of its own, so that a fleet makes 4,000 of them a second at most.
 const REST_PER_MEMBER: Duration = Duration::from_micros(250);
@@ -111,11 +113,31 @@
             || (self.evacuations.revision > 0) != (told.evacuations.revision > 0)
     }
 
+    /// Whether a peer is to be asked.
+    fn wants_of(self, peer: Known) -> bool {
+        self.lacks(peer) || self.lacks_any_backend(peer)
+    }
+
     /// Whether a peer knows more.
     fn lacks(self, peer: Known) -> bool {
         self.version < peer.version || self.lacks_backends(peer) || self.lacks_evacuations(peer)
     }
 
+    /// Whether nothing is known of back ends, and a peer knows some.
+    fn lacks_any_backend(self, peer: Known) -> bool {
+        self.backends_revision == 0 && self.backends_digest == 0 && peer.backends_digest != 0
+    }
+
+    /// The same in a request that wants some of the back ends, and not all. Peers of a build before that tell all.
+    pub fn asking_for_part(self) -> Self {
+        Self { backends_digest: PART_WANTED, ..self }
+    }
+
+    /// Whether a request wants some of the back ends, and not all.
+    pub fn wants_part(self) -> bool {
+        self.backends_revision == 0 && self.backends_digest == PART_WANTED
+    }
+
     /// Whether a peer knows more beside back ends, which nothing is to wait for.
     fn lacks_urgently(self, peer: Known) -> bool {
         self.version < peer.version || self.lacks_evacuations(peer)
@@ -259,7 +281,8 @@
     /// A peer of another zone told what it knows. Soon after a start the whole list is wanted, and is taken from a peer
     /// of the own zone: each zone has watchers that read it, and bytes between zones are paid for.
     pub fn hear_far(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
-        if self.knows_backends() || now >= Timestamp(NEAR_PATIENCE_MS) {
+        let wants_part = self.own().lacks_any_backend(peer);
+        if wants_part || self.knows_backends() || now >= Timestamp(NEAR_PATIENCE_MS) {
             self.hear(now, peer, address);
         }
     }
@@ -271,7 +294,7 @@
         if own.backends_revision == 0 && peer.backends_revision > 0 {
             self.roster.borrow_mut().heard_of_backends(now);
         }
-        if !own.lacks(peer) {
+        if !own.wants_of(peer) {
             return;
         }
         if address.port() > 0 {
@@ -302,7 +325,7 @@
         loop {
             self.rest().await;
             let next = self.sources.borrow_mut().next.take();
-            let Some((_, address)) = next.filter(|(known, _)| self.own().lacks(*known)) else {
+            let Some((_, address)) = next.filter(|(known, _)| self.own().wants_of(*known)) else {
                 self.sources.borrow_mut().asking = false;
                 return;
             };
@@ -326,8 +349,10 @@
     }
 
     async fn ask_one(&self, address: SocketAddr) -> Result<(), ExchangeError> {
-        let request = NewsRequest { known: self.own(), whole: false };
-        let answer = fetch(address, request).await;
+        let own = self.own();
+        let knows_none = own.backends_revision == 0 && own.backends_digest == 0;
+        let known = if knows_none { own.asking_for_part() } else { own };
+        let answer = fetch(address, NewsRequest { known, whole: false }).await;
         count_exchange(&answer);
         if (self.take)(answer?) {
             let request = NewsRequest { known: self.own(), whole: true };
--- a/crates/serving/src/news_exchange.rs
+++ b/crates/serving/src/news_exchange.rs
@@ -15,7 +15,7 @@
 
 use crate::model::{Backend, Configuration, Evacuation};
 use crate::news::Known;
-use crate::source::Revision;
+use crate::source::{Change, Revision};
 
 /// Longest time for an exchange, twice what the largest answers at once need on a link of 30 Mbit/s.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -86,6 +86,13 @@
     pub backend: Backend,
 }
 
+impl From<NamedBackend> for Change<Backend> {
+    fn from(named: NamedBackend) -> Self {
+        let NamedBackend { name, revision, backend } = named;
+        Self { name, revision, value: Some(backend) }
+    }
+}
+
 /// An object that is gone.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Removal {
--- a/crates/serving/src/shared_knowledge.rs
+++ b/crates/serving/src/shared_knowledge.rs
@@ -9,7 +9,7 @@
 use crate::eligibility::unknown_regions;
 use crate::knowledge::Knowledge;
 use crate::model::{Backend, Configuration, Evacuation};
-use crate::news_exchange::{NamedEvacuation, NewsAnswer};
+use crate::news_exchange::{BackendNews, NamedEvacuation, NewsAnswer};
 use crate::objects::{Changed, Objects};
 use crate::source::{Change, Listing, Revision, SourceError};
 use crate::watch::Sink;
@@ -78,6 +78,10 @@
                 held.replace(listing);
             });
         }
+        if answer.known.backends_revision == 0 {
+            self.take_part(answer.backends);
+            return false;
+        }
         let own = self.knowledge.borrow().known();
         let is_same = own.backends_digest == answer.known.backends_digest;
         let (held, told) = (own.backends_revision, answer.known.backends_revision);
@@ -92,6 +96,13 @@
         !is_same
     }
 
+    /// Takes some back ends of a peer that tells no more, or knows no more.
+    fn take_part(&self, news: BackendNews) {
+        let changes = news.changed.into_iter().map(Change::from).collect();
+        self.knowledge.borrow_mut().take_part(changes);
+        self.tell_backends();
+    }
+
     fn take_configuration(&self, configuration: Configuration) {
         let version = configuration.version;
         let unknown = unknown_regions(&configuration, self.knowledge.borrow().zones());
@@ -205,6 +216,10 @@
         self.change_backends(|held| held.replace(listing));
     }
 
+    fn part(&self, items: &[Change<Backend>]) {
+        self.knowledge.borrow_mut().take_part(items.to_vec());
+    }
+
     fn apply(&self, changes: Vec<Change<Backend>>, revision: Revision) {
         let any = !changes.is_empty();
         self.change_backends(|held| {
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -47,6 +47,8 @@
 pub trait Sink<T> {
     /// Takes a whole list.
     fn replace(&self, listing: Listing<T>);
+    /// Takes some objects of a list that has not been read to its end.
+    fn part(&self, _items: &[Change<T>]) {}
     /// Takes changes.
     fn apply(&self, changes: Vec<Change<T>>, revision: Revision);
     /// Hears how a call ended; `None` for success.
@@ -139,10 +141,18 @@
     pause: &mut Duration,
 ) -> Result<(), SourceError> {
     while !list.is_complete() {
+        // What a peer has told meanwhile is not read as well.
+        if !follow.duty.holds() {
+            return Ok(());
+        }
         let asked = sink.now();
         let page = within(LIST_TIMEOUT, source.list(list.after())).await;
         count(source.kind(), "list", &page);
-        list.add(page?, asked);
+        let page = page?;
+        if page.next.is_some() {
+            sink.part(&page.items);
+        }
+        list.add(page, asked);
         *pause = FIRST_PAUSE;
     }
     let asked = list.asked();
--- a/crates/serving/tests/cold_parts.rs
+++ b/crates/serving/tests/cold_parts.rs
@@ -164,6 +164,20 @@
     assert_eq!(doubt(&warmth, START), Some((ColdCause::Appeared, 3_000)));
 }
 
+/// A process that starts knows some back ends first. Were the others taken for new when all are known, it would hardly
+/// use any of them until their warm-up is over.
+#[test]
+fn back_ends_that_come_with_the_whole_list_after_a_part_are_not_new() {
+    let mut warmth = Warmth::default();
+    let mut part = catalog(&[], &[]);
+    part.is_partial = true;
+    warmth.observe(START, &part);
+    warmth.observe(START, &catalog(&[backend(1, 0)], &[]));
+    assert_eq!(doubt(&warmth, START), None);
+    warmth.observe(START, &catalog(&[backend(2, 0)], &[]));
+    assert_eq!(doubt(&warmth, START), Some((ColdCause::Appeared, 3_000)));
+}
+
 /// What would fail: a word that came before the failure, or of another life, takes the doubt away.
 #[test]
 fn a_failure_is_outweighed_by_time_or_by_the_word_of_the_same_life() {
--- a/crates/serving/tests/duty.rs
+++ b/crates/serving/tests/duty.rs
@@ -252,3 +252,24 @@
         assert!((8_000..=9_600).contains(&always), "those who know them don't tell: {always}");
     }
 }
+
+/// After a start of all each process knows a few members, and is the first of those: most of 986 read a list of 50 pages,
+/// of which the store answers 320 a second.
+#[test]
+fn a_process_that_learns_of_members_does_not_read_back_ends_for_their_zone() {
+    let members: Vec<FleetMember> = (0..60).map(|index| member(index, 1)).collect();
+    let mut readers = 0;
+    for me in &members {
+        let mut roster = Roster::new(Timestamp(0), false, 0.0);
+        let reads = |now: u64| {
+            // Members that are known double every 100 ms, this process among them.
+            let known = (2_usize << (now / 100).min(10)).min(60);
+            let mut seen: Vec<FleetMember> = members.iter().take(known).cloned().collect();
+            seen.push(me.clone());
+            roster.rank(Timestamp(now), Ranking::new(&seen, &me.zone, &me.name));
+            roster.reads_backends(Timestamp(now), false)
+        };
+        readers += usize::from((0..2_000).step_by(STEP_MS as usize).any(reads));
+    }
+    assert!(readers <= WATCHERS + STANDBYS, "{readers} of 60 read back ends");
+}
--- a/crates/serving/tests/news_exchange.rs
+++ b/crates/serving/tests/news_exchange.rs
@@ -9,7 +9,8 @@
 use yokefall_clock::SuspensionSource;
 use yokefall_core::Timestamp;
 use yokefall_serving::duty::{Ranking, Roster};
-use yokefall_serving::news::{exchange_rest, News};
+use yokefall_serving::knowledge::PART_BACKENDS;
+use yokefall_serving::news::{exchange_rest, Known, News};
 use yokefall_serving::news_exchange::{fetch, serve, AnswerBytes, NewsAnswer, NewsRequest};
 use yokefall_serving::observer::LineObserver;
 use yokefall_serving::watch::{Following, Knowledge, SharedKnowledge, Sink};
@@ -681,3 +682,72 @@
         })
         .await;
 }
+
+/// After a restart of all nobody served for 8 s and more: back ends came with a list of 1 MB, from few who had read it
+/// to its end in 50 pages.
+#[test]
+fn a_process_that_knows_no_back_ends_is_told_some_first_and_then_all() {
+    let (watcher, new) = (process(), process());
+    let many = |index: u64| Change {
+        name: format!("i-{index}"),
+        revision: index,
+        value: Some(backend(&format!("i-{index}"), BackendState::Ready)),
+    };
+    list(&watcher, 20_000, (1..=10_000).map(many).collect());
+    let ask = |known: Known| {
+        let request = NewsRequest { known, whole: false };
+        (
+            watcher.knowledge.borrow().backends_to_tell(&request),
+            watcher.knowledge.borrow().answer(&request),
+        )
+    };
+    let none = new.knowledge.borrow().known();
+    let (reckoned, part) = ask(none.asking_for_part());
+    assert_eq!((reckoned, part.backends.changed.len()), (PART_BACKENDS, PART_BACKENDS));
+    assert!(!new.take_news(part));
+    assert_eq!(held(&new).len(), PART_BACKENDS);
+    let knows_some = new.knowledge.borrow().known();
+    assert_eq!(knows_some.backends_revision, 0, "nobody takes it for the whole");
+    // Others learn the part from this process, and lose nothing by it.
+    let third = process();
+    apply(&third, Vec::new(), 0);
+    let request =
+        NewsRequest { known: third.knowledge.borrow().known().asking_for_part(), whole: false };
+    let answer = new.knowledge.borrow().answer(&request);
+    third.take_news(answer);
+    assert_eq!(held(&third).len(), PART_BACKENDS);
+    assert_eq!(exchange(&third, &process()), 0);
+    assert_eq!(held(&third).len(), PART_BACKENDS, "one that knows none takes none away");
+    // Then all come.
+    let (_, whole) = ask(knows_some);
+    assert!(!new.take_news(whole));
+    assert_eq!(new.knowledge.borrow().known(), watcher.knowledge.borrow().known());
+    // And no part takes any away after that.
+    let (_, late) = ask(none.asking_for_part());
+    new.take_news(late);
+    assert_eq!(held(&new).len(), 10_000);
+}
+
+#[test]
+fn few_back_ends_are_told_at_once() {
+    let (watcher, new) = (process(), process());
+    list(&watcher, 4, vec![change(1, 2, Some(BackendState::Ready))]);
+    let request =
+        NewsRequest { known: new.knowledge.borrow().known().asking_for_part(), whole: false };
+    let answer = watcher.knowledge.borrow().answer(&request);
+    assert!(!new.take_news(answer));
+    assert_eq!(new.knowledge.borrow().known(), watcher.knowledge.borrow().known());
+}
+
+/// Pages of a list that is being read are used before it has been read to its end.
+#[test]
+fn what_a_page_tells_is_known_before_the_list_is() {
+    let process = process();
+    Sink::<Backend>::part(&process, &[change(1, 2, Some(BackendState::Ready))]);
+    assert_eq!(held(&process).len(), 1);
+    assert_eq!(process.knowledge.borrow().known().backends_revision, 0);
+    list(&process, 9, vec![change(2, 3, Some(BackendState::Ready))]);
+    assert_eq!(held(&process), [("i-2".to_owned(), BackendState::Ready)]);
+    Sink::<Backend>::part(&process, &[change(1, 2, Some(BackendState::Ready))]);
+    assert_eq!(held(&process).len(), 1, "a page of a list that is older adds nothing");
+}
