--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -10,21 +10,16 @@
 
 use crate::affinity::{has_room, preferred};
 use crate::arrivals::{Arrivals, ReportedRate};
+use crate::backend_record::{load, BackendRecord, LEAST_OUTCOME, LOAD_LIFETIME_MS};
 use crate::dialect::BackendLoad;
 use crate::eligibility::{Distance, Drawn, ZoneMap};
 use crate::lives::ByLife;
 use crate::model::{Backend, BackendLife};
 use crate::nearness::own_part;
-use crate::outcomes::{Outcomes, RecentOutcomes};
+use crate::outcomes::Outcomes;
 use crate::spread::{draw, surface, Level};
 use yokefall_types::Policy;
 
-/// Time for which a told load counts, in milliseconds; its weight falls to zero over it.
-const LOAD_LIFETIME_MS: u64 = 1_500;
-/// First time for which a failing back end is left out, in milliseconds.
-const FIRST_EJECTION_MS: u64 = 500;
-/// Longest time for which a failing back end is left out, in milliseconds.
-const LONGEST_EJECTION_MS: u64 = 4_000;
 /// Failed requests in a row after which a back end is left out.
 const FAILURES_TO_EJECT: u32 = 3;
 /// Time for which a back end that refused for want of a slot is left out, in milliseconds.
@@ -46,8 +41,6 @@
 const LONGEST_BLIND_MS: u64 = 800;
 /// Weight of one request in the mean time that requests take.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
-/// Least weight of outcomes that are reported: those of three seconds ago have less.
-const LEAST_OUTCOME: f64 = 0.05;
 
 /// How a request to a back end ended, as far as the back end's health goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -75,22 +68,6 @@
     pub items: u32,
 }
 
-#[derive(Clone, Debug, Default)]
-struct BackendRecord {
-    in_flight: u32,
-    /// Requests and items of others when its load was last told.
-    foreign: f64,
-    /// The items among them.
-    items: f64,
-    told_at: Option<Timestamp>,
-    /// When anything last came from it, on any request.
-    heard_at: Option<Timestamp>,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<Timestamp>,
-    outcomes: RecentOutcomes,
-}
-
 /// What this process knows of the load and health of back ends.
 #[derive(Debug)]
 pub struct Balancer {
@@ -531,38 +508,6 @@
     ejected: Option<&'a Arc<Backend>>,
 }
 
-/// Load of a back end in parts of its slots.
-fn load(now: Timestamp, backend: &Backend, record: Option<&BackendRecord>) -> f64 {
-    let Some(record) = record else { return 0.0 };
-    let requests = f64::from(record.in_flight) + record.foreign * record.weight(now);
-    requests / f64::from(backend.slots.max(1))
-}
-
-impl BackendRecord {
-    /// Weight of what was told, which falls with its age.
-    fn weight(&self, now: Timestamp) -> f64 {
-        let age = self.told_at.map_or(LOAD_LIFETIME_MS, |at| now.millis_since(at));
-        1.0 - (age.min(LOAD_LIFETIME_MS) as f64 / LOAD_LIFETIME_MS as f64)
-    }
-
-    /// Whether a choice goes by anything in it.
-    fn says_something(&self, now: Timestamp) -> bool {
-        let outcomes = self.outcomes.sums(now);
-        self.ejections > 0
-            || self.failures > 0
-            || self.ejected_until.is_some_and(|until| until > now)
-            || self.foreign * self.weight(now) > 0.0
-            || outcomes.failed + outcomes.answered >= LEAST_OUTCOME
-    }
-
-    fn eject(&mut self, now: Timestamp) {
-        let longer = FIRST_EJECTION_MS << self.ejections.min(3);
-        self.ejected_until = Some(now.plus_millis(longer.min(LONGEST_EJECTION_MS)));
-        self.ejections += 1;
-        self.failures = 0;
-    }
-}
-
 fn levels(open: &[(f64, &Arc<Backend>)]) -> Vec<Level> {
     let slots = |backend: &Backend| f64::from(backend.slots.max(1));
     open.iter().map(|(cost, backend)| Level { load: *cost, slots: slots(backend) }).collect()
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -8,15 +8,13 @@
 
 use yokefall_types::{KeyIndex, Tenant, TenantName};
 
-use crate::backend_table::{BackendList, BackendTable};
+use crate::backend_table::BackendTable;
+use crate::catalog_lists::{Lists, TakenLists};
 use crate::eligibility::{Residency, ZoneMap};
 use crate::model::{Backend, BackendLife, BackendState, Configuration, Route};
 use crate::objects::Changed;
 use crate::table::RouteTable;
 
-/// Back ends that take work, by service or by region.
-type Lists = HashMap<String, Arc<BackendList>>;
-
 /// Configuration and back ends at one moment. The next version shares with it what did not change.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -27,9 +25,9 @@
     /// Its tenants by key; `None` where it holds none.
     pub tenants: Option<Arc<KeyIndex<Arc<Tenant>>>>,
     /// Service to its back ends that take work.
-    ready: Lists,
+    pub(crate) ready: Lists,
     /// The same by region, for requests that may be served in some regions alone.
-    ready_by_region: HashMap<String, Lists>,
+    pub(crate) ready_by_region: HashMap<String, Lists>,
     /// Every back end by its id, those too that take no work.
     pub known: BackendTable,
     /// Whether only some of the back ends are known yet.
@@ -261,59 +259,6 @@
     backend.state == BackendState::Ready && !evacuated.contains(&backend.zone)
 }
 
-/// Lists that are being changed, taken from a catalog when they are met first.
-#[derive(Default)]
-struct TakenLists {
-    services: HashMap<String, BackendTable>,
-    regions: HashMap<(String, String), BackendTable>,
-}
-
-impl TakenLists {
-    fn insert(&mut self, catalog: &Catalog, backend: &Arc<Backend>) {
-        self.each_of(catalog, backend, |table| table.insert(backend.clone()));
-    }
-
-    fn remove(&mut self, catalog: &Catalog, backend: &Arc<Backend>) {
-        self.each_of(catalog, backend, |table| table.remove(&backend.id));
-    }
-
-    /// Changes each list that a back end belongs to.
-    fn each_of(
-        &mut self,
-        catalog: &Catalog,
-        backend: &Backend,
-        change: impl Fn(&mut BackendTable),
-    ) {
-        let table = |list: Option<&Arc<BackendList>>| list.map(|list| list.table().clone());
-        let held = || table(catalog.ready.get(&backend.service)).unwrap_or_default();
-        change(self.services.entry(backend.service.clone()).or_insert_with(held));
-        let Some(region) = catalog.zones.region_of(&backend.zone) else { return };
-        let by_region = catalog.ready_by_region.get(&backend.service);
-        let held = || table(by_region.and_then(|lists| lists.get(region))).unwrap_or_default();
-        let key = (backend.service.clone(), region.to_owned());
-        change(self.regions.entry(key).or_insert_with(held));
-    }
-
-    /// Puts the lists into the place of those that they were taken from; empty ones are dropped.
-    fn put_into(self, catalog: &mut Catalog) {
-        put(&mut catalog.ready, self.services.into_iter());
-        for ((service, region), table) in self.regions {
-            let lists = catalog.ready_by_region.entry(service).or_default();
-            put(lists, std::iter::once((region, table)));
-        }
-        catalog.ready_by_region.retain(|_, lists| !lists.is_empty());
-    }
-}
-
-fn put(lists: &mut Lists, changed: impl Iterator<Item = (String, BackendTable)>) {
-    for (name, table) in changed {
-        match table.is_empty() {
-            true => lists.remove(&name),
-            false => lists.insert(name, Arc::new(BackendList::from(table))),
-        };
-    }
-}
-
 /// Finds tenants by key. A key that two tenants have is the first one's; `check` names it.
 fn index_tenants(configuration: &Configuration) -> Option<KeyIndex<Arc<Tenant>>> {
     if configuration.tenants.is_empty() {
--- /dev/null
+++ b/crates/serving/src/catalog_lists.rs
@@ -0,0 +1,66 @@
+//! Lists of a catalog while some of their back ends change.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::backend_table::{BackendList, BackendTable};
+use crate::catalog::Catalog;
+use crate::model::Backend;
+
+/// Back ends that take work, by service or by region.
+pub(crate) type Lists = HashMap<String, Arc<BackendList>>;
+
+/// Lists that are being changed, taken from a catalog when they are met first.
+#[derive(Default)]
+pub(crate) struct TakenLists {
+    services: HashMap<String, BackendTable>,
+    regions: HashMap<(String, String), BackendTable>,
+}
+
+impl TakenLists {
+    /// Puts a back end into the lists that it belongs to.
+    pub(crate) fn insert(&mut self, catalog: &Catalog, backend: &Arc<Backend>) {
+        self.each_of(catalog, backend, |table| table.insert(backend.clone()));
+    }
+
+    /// Takes a back end out of them.
+    pub(crate) fn remove(&mut self, catalog: &Catalog, backend: &Arc<Backend>) {
+        self.each_of(catalog, backend, |table| table.remove(&backend.id));
+    }
+
+    /// Changes each list that a back end belongs to.
+    fn each_of(
+        &mut self,
+        catalog: &Catalog,
+        backend: &Backend,
+        change: impl Fn(&mut BackendTable),
+    ) {
+        let table = |list: Option<&Arc<BackendList>>| list.map(|list| list.table().clone());
+        let held = || table(catalog.ready.get(&backend.service)).unwrap_or_default();
+        change(self.services.entry(backend.service.clone()).or_insert_with(held));
+        let Some(region) = catalog.zones.region_of(&backend.zone) else { return };
+        let by_region = catalog.ready_by_region.get(&backend.service);
+        let held = || table(by_region.and_then(|lists| lists.get(region))).unwrap_or_default();
+        let key = (backend.service.clone(), region.to_owned());
+        change(self.regions.entry(key).or_insert_with(held));
+    }
+
+    /// Puts the lists into the place of those that they were taken from; empty ones are dropped.
+    pub(crate) fn put_into(self, catalog: &mut Catalog) {
+        put(&mut catalog.ready, self.services.into_iter());
+        for ((service, region), table) in self.regions {
+            let lists = catalog.ready_by_region.entry(service).or_default();
+            put(lists, std::iter::once((region, table)));
+        }
+        catalog.ready_by_region.retain(|_, lists| !lists.is_empty());
+    }
+}
+
+fn put(lists: &mut Lists, changed: impl Iterator<Item = (String, BackendTable)>) {
+    for (name, table) in changed {
+        match table.is_empty() {
+            true => lists.remove(&name),
+            false => lists.insert(name, Arc::new(BackendList::from(table))),
+        };
+    }
+}
--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -7,28 +7,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use borsh::{BorshDeserialize, BorshSerialize};
 use tokio::sync::{watch, Notify};
 use tokio::time::Instant;
-use yokefall_core::membership::{NewsAges, ObjectDigest};
+use yokefall_core::membership::NewsAges;
 use yokefall_core::Timestamp;
 use yokefall_telemetry::{EventName, Line};
 
+pub use crate::comparison::Comparison;
 use crate::duty::{Duty, Ranking, Roster};
+pub use crate::known::Known;
 use crate::news_exchange::{fetch, ExchangeError, NewsAnswer, NewsRequest};
 use crate::watch::Knowledge;
 
-/// Time for which a peer must know more before a process asks the store again, in milliseconds:
-/// news reaches processes within this time of each other.
-const PATIENCE_MS: u64 = 300;
 /// Time from its start for which a process without back ends asks peers of its own zone alone, in milliseconds: as
 /// long as watchers need to read a list of 10,000 in 50 pages, and their first peers to take it over.
 const NEAR_PATIENCE_MS: u64 = 2_500;
-/// Least time between two such askings, in milliseconds.
-const LEAST_INTERVAL_MS: u64 = 1_000;
 
-/// Digest in a request of a process that knows no back ends, by which it asks for some of them: no list has it.
-const PART_WANTED: u64 = 1;
 /// Time for which a process rests between two exchanges that bring back ends alone, for each member of the fleet: each
 /// change comes to each member by an exchange of its own, so that a fleet makes 4,000 of them a second at most.
 const REST_PER_MEMBER: Duration = Duration::from_micros(250);
@@ -42,120 +36,6 @@
     REST_PER_MEMBER.saturating_mul(members).min(LONGEST_REST)
 }
 
-/// What one process knows, in numbers that fit a datagram.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Known {
-    /// Version of the configuration.
-    pub version: u64,
-    /// Digest of the back ends and their states.
-    pub backends_digest: u64,
-    /// Store revision up to which the back ends are known.
-    pub backends_revision: u64,
-    /// Evacuated zones; their revision is 0 where nothing was heard of them yet.
-    pub evacuations: ObjectDigest,
-}
-
-/// Finds out whether peers know more, for longer than news takes.
-#[derive(Debug, Default)]
-pub struct Comparison {
-    /// Since when a peer knows more: what was known here, and what the peer knows.
-    behind_since: Option<(Timestamp, Known, Known)>,
-    asked_at: Option<Timestamp>,
-}
-
-impl Comparison {
-    /// A peer told what it knows. Returns whether the store should be asked again.
-    pub fn is_behind(&mut self, now: Timestamp, own: Known, peer: Known) -> bool {
-        if !own.lacks(peer) {
-            return false;
-        }
-        match &mut self.behind_since {
-            Some((_, known, told)) if *known == own => *told = peer,
-            _ => self.behind_since = Some((now, own, peer)),
-        }
-        self.is_due(now, own)
-    }
-
-    /// Whether the store should be asked again, by what peers told before.
-    pub fn is_due(&mut self, now: Timestamp, own: Known) -> bool {
-        let Some((since, known, peer)) = self.behind_since else { return false };
-        if !own.lacks(peer) {
-            self.behind_since = None;
-            return false;
-        }
-        if known != own {
-            self.behind_since = Some((now, own, peer));
-            return false;
-        }
-        let patient = now.millis_since(since) >= PATIENCE_MS;
-        let rested = self.asked_at.is_none_or(|at| now.millis_since(at) >= LEAST_INTERVAL_MS);
-        if patient && rested {
-            self.asked_at = Some(now);
-        }
-        patient && rested
-    }
-
-    /// When `is_due` should be asked; `None` while no peer knows more.
-    pub fn next_look(&self) -> Option<Timestamp> {
-        let (since, _, _) = self.behind_since?;
-        let patient = since.plus_millis(PATIENCE_MS);
-        let rested = self.asked_at.map(|at| at.plus_millis(LEAST_INTERVAL_MS));
-        Some(rested.map_or(patient, |rested| rested.max(patient)))
-    }
-}
-
-impl Known {
-    /// Whether this says more than what was told before.
-    pub fn is_news_after(self, told: Known) -> bool {
-        self.version > told.version
-            || self.backends_digest != told.backends_digest
-            || self.evacuations.digest != told.evacuations.digest
-            || (self.evacuations.revision > 0) != (told.evacuations.revision > 0)
-    }
-
-    /// Whether a peer is to be asked.
-    fn wants_of(self, peer: Known) -> bool {
-        self.lacks(peer) || self.lacks_any_backend(peer)
-    }
-
-    /// Whether a peer knows more.
-    fn lacks(self, peer: Known) -> bool {
-        self.version < peer.version || self.lacks_backends(peer) || self.lacks_evacuations(peer)
-    }
-
-    /// Whether nothing is known of back ends, and a peer knows some.
-    fn lacks_any_backend(self, peer: Known) -> bool {
-        self.backends_revision == 0 && self.backends_digest == 0 && peer.backends_digest != 0
-    }
-
-    /// The same in a request that wants some of the back ends, and not all. Peers of a build before that tell all.
-    pub fn asking_for_part(self) -> Self {
-        Self { backends_digest: PART_WANTED, ..self }
-    }
-
-    /// Whether a request wants some of the back ends, and not all.
-    pub fn wants_part(self) -> bool {
-        self.backends_revision == 0 && self.backends_digest == PART_WANTED
-    }
-
-    /// Whether a peer knows more beside back ends, which nothing is to wait for.
-    fn lacks_urgently(self, peer: Known) -> bool {
-        self.version < peer.version || self.lacks_evacuations(peer)
-    }
-
-    /// Whether a peer knows more of back ends.
-    pub fn lacks_backends(self, peer: Known) -> bool {
-        self.backends_digest != peer.backends_digest
-            && self.backends_revision < peer.backends_revision
-    }
-
-    /// Whether a peer knows more of evacuated zones. Whoever has heard of none yet lacks also that there is none.
-    pub fn lacks_evacuations(self, peer: Known) -> bool {
-        let (own, peer) = (self.evacuations, peer.evacuations);
-        own.revision < peer.revision && (own.digest != peer.digest || own.revision == 0)
-    }
-}
-
 /// How this process gets what peers know.
 struct Sources {
     /// Whether a peer is being asked.
