What can't wait comes from peers of other zones also while the list is awaited from the own

Cause, found on reading the change again: for 2.5 s after its start a process without back ends asked peers of other zones for nothing, a configuration and evacuated zones included, where no peer of its own zone answers. Change: such a peer is asked at once, for a part of the back ends beside it. Test: a_configuration_comes_from_another_zone_where_the_list_does_not; it hangs without the change, by reading. Limits of parts are told in docs/design/fleet.md.

--- a/crates/serving/src/news.rs
+++ b/crates/serving/src/news.rs
@@ -36,12 +36,22 @@
     REST_PER_MEMBER.saturating_mul(members).min(LONGEST_REST)
 }
 
+/// A peer that knows more.
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    known: Known,
+    /// Where it tells all of it.
+    address: SocketAddr,
+    /// Whether the whole list of back ends may come from it, or some of them alone.
+    whole_list: bool,
+}
+
 /// How this process gets what peers know.
 struct Sources {
     /// Whether a peer is being asked.
     asking: bool,
-    /// Another peer, and what it knows.
-    next: Option<(Known, SocketAddr)>,
+    /// The peer that is asked next.
+    next: Option<Peer>,
     /// Whether the last peer that was asked gave no answer.
     failed: bool,
     /// When back ends may be asked for again.
@@ -159,39 +169,46 @@
     }
 
     /// A peer of another zone told what it knows. Soon after a start the whole list is wanted, and is taken from a peer
-    /// of the own zone: each zone has watchers that read it, and bytes between zones are paid for.
+    /// of the own zone: each zone has watchers that read it, and bytes between zones are paid for. What is short, or
+    /// can't wait, is taken from any.
     pub fn hear_far(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
-        let wants_part = self.own().lacks_any_backend(peer);
-        if wants_part || self.knows_backends() || now >= Timestamp(NEAR_PATIENCE_MS) {
-            self.hear(now, peer, address);
+        let whole_list = self.knows_backends() || now >= Timestamp(NEAR_PATIENCE_MS);
+        let own = self.own();
+        if whole_list || own.lacks_any_backend(peer) || own.lacks_urgently(peer) {
+            self.hear_peer(now, Peer { known: peer, address, whole_list });
         }
     }
 
     /// A peer told what it knows; `address` is where it tells the whole of it.
     pub fn hear(self: &Rc<Self>, now: Timestamp, peer: Known, address: SocketAddr) {
-        self.knowledge.borrow_mut().confirm_evacuations(peer);
+        self.hear_peer(now, Peer { known: peer, address, whole_list: true });
+    }
+
+    fn hear_peer(self: &Rc<Self>, now: Timestamp, peer: Peer) {
+        let known = peer.known;
+        self.knowledge.borrow_mut().confirm_evacuations(known);
         let own = self.own();
-        if own.backends_revision == 0 && peer.backends_revision > 0 {
+        if own.backends_revision == 0 && known.backends_revision > 0 {
             self.roster.borrow_mut().heard_of_backends(now);
         }
-        if !own.wants_of(peer) {
+        if !own.wants_of(known) {
             return;
         }
-        if address.port() > 0 {
-            self.ask(peer, address);
+        if peer.address.port() > 0 {
+            self.ask(peer);
         }
-        if self.comparison.borrow_mut().is_behind(now, own, peer) {
+        if self.comparison.borrow_mut().is_behind(now, own, known) {
             self.ask_store(now);
         }
     }
 
     /// Asks a peer; where one is being asked already, this one is asked next if it still knows more.
-    fn ask(self: &Rc<Self>, peer: Known, address: SocketAddr) {
+    fn ask(self: &Rc<Self>, peer: Peer) {
         let mut sources = self.sources.borrow_mut();
         let own = self.own();
-        let is_urgent = own.lacks_urgently(peer);
-        if is_urgent || !sources.next.is_some_and(|(next, _)| own.lacks_urgently(next)) {
-            sources.next = Some((peer, address));
+        let is_urgent = own.lacks_urgently(peer.known);
+        if is_urgent || !sources.next.is_some_and(|next| own.lacks_urgently(next.known)) {
+            sources.next = Some(peer);
         }
         if is_urgent {
             self.urgent.notify_one();
@@ -205,11 +222,11 @@
         loop {
             self.rest().await;
             let next = self.sources.borrow_mut().next.take();
-            let Some((_, address)) = next.filter(|(known, _)| self.own().wants_of(*known)) else {
+            let Some(peer) = next.filter(|peer| self.own().wants_of(peer.known)) else {
                 self.sources.borrow_mut().asking = false;
                 return;
             };
-            let outcome = self.ask_one(address).await;
+            let outcome = self.ask_one(peer).await;
             let mut sources = self.sources.borrow_mut();
             sources.failed = outcome.is_err();
             sources.rested_at = Instant::now() + sources.rest;
@@ -222,16 +239,18 @@
             let sources = self.sources.borrow();
             (sources.rested_at, sources.next)
         };
-        let is_urgent = next.is_some_and(|(known, _)| self.own().lacks_urgently(known));
+        let is_urgent = next.is_some_and(|next| self.own().lacks_urgently(next.known));
         if next.is_some() && !is_urgent {
             let _ = tokio::time::timeout_at(rested_at, self.urgent.notified()).await;
         }
     }
 
-    async fn ask_one(&self, address: SocketAddr) -> Result<(), ExchangeError> {
+    async fn ask_one(&self, peer: Peer) -> Result<(), ExchangeError> {
+        let Peer { address, whole_list, .. } = peer;
         let own = self.own();
         let knows_none = own.backends_revision == 0 && own.backends_digest == 0;
-        let known = if knows_none { own.asking_for_part() } else { own };
+        let wants_part = own.backends_revision == 0 && (knows_none || !whole_list);
+        let known = if wants_part { own.asking_for_part() } else { own };
         let answer = fetch(address, NewsRequest { known, whole: false }).await;
         count_exchange(&answer);
         if (self.take)(answer?) {
--- a/crates/serving/tests/news_exchange.rs
+++ b/crates/serving/tests/news_exchange.rs
@@ -751,3 +751,45 @@
     Sink::<Backend>::part(&process, &[change(1, 2, Some(BackendState::Ready))]);
     assert_eq!(held(&process).len(), 1, "a page of a list that is older adds nothing");
 }
+
+/// Soon after a start a process without back ends asks peers of its zone for the list; what can't wait comes from any.
+#[tokio::test]
+async fn a_configuration_comes_from_another_zone_where_the_list_does_not() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let (told, asking) = (process(), process());
+            configure(&told, 7);
+            let many = |index: u64| Change {
+                name: format!("i-{index}"),
+                revision: index,
+                value: Some(backend(&format!("i-{index}"), BackendState::Ready)),
+            };
+            list(&told, 2_000, (1..=1_000).map(many).collect());
+            let address = start_answering(&told).await;
+            let take = {
+                let asking = asking.clone();
+                Box::new(move |answer| asking.take_news(answer))
+            };
+            let (news, _duty) =
+                News::new(asking.knowledge.clone(), take, Roster::new(Timestamp(0), false, 1.0));
+            let known = |process: &Process| process.knowledge.borrow().known();
+            news.hear_far(Timestamp(1), known(&told), address);
+            while known(&asking).version != 7 {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+            assert_eq!((held(&asking).len(), known(&asking).backends_revision), (PART_BACKENDS, 0));
+            // Another one is known there before the list is.
+            configure(&told, 8);
+            news.hear_far(Timestamp(2), known(&told), address);
+            while known(&asking).version != 8 {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+            assert_eq!(known(&asking).backends_revision, 0);
+            news.hear(Timestamp(3), known(&told), address);
+            while known(&asking) != known(&told) {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+        })
+        .await;
+}
