--- a/crates/serving/src/backend_table.rs
+++ b/crates/serving/src/backend_table.rs
@@ -149,13 +149,12 @@
         let mut ranked: Vec<(u64, &Arc<Vec<Arc<Backend>>>)> =
             filled.map(|(part, held)| (score(part), held)).collect();
         ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
-        let first = |part: &'_ Arc<Vec<Arc<Backend>>>| {
-            part.iter()
-                .enumerate()
-                .max_by_key(|(_, backend)| xxh3_64_with_seed(backend.id.as_bytes(), key))
-                .map(|(place, _)| place)
-        };
-        ranked.into_iter().take(count).filter_map(|(_, part)| Some(&part[first(part)?])).collect()
+        let score = |backend: &&Arc<Backend>| xxh3_64_with_seed(backend.id.as_bytes(), key);
+        ranked
+            .into_iter()
+            .take(count)
+            .filter_map(|(_, part)| part.iter().max_by_key(score))
+            .collect()
     }
 }
 
--- a/crates/serving/src/knowledge.rs
+++ b/crates/serving/src/knowledge.rs
@@ -319,12 +319,16 @@
     }
 
     /// Takes some back ends, as a peer or a page of a list tells them, until all are known. It takes none away.
-    pub fn take_part(&mut self, changes: Vec<Change<Backend>>) {
-        if self.backends.revision() > 0 || changes.is_empty() {
-            return;
+    /// Returns whether any of them was new.
+    pub fn take_part(&mut self, changes: Vec<Change<Backend>>) -> bool {
+        if self.backends.revision() > 0 {
+            return false;
         }
         let changed = self.backends.apply(changes, 0);
-        self.publish_backends(&changed);
+        if !changed.is_empty() {
+            self.publish_backends(&changed);
+        }
+        !changed.is_empty()
     }
 
     /// A peer that knows the same evacuated zones at a higher revision: so does this process. An older peer could
--- a/crates/serving/src/shared_knowledge.rs
+++ b/crates/serving/src/shared_knowledge.rs
@@ -9,7 +9,7 @@
 use crate::eligibility::unknown_regions;
 use crate::knowledge::Knowledge;
 use crate::model::{Backend, Configuration, Evacuation};
-use crate::news_exchange::{BackendNews, NamedEvacuation, NewsAnswer};
+use crate::news_exchange::{NamedEvacuation, NewsAnswer};
 use crate::objects::{Changed, Objects};
 use crate::source::{Change, Listing, Revision, SourceError};
 use crate::watch::Sink;
@@ -79,7 +79,8 @@
             });
         }
         if answer.known.backends_revision == 0 {
-            self.take_part(answer.backends);
+            // A peer that tells no more, or knows no more.
+            self.take_part(answer.backends.changed.into_iter().map(Change::from).collect());
             return false;
         }
         let own = self.knowledge.borrow().known();
@@ -96,11 +97,12 @@
         !is_same
     }
 
-    /// Takes some back ends of a peer that tells no more, or knows no more.
-    fn take_part(&self, news: BackendNews) {
-        let changes = news.changed.into_iter().map(Change::from).collect();
-        self.knowledge.borrow_mut().take_part(changes);
-        self.tell_backends();
+    /// Takes some back ends before all are known, and tells of it where any was new.
+    fn take_part(&self, changes: Vec<Change<Backend>>) {
+        let any = self.knowledge.borrow_mut().take_part(changes);
+        if any {
+            self.tell_backends();
+        }
     }
 
     fn take_configuration(&self, configuration: Configuration) {
@@ -217,7 +219,7 @@
     }
 
     fn part(&self, items: &[Change<Backend>]) {
-        self.knowledge.borrow_mut().take_part(items.to_vec());
+        self.take_part(items.to_vec());
     }
 
     fn apply(&self, changes: Vec<Change<Backend>>, revision: Revision) {
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -123,7 +123,8 @@
         }
         let digest = digest();
         let before = self.is_held_back(&digest);
-        let population = self.catalog.load().ready(&backend.service).len();
+        let population =
+            self.catalog.load().ready_table(&backend.service).map_or(0, |table| table.len());
         let ended = (&life, population);
         let sent_at = self.clock.at(sent).plus_millis(TIME_BEFORE_START_MS);
         self.table.borrow_mut().note_end(self.now(), digest, ended, sent_at);
