--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -52,7 +52,11 @@
     }
 
     fn requirements(&self) -> Requirements<'_> {
-        Requirements { service: &self.service, residency: &self.residency.0 }
+        Requirements {
+            service: &self.service,
+            residency: &self.residency.0,
+            software_version: None,
+        }
     }
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,12 +5,15 @@
 
 use http::request::Parts;
 use tokio::time::Instant;
-use yokefall_serving::{Caller, Catalog, Requirements, Residency, Route, RouteKind};
+use yokefall_serving::{
+    Caller, Catalog, Requirements, Residency, Route, RouteKind, SoftwareVersion,
+};
 use yokefall_suspects::{IsolatedRun, RequestDigest, RequestIdentity};
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::body::BufferedBody;
 use crate::quota::Token;
+use crate::stream::StreamState;
 
 /// A request that is being forwarded.
 pub struct RequestContext {
@@ -48,12 +51,20 @@
     pub digest: OnceCell<RequestDigest>,
     /// Held while the request runs exclusively, as granted by the leader of the job stores.
     pub isolated_run: Option<IsolatedRun>,
+    /// The stream that it begins or continues; `None` if its answer cannot be continued.
+    pub stream: Option<StreamState>,
 }
 
 impl RequestContext {
     /// What the request requires of a back end.
     pub fn requirements(&self) -> Requirements<'_> {
-        Requirements { service: &self.service, residency: &self.residency }
+        let software_version = self.continued_version();
+        Requirements { service: &self.service, residency: &self.residency, software_version }
+    }
+
+    /// Software version that began the stream; `None` as long as the client has no event of it.
+    pub fn continued_version(&self) -> Option<&SoftwareVersion> {
+        self.stream.as_ref()?.software_version.as_ref()
     }
 
     /// Applies the newest configuration to the regions in which the request may be served: what was
@@ -85,7 +96,11 @@
 
     /// A log line with the fields common to all events of this request.
     pub fn log_line(&self, event: EventName) -> LogLine {
-        LogLine::new(event)
+        let log_line = match self.continued_version() {
+            None => LogLine::new(event),
+            Some(version) => LogLine::new(event).text("software_version", version),
+        };
+        log_line
             .id(&self.id)
             .field("route", self.route.name.as_str())
             .field("service", self.service.as_str())
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,6 +2,7 @@
 
 use tokio::sync::watch;
 use yokefall_clock::ElapsedClock;
+use yokefall_serving::direct_messages::DirectMessages;
 use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
 use yokefall_serving::fleet::{new_incarnation, Identity, Notices};
 use yokefall_serving::{CatalogCell, FleetCell, Freshness, Platform};
@@ -18,13 +19,21 @@
     pub freshness: Freshness,
 }
 
+/// Messages that the traffic thread exchanges with other processes.
+pub struct PeerMessages {
+    /// Messages broadcast to all processes.
+    pub notices: Notices,
+    /// Messages to and from single processes.
+    pub direct: DirectMessages,
+}
+
 /// Runs discovery until `stop` ends the process.
 pub async fn run<P: Platform>(
     options: GatewayOptions,
     platform: P,
     ports: PeerPorts,
     outputs: ControlOutputs,
-    notices: Notices,
+    messages: PeerMessages,
     stop: watch::Receiver<bool>,
 ) {
     let identity = Identity {
@@ -39,7 +48,8 @@
         identity,
         seeds: options.seeds,
         is_first_start: options.bootstrap,
-        notices,
+        notices: messages.notices,
+        direct_messages: messages.direct,
         clock: ElapsedClock::new(options.suspension),
         zones: options.zones,
         placement: options.placement,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -14,6 +15,7 @@
 use yokefall_jobstore::aggregators::ReportTarget;
 use yokefall_jobstore::{suspects, JobClient};
 use yokefall_quota::QuotaBounds;
+use yokefall_serving::direct_messages::{DirectMessage, DirectMessages};
 use yokefall_serving::discovery::PeerPorts;
 use yokefall_serving::eligibility::cold_start;
 use yokefall_serving::fleet::Notices;
@@ -22,12 +24,13 @@
     empty_catalog, empty_fleet, Balancer, ColdStartLimiter, ColdStartLimiterOptions, Eligibility,
     Freshness, PlacementBounds, Platform, Policy, SenderId, ZoneMap,
 };
+use yokefall_streams::OriginRegistry;
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{version, EventName, LogLine};
 use yokefall_upstream::{Pool, SharedBalancer};
 
 use crate::admission::{self, Admission};
-use crate::control::{self, ControlOutputs};
+use crate::control::{self, ControlOutputs, PeerMessages};
 use crate::idle_eviction::IdleEviction;
 use crate::ingress::{accept, Port};
 use crate::load;
@@ -171,9 +174,11 @@
             .text("build", version::build())
             .field("formats", version::FORMAT_VERSION)
             .write();
-        let shared = Rc::new(shared_state(&options, &platform));
         let (notices, port) = Notices::channel();
-        start_control(&options, platform, ports, &shared, notices, stop.clone())?;
+        let (direct, direct_port) = DirectMessages::channel();
+        let shared = Rc::new(shared_state(&options, &platform, direct_port.outgoing));
+        let messages = PeerMessages { notices, direct };
+        start_control(&options, platform, ports, &shared, messages, stop.clone())?;
 
         let (close, closing) = watch::channel(false);
         let ports =
@@ -185,6 +190,7 @@
         tokio::task::spawn_local(admission::run(shared.clone()));
         tokio::task::spawn_local(read_ahead::watch(shared.read_ahead.clone()));
         tokio::task::spawn_local(cold_start::watch(shared.cold.clone()));
+        tokio::task::spawn_local(shared.streams.clone().run(direct_port.incoming));
         tokio::task::spawn_local(relay_port::serve(relay, shared.clone()));
         tokio::task::spawn_local(quota::assignment::maintain(shared.clone()));
         tokio::task::spawn_local(quota::assignment::probe_failing(shared.clone()));
@@ -205,7 +211,11 @@
     }
 }
 
-fn shared_state<P: Platform>(options: &GatewayOptions, platform: &P) -> Shared {
+fn shared_state<P: Platform>(
+    options: &GatewayOptions,
+    platform: &P,
+    direct_messages: UnboundedSender<DirectMessage>,
+) -> Shared {
     let fleet = empty_fleet();
     let catalog = empty_catalog();
     let clock = || ElapsedClock::new(options.suspension.clone());
@@ -230,6 +240,7 @@
         balancer: SharedBalancer::with_cold_start(balancer, clock(), cold),
         quota: Quota::new(options.name.clone(), options.quota, clock()),
         suspects: Registry::new(catalog, clock()),
+        streams: OriginRegistry::new(options.name.clone(), fleet.clone(), clock(), direct_messages),
         admission: Admission::default(),
         policy: options.policy,
         splitter: RefCell::new(Splitter::default()),
@@ -252,7 +263,7 @@
     platform: P,
     ports: PeerPorts,
     shared: &Shared,
-    notices: Notices,
+    messages: PeerMessages,
     stop: watch::Receiver<bool>,
 ) -> Result<(), StartError> {
     let failed = |cause: std::io::Error| StartError {
@@ -269,7 +280,7 @@
         .name("control".into())
         .spawn(move || {
             let sockets = (datagrams, exchange);
-            run_control(options, platform, sockets, outputs, notices, stop)
+            run_control(options, platform, sockets, outputs, messages, stop)
         })
         .map_err(failed)?;
     Ok(())
@@ -280,7 +291,7 @@
     platform: P,
     (datagrams, exchange): (std::net::UdpSocket, std::net::TcpListener),
     outputs: ControlOutputs,
-    notices: Notices,
+    messages: PeerMessages,
     stop: watch::Receiver<bool>,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -292,7 +303,7 @@
             return;
         };
         let ports = PeerPorts { datagrams, exchange };
-        control::run(options, platform, ports, outputs, notices, stop).await;
+        control::run(options, platform, ports, outputs, messages, stop).await;
     });
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,6 +22,7 @@
 use crate::request::{affinity, request_for};
 use crate::response::{plain, rejection, ClientResponse};
 use crate::shared::Shared;
+use crate::stream::NOT_CONTINUED_RETRY_AFTER;
 use crate::suspect::{self, Clearance};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -40,6 +41,8 @@
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(800);
 const BACKENDS_TERMINATED_TEXT: &str = "back ends ended while they ran this request";
 const ALL_COLD_TEXT: &str = "back ends are not warm yet and have had what they bear";
+const NO_SOFTWARE_VERSION_TEXT: &str =
+    "no back end of the software version that began the stream takes work";
 /// Connections to one back end that are always allowed.
 const MIN_CONNECTIONS: usize = 4;
 
@@ -71,6 +74,8 @@
     HeldBack(Duration),
     /// No back end accepts requests in the regions where the request may be served; not executed.
     NoRegion(Residency),
+    /// No back end of the software version that began the stream accepts requests; not executed.
+    NoSoftwareVersion,
 }
 
 /// Serves a request.
@@ -146,6 +151,7 @@
         ForwardError::TokenError(_) => "the tenant's limit does not allow another run",
         ForwardError::HeldBack(_) => BACKENDS_TERMINATED_TEXT,
         ForwardError::NoRegion(_) => "no back end takes work where it may be served",
+        ForwardError::NoSoftwareVersion => NO_SOFTWARE_VERSION_TEXT,
     };
     context.final_log_line(event).text("regions", &context.residency).field("cause", text).write();
     match cause {
@@ -173,6 +179,11 @@
         ForwardError::NoRegion(_) => {
             bad_gateway("no back end takes work where the rest may be served")
         }
+        ForwardError::NoSoftwareVersion if context.may_have_run == 0 => {
+            let retry_after = &shared.dialect.headers().retry_after;
+            rejection(retry_after, NOT_CONTINUED_RETRY_AFTER, NO_SOFTWARE_VERSION_TEXT)
+        }
+        ForwardError::NoSoftwareVersion => bad_gateway(NO_SOFTWARE_VERSION_TEXT),
         ForwardError::TokenError(_) => bad_gateway("the tenant's limit does not allow another run"),
         ForwardError::NotRun(text) | ForwardError::MayHaveRun(text) => bad_gateway(&text),
         ForwardError::DeadlineExceeded => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
@@ -191,8 +202,9 @@
     if let Some(wait) = suspect::held_back(shared, context) {
         return Err(ForwardError::HeldBack(wait));
     }
-    // A request that has already been sent to a back end is never queued again.
+    // A request that has already been sent to a back end, or that continues a stream, is not queued.
     let is_new = after_event == 0 && context.tried.is_empty();
+    let is_new = is_new && context.continued_version().is_none();
     let mut admitted = match is_new {
         false => None,
         true => match admit(shared, context, affinity).await {
@@ -335,12 +347,22 @@
     if context.may_have_run > 0 {
         return Err(ForwardError::MayHaveRun(last));
     }
+    if lacks_continued_version(shared, context) {
+        return Err(ForwardError::NoSoftwareVersion);
+    }
     if regions::has_no_backends(shared, &context.requirements()) {
         return Err(ForwardError::NoRegion(context.residency.clone()));
     }
     Err(ForwardError::NotRun(last))
 }
 
+/// Whether the request continues a stream, and no back end of its software version accepts requests.
+fn lacks_continued_version(shared: &Shared, context: &RequestContext) -> bool {
+    let catalog = shared.catalog.load();
+    context.continued_version().is_some()
+        && !shared.eligibility.has_candidates(&catalog, &context.requirements())
+}
+
 /// The request is rejected instead of queued: another gateway may not have used up its share.
 fn all_cold(context: &RequestContext, wait_ms: u64) -> ForwardError {
     if context.may_have_run > 0 {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 use yokefall_serving::identity::{self, identify, KeyError};
 use yokefall_serving::{Caller, Catalog, RequestLimits, Route, RouteKind};
+use yokefall_streams::StreamKey;
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::connection::{LimitedStream, PhaseCell, TimeLimits};
@@ -24,6 +25,7 @@
 use crate::quota::{self, QuotaCheck, Token, TokenError};
 use crate::response::{plain, rejection, ClientResponse};
 use crate::shared::Shared;
+use crate::stream::{self, StreamState};
 use crate::{body, directory, jobs, regions};
 
 /// Delay after a failed accept, for example when no file descriptor is free.
@@ -238,13 +240,30 @@
         regions::log_no_common_region(&id, &route, &caller, configuration.version);
         return regions::reject(&shared.dialect.headers().retry_after, &residency);
     }
+    let continued = match stream::origin_of_continued(shared, &route, &parts, &id).await {
+        Ok(continued) => continued,
+        Err(cause) => return cause.response(shared),
+    };
     let token = match take_token(shared, &caller, &route, configuration.version, &id).await {
         Ok(token) => token,
         Err(cause) => return token_rejection(&shared.dialect.headers().retry_after, cause),
     };
-    let Some(service) = shared.splitter.borrow_mut().next(&route).map(str::to_owned) else {
+    let service = match &continued {
+        Some((_, origin)) => Some(origin.service.clone()),
+        None => shared.splitter.borrow_mut().next(&route).map(str::to_owned),
+    };
+    let Some(service) = service else {
         return plain(StatusCode::BAD_GATEWAY, "the route has no service");
     };
+    let stream = match continued {
+        Some((key, origin)) => {
+            Some(StreamState { key, software_version: Some(origin.software_version()) })
+        }
+        None if route.kind == RouteKind::Stream && route.resumable => {
+            Some(StreamState { key: StreamKey::of_attempt(&id), software_version: None })
+        }
+        None => None,
+    };
     let rank = caller.rank(route.priority);
     let context = RequestContext {
         residency,
@@ -264,6 +283,7 @@
         end_logged: Cell::new(false),
         digest: OnceCell::new(),
         isolated_run: None,
+        stream,
     };
     forward(shared, context).await
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,5 @@
 //! Relays a response to the client: short ones complete, streams as they arrive. A resumable stream
-//! continues at another back end when its own fails.
+//! continues at another back end of the same software version when its own fails.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,6 +18,7 @@
 use crate::request::copy_headers;
 use crate::response::{ClientResponse, ResponseAborted, ResponseBody};
 use crate::shared::Shared;
+use crate::stream::{self, requested_event};
 use crate::suspect;
 
 /// Maximum size of a response that is collected before it is relayed.
@@ -36,7 +37,7 @@
     let BackendResponse { response, connection, slot } = backend_response;
     let (head, body) = response.into_parts();
     let resumes = streamed && context.route.resumable;
-    let last_event = if resumes { requested_event(shared, &context) } else { 0 };
+    let last_event = if resumes { requested_event(shared, &context.parts) } else { 0 };
     let deadline = Box::pin(tokio::time::sleep_until(context.deadline));
     let close = Connection::closes_after(&head.headers);
     let mut relay = Relay {
@@ -47,6 +48,7 @@
         silence: Box::pin(tokio::time::sleep(SILENCE_TIMEOUT)),
         resumes,
         last_event,
+        is_recorded: false,
         partial: BytesMut::new(),
     };
     let mut collected = BytesMut::new();
@@ -71,12 +73,6 @@
     Ok(respond(head.status, &head.headers, body))
 }
 
-/// Id of the event after which the client requests to resume the stream; 0 for none.
-fn requested_event(shared: &Shared, context: &RequestContext) -> u64 {
-    let requested = context.parts.headers.get(&shared.dialect.headers().resume_after);
-    requested.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0)
-}
-
 fn respond(status: StatusCode, headers: &HeaderMap, body: ResponseBody) -> ClientResponse {
     let mut response = Response::new(body);
     *response.status_mut() = status;
@@ -107,6 +103,8 @@
     resumes: bool,
     /// Last event that was relayed.
     last_event: u64,
+    /// Whether it was recorded which software version began the stream.
+    is_recorded: bool,
     /// Bytes of an incomplete event.
     partial: BytesMut,
 }
@@ -127,6 +125,7 @@
                 NextFrame::Data(data) if !self.resumes => return Some(Ok(data)),
                 NextFrame::Data(data) => {
                     if let Some(events) = self.complete_events(&data) {
+                        self.record_origin();
                         return Some(Ok(events));
                     }
                 }
@@ -179,6 +178,13 @@
         }
     }
 
+    /// Records the software version that the events come from, before the first of them leaves.
+    fn record_origin(&mut self) {
+        let Some(source) = self.source.as_ref().filter(|_| !self.is_recorded) else { return };
+        stream::record_origin(&self.shared, &mut self.context, &source.slot.backend);
+        self.is_recorded = true;
+    }
+
     /// Extracts the complete events; a partial one is held, since the back end may fail within it.
     fn complete_events(&mut self, data: &[u8]) -> Option<Bytes> {
         self.partial.extend_from_slice(data);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use yokefall_serving::{
     CatalogCell, ColdStartLimiter, Dialect, Eligibility, FleetCell, Freshness, Policy, ZoneMap,
 };
+use yokefall_streams::OriginRegistry;
 use yokefall_suspects::Registry;
 use yokefall_upstream::{Pool, SharedBalancer};
 
@@ -40,6 +41,8 @@
     pub quota: Quota,
     /// Requests during which back ends terminated.
     pub suspects: Rc<Registry>,
+    /// Which software versions began the streams that may be continued.
+    pub streams: Rc<OriginRegistry>,
     /// Requests that are queued until back ends have capacity.
     pub admission: Admission,
     /// Enabled policies.
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -12,6 +12,7 @@
 use yokefall_clock::{ElapsedClock, SuspensionSource};
 use yokefall_consensus::{Consensus, Index, MemberId, Role, Term};
 use yokefall_quota::QuotaBounds;
+use yokefall_serving::direct_messages::DirectMessages;
 use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
 use yokefall_serving::eligibility::cold_start;
 use yokefall_serving::fleet::{new_incarnation, Identity, Notices};
@@ -184,6 +185,7 @@
             seeds: options.seeds.clone(),
             is_first_start: options.bootstrap,
             notices,
+            direct_messages: DirectMessages::channel().0,
             clock: clock(),
             zones: options.zones.clone(),
             placement: options.placement,
--- a/crates/jobstore/src/slots.rs
+++ b/crates/jobstore/src/slots.rs
@@ -18,7 +18,11 @@
     pub(crate) fn free_slots(&self, pool: &SlotPool) -> ServiceSlots {
         let catalog = self.worker.catalog.load();
         let capacity = self.capacity(pool);
-        let requirements = Requirements { service: &pool.service, residency: &pool.residency };
+        let requirements = Requirements {
+            service: &pool.service,
+            residency: &pool.residency,
+            software_version: None,
+        };
         let workers = self.item_workers();
         let backends = self.worker.balancer.with(|balancer, now| {
             let sample = workers.sample(&catalog, &requirements, balancer.generator());
@@ -53,7 +57,11 @@
     /// with 10,000 back ends a leader that examined all completed only a fifth of its items.
     fn capacity(&self, pool: &SlotPool) -> Capacity {
         let catalog = self.worker.catalog.load();
-        let requirements = Requirements { service: &pool.service, residency: &pool.residency };
+        let requirements = Requirements {
+            service: &pool.service,
+            residency: &pool.residency,
+            software_version: None,
+        };
         let coverage = self.store.loads.coverage(self.fleet.load().gateways().count());
         let capacity = Capacity::new(self.store.loads.report_interval()).with_coverage(coverage);
         let Some(closed) = self.item_workers().closed(&requirements) else {
--- a/crates/jobstore/src/worker.rs
+++ b/crates/jobstore/src/worker.rs
@@ -90,7 +90,11 @@
         let route = catalog.routes.find(&sender.host, &item.path);
         let route = route.ok_or_else(|| PermitDenied::new("no route has its path"))?;
         let residency = catalog.residency(route, sender.tenant.as_ref());
-        let requirements = Requirements { service: &backend.service, residency: &residency };
+        let requirements = Requirements {
+            service: &backend.service,
+            residency: &residency,
+            software_version: None,
+        };
         evaluate(&requirements).map_err(|cause| {
             cause.record_rejection(&item.id, backend);
             let is_cold = matches!(cause, Ineligible::Cold { .. });
--- a/crates/jobstore/tests/pool_slots.rs
+++ b/crates/jobstore/tests/pool_slots.rs
@@ -20,6 +20,7 @@
         slots: 4,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     })
 }
 
--- a/crates/jobstore/tests/preemption.rs
+++ b/crates/jobstore/tests/preemption.rs
@@ -21,6 +21,7 @@
         slots: SLOTS,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     }
 }
 
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -11,7 +11,9 @@
 use crate::backend_table::BackendTable;
 use crate::catalog_lists::{BackendLists, ListUpdates};
 use crate::eligibility::{Residency, ZoneMap};
-use crate::model::{Backend, BackendIncarnation, BackendState, Configuration, Route};
+use crate::model::{
+    Backend, BackendIncarnation, BackendState, Configuration, Route, SoftwareVersion,
+};
 use crate::objects::ObjectChange;
 use crate::table::RouteTable;
 
@@ -237,6 +239,18 @@
         Some(self.residency(route, tenant))
     }
 
+    /// The software version of all back ends of a service, draining ones included; `None` if there
+    /// are several, if one is not known, or if not all back ends are known.
+    pub fn sole_software_version(&self, service: &str) -> Option<&SoftwareVersion> {
+        let mut versions = self
+            .known
+            .values()
+            .filter(|backend| backend.service == service)
+            .map(|backend| &backend.software_version);
+        let first = versions.next().filter(|first| first.is_known() && !self.is_partial)?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
     /// Version of the configuration; 0 if there is none.
     pub fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |configuration| configuration.version)
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -16,6 +16,8 @@
     pub prefix: HeaderName,
     /// Last event received; a resumed stream continues after it.
     pub resume_after: HeaderName,
+    /// Id of the client's attempt that brought the first event of a stream which it continues.
+    pub continued_attempt: HeaderName,
     /// Signature of a back end's response.
     pub signature: HeaderName,
     /// Identity that the back end must have to run the request.
--- /dev/null
+++ b/crates/serving/src/direct_messages.rs
@@ -0,0 +1,84 @@
+//! Messages from one process to another on the membership port, each with a mark, the version of
+//! its form and its kind.
+//!
+//! No membership datagram begins with the mark: read as one, it would be the length of a name of
+//! four gigabytes. Older builds therefore drop these messages, as they do with any datagram that
+//! they cannot read, and the sender must bear that no answer comes.
+
+use std::net::SocketAddr;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+
+const MARK: [u8; 4] = [0xff; 4];
+/// Version of the envelope. Content that older readers cannot read needs a new kind.
+const ENVELOPE_VERSION: u8 = 1;
+
+/// Kind of the content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum MessageKind {
+    /// Which software version began a stream.
+    StreamOrigin,
+}
+
+/// The encoded content of a message, with its kind.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Envelope {
+    /// Kind of the content.
+    pub kind: MessageKind,
+    /// The encoded content.
+    pub content: Vec<u8>,
+}
+
+impl Envelope {
+    /// Encodes the envelope with the mark.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = MARK.to_vec();
+        bytes.push(ENVELOPE_VERSION);
+        // Writing to a vector cannot fail.
+        let _ = self.serialize(&mut bytes);
+        bytes
+    }
+
+    /// Decodes a datagram; `None` if it is no envelope, or one of a newer build.
+    pub fn decode(datagram: &[u8]) -> Option<Self> {
+        let body = datagram.strip_prefix(&MARK)?.strip_prefix(&[ENVELOPE_VERSION])?;
+        borsh::from_slice(body).ok()
+    }
+}
+
+/// A message with the address of the other process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DirectMessage {
+    /// Receiver of an outgoing message, sender of one that arrived.
+    pub peer: SocketAddr,
+    /// The message.
+    pub envelope: Envelope,
+}
+
+/// Messages to and from other processes; the other ends may be on another thread.
+#[derive(Debug)]
+pub struct DirectMessages {
+    /// Messages to send. Like any datagram, they may be lost.
+    pub outgoing: UnboundedReceiver<DirectMessage>,
+    /// Messages that arrived.
+    pub incoming: UnboundedSender<DirectMessage>,
+}
+
+/// The other ends of the channels of `DirectMessages`.
+#[derive(Debug)]
+pub struct DirectMessagePort {
+    /// Sends a message.
+    pub outgoing: UnboundedSender<DirectMessage>,
+    /// Messages that arrived.
+    pub incoming: UnboundedReceiver<DirectMessage>,
+}
+
+impl DirectMessages {
+    /// Creates both ends.
+    pub fn channel() -> (Self, DirectMessagePort) {
+        let (to_send, outgoing) = unbounded_channel();
+        let (incoming, arrived) = unbounded_channel();
+        (Self { outgoing, incoming }, DirectMessagePort { outgoing: to_send, incoming: arrived })
+    }
+}
--- a/crates/serving/src/discovery.rs
+++ b/crates/serving/src/discovery.rs
@@ -15,6 +15,7 @@
 use yokefall_core::Timestamp;
 use yokefall_types::PlacementBounds;
 
+use crate::direct_messages::DirectMessages;
 use crate::eligibility::{Freshness, ZoneMap};
 use crate::fleet::{run_membership, Identity, Membership, Notices};
 use crate::observer::LoggingObserver;
@@ -48,6 +49,8 @@
     pub is_first_start: bool,
     /// Messages broadcast to all processes.
     pub notices: Notices,
+    /// Messages to and from single processes.
+    pub direct_messages: DirectMessages,
     /// Clock for probes and for state received from peers.
     pub clock: ElapsedClock,
     /// Region of each zone.
@@ -98,6 +101,7 @@
         exchange_port,
         leaving,
         notices: options.notices,
+        direct_messages: options.direct_messages,
         clock: options.clock,
     }));
     tokio::task::spawn_local(report_freshness(options.freshness));
--- a/crates/serving/src/eligibility/mod.rs
+++ b/crates/serving/src/eligibility/mod.rs
@@ -34,7 +34,7 @@
 
 use crate::backend_table::BackendTable;
 use crate::catalog::{Catalog, CatalogCell};
-use crate::model::{Backend, BackendIncarnation, BackendState};
+use crate::model::{Backend, BackendIncarnation, BackendState, SoftwareVersion};
 
 /// Why a back end may not be sent a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,6 +51,8 @@
     EvacuationsUnknown,
     /// The request may not be served in the back end's region.
     OtherRegion,
+    /// The request continues output of another software version.
+    OtherSoftwareVersion,
     /// The back end is not known to be warm, and this process has used up its quota.
     Cold {
         /// Milliseconds until this process may send it a request, as far as known.
@@ -68,6 +70,7 @@
             Ineligible::Evacuated => "evacuated",
             Ineligible::EvacuationsUnknown => "evacuations-unknown",
             Ineligible::OtherRegion => "other-region",
+            Ineligible::OtherSoftwareVersion => "other-software-version",
             Ineligible::Cold { .. } => "cold",
         }
     }
@@ -100,6 +103,9 @@
             Ineligible::OtherRegion => {
                 formatter.write_str("the request must stay in other regions")
             }
+            Ineligible::OtherSoftwareVersion => {
+                formatter.write_str("the request continues output of another software version")
+            }
             Ineligible::Cold { wait_ms } => {
                 write!(formatter, "it is cold, and has its share for {wait_ms} ms")
             }
@@ -114,6 +120,14 @@
     pub service: &'a str,
     /// Regions in which it may be served.
     pub residency: &'a Residency,
+    /// Software version whose output it continues; `None` if it continues none.
+    pub software_version: Option<&'a SoftwareVersion>,
+}
+
+impl Requirements<'_> {
+    fn allows_software_version(&self, backend: &Backend) -> bool {
+        self.software_version.is_none_or(|version| version.fits(&backend.software_version))
+    }
 }
 
 /// Permission to send one request to a back end now.
@@ -177,7 +191,8 @@
     }
 
     /// A random sample of many candidates, with those preferred by `affinity`; `None` if there are
-    /// few enough to look at all, or if this process may send to none of the sampled ones.
+    /// few enough to look at all, if this process may send to none of the sampled ones, or if a
+    /// software version is required, which few of them may have.
     pub fn sample(
         &self,
         catalog: &Catalog,
@@ -185,6 +200,9 @@
         affinity: Option<u64>,
         generator: &mut impl Rng,
     ) -> Option<CandidateSample> {
+        if requirements.software_version.is_some() {
+            return None;
+        }
         let sample = CandidateSample::of(&self.tables(catalog, requirements), affinity, generator)?;
         let Some(cold) = &self.cold else { return Some(sample) };
         let sample = sample.filtered(|backends| cold.permitted(requirements.service, backends));
@@ -199,6 +217,9 @@
         usable: impl Fn(&str) -> bool,
         generator: &mut impl Rng,
     ) -> Option<CandidateSample> {
+        if requirements.software_version.is_some() {
+            return None;
+        }
         let sample = CandidateSample::of(&self.tables(catalog, requirements), None, generator)?;
         let Some(cold) = &self.cold else { return Some(sample) };
         let sample = sample.filtered(|backends| {
@@ -254,16 +275,28 @@
         cold.wait_ms(&self.allowed_by_placement(catalog, requirements))
     }
 
-    /// Ready back ends in the regions where the request may be served.
+    /// Ready back ends in the regions where the request may be served, of the required software
+    /// version.
     fn allowed_by_placement<'a>(
         &self,
         catalog: &'a Catalog,
         requirements: &Requirements,
     ) -> Cow<'a, [Arc<Backend>]> {
-        match requirements.residency {
+        let in_regions = match requirements.residency {
             Residency::Anywhere => Cow::Borrowed(catalog.ready(requirements.service)),
             Residency::Within(regions) => catalog.ready_within(requirements.service, regions),
+        };
+        if requirements.software_version.is_none() {
+            return in_regions;
         }
+        let mut fitting = in_regions.into_owned();
+        fitting.retain(|backend| requirements.allows_software_version(backend));
+        Cow::Owned(fitting)
+    }
+
+    /// Whether any back end may be sent the request, regardless of load and quota.
+    pub fn has_candidates(&self, catalog: &Catalog, requirements: &Requirements) -> bool {
+        !self.allowed_by_placement(catalog, requirements).is_empty()
     }
 
     /// Permission to send a request to a back end now, by the latest catalog. Must be requested
@@ -311,6 +344,9 @@
         if !requirements.residency.allows(catalog.zones.region_of(&known.zone)) {
             return Err(Ineligible::OtherRegion);
         }
+        if !requirements.allows_software_version(known) {
+            return Err(Ineligible::OtherSoftwareVersion);
+        }
         Ok(())
     }
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -17,6 +17,7 @@
 };
 use yokefall_core::Timestamp;
 
+use crate::direct_messages::{DirectMessage, DirectMessages, Envelope};
 use crate::known_processes::{KnownProcesses, ProcessHistory};
 use crate::lateness::Lateness;
 use crate::peer_sync::{PeerSync, StateDigest};
@@ -133,6 +134,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Messages broadcast to all members.
     pub notices: Notices,
+    /// Messages to and from single members.
+    pub direct_messages: DirectMessages,
     /// Clock for probes and for state received from peers.
     pub clock: ElapsedClock,
 }
@@ -178,6 +181,7 @@
         ..
     } = parameters;
     let Notices { mut outgoing, incoming } = parameters.notices;
+    let mut direct = parameters.direct_messages;
     let (name, zone) = (identity.name.clone(), identity.zone.clone());
     let own_address = identity.address;
     let first_seeds = to_strings(&seeds.borrow_and_update());
@@ -246,7 +250,11 @@
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, source)) = received {
                     let now = clock.now();
-                    if let Ok(datagram) = borsh::from_slice::<Datagram>(&buffer[..length]) {
+                    if let Some(envelope) = Envelope::decode(&buffer[..length]) {
+                        stall_detector.record_wakeup(now);
+                        // Sending fails only where nothing reads such messages.
+                        let _ = direct.incoming.send(DirectMessage { peer: source, envelope });
+                    } else if let Ok(datagram) = borsh::from_slice::<Datagram>(&buffer[..length]) {
                         stall_detector.record_wakeup(now);
                         let is_in_own_zone = members.is_in_own_zone(&datagram.from);
                         process_state(&peer_sync, now, &datagram, source, is_in_own_zone);
@@ -273,6 +281,10 @@
             }
             () = peer_sync.changed() => {}
             Some(notice) = outgoing.recv() => send(&socket, members.notify_all(&notice)).await,
+            Some(message) = direct.outgoing.recv() => {
+                // A message that cannot be sent counts as lost.
+                let _ = socket.send_to(&message.envelope.encode(), message.peer).await;
+            }
             changed = seeds.changed(), if seeds_may_change => {
                 seeds_may_change = changed.is_ok();
                 if seeds_may_change {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub(crate) mod catalog_lists;
 pub mod dialect;
+pub mod direct_messages;
 pub mod discovery;
 pub mod eligibility;
 pub mod fleet;
@@ -33,6 +34,7 @@
 pub mod stall_detector;
 pub(crate) mod state_digest;
 pub mod state_exchange;
+pub mod state_sections;
 pub mod table;
 pub mod watch;
 pub mod watch_role;
@@ -54,7 +56,7 @@
 pub use known_processes::KnownProcesses;
 pub use model::{
     Backend, BackendIncarnation, BackendState, BatchPolicy, Configuration, Evacuation,
-    RequestLimits, Route, RouteKind, Service, SplitPart, WarmUp,
+    RequestLimits, Route, RouteKind, Service, SoftwareVersion, SplitPart, WarmUp,
 };
 pub use outcomes::Outcomes;
 pub use source::{
--- a/crates/serving/src/model.rs
+++ b/crates/serving/src/model.rs
@@ -1,6 +1,8 @@
 //! Configuration and back ends in terms of the product, independent of the platform.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use yokefall_types::Tenant;
@@ -148,6 +150,48 @@
     Draining,
 }
 
+/// Version of the software of a back end. Output of two versions does not fit together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub enum SoftwareVersion {
+    /// Not known here: a process of an older build passed the record on.
+    #[default]
+    Unknown,
+    /// The record names none; such back ends of a service are taken to be of one version.
+    Unnamed,
+    /// The version that the record names.
+    Named(Arc<str>),
+}
+
+impl SoftwareVersion {
+    /// The version that a record names; `None` or an empty name for none.
+    pub fn of_record(name: Option<&str>) -> Self {
+        match name {
+            None | Some("") => SoftwareVersion::Unnamed,
+            Some(name) => SoftwareVersion::Named(name.into()),
+        }
+    }
+
+    /// Whether the version is known.
+    pub fn is_known(&self) -> bool {
+        *self != SoftwareVersion::Unknown
+    }
+
+    /// Whether output of both versions fits together. Nothing fits to what is not known.
+    pub fn fits(&self, other: &SoftwareVersion) -> bool {
+        self.is_known() && self == other
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            SoftwareVersion::Unknown => "unknown",
+            SoftwareVersion::Unnamed => "unnamed",
+            SoftwareVersion::Named(name) => name,
+        })
+    }
+}
+
 /// One process that runs a service.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Backend {
@@ -168,6 +212,10 @@
     pub state: BackendState,
     /// Remaining time for which it is cold when the record was written, in milliseconds.
     pub cold_remaining_ms: u64,
+    /// Version of its software. Not part of the encoded form, which older builds read as well;
+    /// `state_exchange` passes it on beside the record.
+    #[borsh(skip)]
+    pub software_version: SoftwareVersion,
 }
 
 impl Backend {
@@ -197,6 +245,13 @@
     fn started_ms(&self) -> u64 {
         self.started_ms
     }
+
+    /// The software version of an incarnation does not change, and older builds do not pass it on.
+    fn complete_from(&mut self, other: &Self) {
+        if !self.software_version.is_known() && self.started_ms == other.started_ms {
+            self.software_version = other.software_version.clone();
+        }
+    }
 }
 
 impl Incarnated for Evacuation {
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -20,6 +20,10 @@
     fn supersedes(&self, other: &Self) -> bool {
         other.started_ms() > 0 && self.started_ms() > other.started_ms()
     }
+
+    /// Takes over what this record lacks and `other`, a record of the same name, tells of the same
+    /// incarnation.
+    fn complete_from(&mut self, _other: &Self) {}
 }
 
 /// An object before and after a change; `None` where it did not exist.
@@ -58,7 +62,7 @@
     }
 }
 
-impl<T: Incarnated + PartialEq> Objects<T> {
+impl<T: Incarnated + PartialEq + Clone> Objects<T> {
     /// Replaces all objects and returns the changes; `None` if the list is older than the state.
     pub fn replace(&mut self, listing: Listing<T>) -> Option<Vec<ObjectChange<T>>> {
         if listing.revision < self.revision {
@@ -72,8 +76,11 @@
         self.order.clear();
         let mut changed = Vec::new();
         for item in listing.items {
-            let Some(value) = item.value else { continue };
+            let Some(mut value) = item.value else { continue };
             let held = before.remove(&item.name);
+            if let Some((_, held)) = &held {
+                value.complete_from(held);
+            }
             let stays = |(revision, held): &&(Revision, Arc<T>)| {
                 held.supersedes(&value) || (*revision == item.revision && **held == value)
             };
@@ -168,10 +175,12 @@
                 self.record_removal(change.name, revision);
                 Some(ObjectChange { before: Some(before), after: None })
             }
-            Some(value) => {
-                let stays = |held: &(Revision, Arc<T>)| is_newer(held, change.revision, &value);
-                if self.held.get(&change.name).is_some_and(stays) {
-                    return None;
+            Some(mut value) => {
+                if let Some(held) = self.held.get(&change.name) {
+                    if is_newer(held, change.revision, &value) {
+                        return self.complete_one(change.name, &value);
+                    }
+                    value.complete_from(&held.1);
                 }
                 let value = Arc::new(value);
                 let before = self.insert(change.name, change.revision, value.clone());
@@ -180,6 +189,29 @@
         }
     }
 
+    /// Completes records that are held, of whatever revision, and returns those that changed.
+    pub fn complete<'a>(
+        &mut self,
+        records: impl Iterator<Item = (&'a str, &'a T)>,
+    ) -> Vec<ObjectChange<T>>
+    where
+        T: 'a,
+    {
+        records.filter_map(|(name, record)| self.complete_one(name.to_owned(), record)).collect()
+    }
+
+    fn complete_one(&mut self, name: String, record: &T) -> Option<ObjectChange<T>> {
+        let (revision, held) = self.held.get(&name)?;
+        let (revision, mut completed) = (*revision, T::clone(held));
+        completed.complete_from(record);
+        if completed == **held {
+            return None;
+        }
+        let completed = Arc::new(completed);
+        let before = self.insert(name, revision, completed.clone());
+        Some(ObjectChange { before, after: Some(completed) })
+    }
+
     /// Raises the revision because another process holds the same objects at a higher one.
     pub fn confirm(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
--- a/crates/serving/src/peer_sync.rs
+++ b/crates/serving/src/peer_sync.rs
@@ -35,6 +35,10 @@
     EXCHANGE_INTERVAL_PER_MEMBER.saturating_mul(members).min(MAX_EXCHANGE_INTERVAL)
 }
 
+/// Minimum interval between requests of the whole list for software versions that are not known. A
+/// list of 10,000 back ends takes 1.3 MB, and only peers of newer builds tell versions.
+const VERSIONS_INTERVAL: Duration = Duration::from_millis(3_000);
+
 /// A peer that is ahead.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
@@ -51,6 +55,8 @@
     /// When back ends may be requested again.
     next_at: Instant,
     interval: Duration,
+    /// When software versions may be requested again.
+    versions_at: Instant,
 }
 
 /// Which kinds of objects this process reads from the platform's store.
@@ -127,6 +133,7 @@
                 last_failed: false,
                 next_at: Instant::now(),
                 interval: Duration::ZERO,
+                versions_at: Instant::now(),
             }),
             urgent: Notify::new(),
             election: RefCell::new(election),
@@ -188,6 +195,7 @@
             self.election.borrow_mut().record_peer_with_backends(now);
         }
         if !own.should_fetch_from(known) {
+            self.request_versions_from(peer);
             return;
         }
         if peer.address.port() > 0 {
@@ -198,6 +206,28 @@
         }
     }
 
+    /// Requests the software versions of back ends, whose records are known, if any is lacking. The
+    /// peer may be of an older build: the next one is asked after a while.
+    fn request_versions_from(self: &Rc<Self>, peer: Peer) {
+        let now = Instant::now();
+        let lacks_versions = self.platform_state.borrow().lacks_software_versions();
+        let has_all = peer.known.backends_revision > 0 && peer.address.port() > 0;
+        let mut exchanges = self.exchanges.borrow_mut();
+        if !lacks_versions || !has_all || now < exchanges.versions_at {
+            return;
+        }
+        exchanges.versions_at = now + VERSIONS_INTERVAL;
+        let sync = self.clone();
+        tokio::task::spawn_local(async move {
+            let request = StateRequest { known: sync.digest(), whole: true };
+            let response = fetch(peer.address, request).await;
+            count_exchange(&response);
+            if let Ok(response) = response {
+                (sync.apply_response)(response);
+            }
+        });
+    }
+
     /// Requests state from a peer, or after the exchange in progress if the peer is still ahead.
     fn request_from(self: &Rc<Self>, peer: Peer) {
         let mut exchanges = self.exchanges.borrow_mut();
--- a/crates/serving/src/platform_state.rs
+++ b/crates/serving/src/platform_state.rs
@@ -43,6 +43,8 @@
     watches_evacuations: bool,
     zones: Arc<ZoneMap>,
     backends_digest: u64,
+    /// Number of back ends whose software version is not known.
+    unknown_versions: usize,
     pub(crate) cell: CatalogCell,
     changed: Rc<Notify>,
     /// Kinds of objects whose last call to the store succeeded.
@@ -89,6 +91,7 @@
             watches_evacuations: options.evacuations,
             zones,
             backends_digest: 0,
+            unknown_versions: 0,
             cell,
             changed: Rc::default(),
             reachable_kinds: BTreeSet::new(),
@@ -319,6 +322,23 @@
         self.backends.revision() != revision || self.backends_digest == peer.backends_digest
     }
 
+    /// Whether the software version of any back end is not known: the processes that passed its
+    /// record on are of an older build.
+    pub fn lacks_software_versions(&self) -> bool {
+        self.unknown_versions > 0
+    }
+
+    /// Takes over software versions that a peer tells of back ends known here.
+    pub fn complete_software_versions(&mut self, told: &[VersionedBackend]) {
+        if self.lacks_software_versions() {
+            let records = told.iter().map(|change| (change.name.as_str(), &change.backend));
+            let changed = self.backends.complete(records);
+            if !changed.is_empty() {
+                self.publish_backends(&changed);
+            }
+        }
+    }
+
     /// Adds a subset or page of back ends until the whole list is known; true if any was new.
     pub fn apply_subset(&mut self, changes: Vec<Change<Backend>>) -> bool {
         if self.backends.revision() > 0 {
@@ -348,6 +368,11 @@
         let before = sum(&mut changes.iter().filter_map(|change| change.before.as_ref()));
         let after = sum(&mut changes.iter().filter_map(|change| change.after.as_ref()));
         self.backends_digest = self.backends_digest.wrapping_sub(before).wrapping_add(after);
+        let is_unknown = |backend: &&Arc<Backend>| !backend.software_version.is_known();
+        let before = changes.iter().filter_map(|change| change.before.as_ref());
+        let after = changes.iter().filter_map(|change| change.after.as_ref());
+        self.unknown_versions += after.filter(is_unknown).count();
+        self.unknown_versions -= before.filter(is_unknown).count();
         let mut catalog = Catalog::clone(&self.cell.load()).with_changes(changes);
         catalog.is_partial = self.backends.revision() == 0;
         self.publish(catalog);
--- a/crates/serving/src/shared_state.rs
+++ b/crates/serving/src/shared_state.rs
@@ -77,6 +77,7 @@
                 held.replace(listing);
             });
         }
+        self.platform_state.borrow_mut().complete_software_versions(&response.backends.changed);
         if response.known.backends_revision == 0 {
             // The peer sent only a subset, or has no complete list itself.
             self.apply_subset(response.backends.changed.into_iter().map(Change::from).collect());
--- a/crates/serving/src/state_exchange.rs
+++ b/crates/serving/src/state_exchange.rs
@@ -16,6 +16,7 @@
 use crate::model::{Backend, Configuration, Evacuation};
 use crate::peer_sync::StateDigest;
 use crate::source::{Change, Revision};
+use crate::state_sections;
 
 /// Timeout of an exchange: twice what the largest concurrent responses take at 30 Mbit/s.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -27,7 +28,7 @@
 /// together, and no peer would receive one in time.
 const MAX_IN_FLIGHT_BYTES: usize = 2_700_000;
 /// Size of one back end in a response, with the longest names in use.
-const BACKEND_BYTES: usize = 130;
+const BACKEND_BYTES: usize = 134;
 /// Maximum message size in bytes: a configuration of 1 MB, the store's limit, and 10,000 back ends.
 const MAX_MESSAGE_BYTES: u32 = 4 * 1024 * 1024;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -130,8 +131,11 @@
     };
     let exchange = async {
         let mut stream = TcpStream::connect(peer).await.map_err(failed("connect"))?;
+        let request = state_sections::requesting_sections(request);
+        let request = borsh::to_vec(&request).map_err(failed("encode request"))?;
         send(&mut stream, &request).await.map_err(failed("send request"))?;
-        receive(&mut stream).await.map_err(failed("read answer"))
+        let response = receive(&mut stream).await.map_err(failed("read answer"))?;
+        state_sections::decode(&response).map_err(failed("decode answer"))
     };
     match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
         Ok(result) => result,
@@ -208,11 +212,13 @@
     budget: Rc<ResponseBudget>,
 ) {
     let exchange = async {
-        let request: StateRequest = receive(&mut stream).await?;
+        let request: StateRequest = borsh::from_slice(&receive(&mut stream).await?)?;
         let Some(reservation) = budget.reserve(provider.response_backends(&request)) else {
             return Ok(());
         };
-        let sent = send(&mut stream, &provider.answer(&request)).await;
+        let with_sections = state_sections::requests_sections(&request);
+        let response = state_sections::encode(&provider.answer(&request), with_sections)?;
+        let sent = send(&mut stream, &response).await;
         // The peer has received the data when it closes; the write only fills kernel buffers.
         let _ = stream.read(&mut [0]).await;
         drop(reservation);
@@ -222,22 +228,21 @@
     let _: Result<std::io::Result<()>, _> = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
 }
 
-async fn send(stream: &mut TcpStream, message: &impl BorshSerialize) -> std::io::Result<()> {
-    let body = borsh::to_vec(message)?;
-    let length = u32::try_from(body.len()).map_err(std::io::Error::other)?;
+async fn send(stream: &mut TcpStream, message: &[u8]) -> std::io::Result<()> {
+    let length = u32::try_from(message.len()).map_err(std::io::Error::other)?;
     let mut bytes = length.to_be_bytes().to_vec();
-    bytes.extend(body);
+    bytes.extend(message);
     stream.write_all(&bytes).await
 }
 
-async fn receive<T: BorshDeserialize>(stream: &mut TcpStream) -> std::io::Result<T> {
+async fn receive(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
     let length = stream.read_u32().await?;
     if length > MAX_MESSAGE_BYTES {
         return Err(std::io::Error::other(format!(
             "message of {length} bytes exceeds the limit of {MAX_MESSAGE_BYTES}"
         )));
     }
-    let mut body = vec![0; length as usize];
-    stream.read_exact(&mut body).await?;
-    borsh::from_slice(&body)
+    let mut message = vec![0; length as usize];
+    stream.read_exact(&mut message).await?;
+    Ok(message)
 }
--- a/crates/serving/tests/backend_table.rs
+++ b/crates/serving/tests/backend_table.rs
@@ -20,6 +20,7 @@
         slots: 1 + index as u32 % 8,
         state: if incarnation % 5 == 4 { BackendState::Draining } else { BackendState::Ready },
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     })
 }
 
--- a/crates/serving/tests/balance.rs
+++ b/crates/serving/tests/balance.rs
@@ -19,6 +19,7 @@
         slots: 10,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     };
     (0..count).map(|index| Arc::new(backend(index))).collect()
 }
--- a/crates/serving/tests/cold_start.rs
+++ b/crates/serving/tests/cold_start.rs
@@ -130,6 +130,7 @@
         slots: 8,
         state: BackendState::Ready,
         cold_remaining_ms,
+        software_version: Default::default(),
     })
 }
 
--- a/crates/serving/tests/cold_world/platform_store.rs
+++ b/crates/serving/tests/cold_world/platform_store.rs
@@ -42,6 +42,7 @@
             slots: 8,
             state: BackendState::Ready,
             cold_remaining_ms: back_end.cold_until.saturating_sub(now),
+            software_version: Default::default(),
         };
         self.records.insert(back_end.number, Arc::new(record));
     }
--- a/crates/serving/tests/distance.rs
+++ b/crates/serving/tests/distance.rs
@@ -31,6 +31,7 @@
         slots: SLOTS,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     };
     ["north-a", "north-b", "south-a"].map(|zone| Arc::new(backend(zone))).to_vec()
 }
--- a/crates/serving/tests/eligibility.rs
+++ b/crates/serving/tests/eligibility.rs
@@ -5,7 +5,7 @@
 
 use yokefall_serving::{
     empty_catalog, Backend, BackendState, Catalog, CatalogCell, Eligibility, Ineligible,
-    Requirements, Residency, ZoneMap, ZoneState,
+    Requirements, Residency, SoftwareVersion, ZoneMap, ZoneState,
 };
 
 const SERVICE: &str = "models";
@@ -20,6 +20,7 @@
         slots: 8,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     }
 }
 
@@ -42,14 +43,14 @@
 
 fn candidates(cell: &CatalogCell, residency: &Residency) -> BTreeSet<String> {
     let eligibility = Eligibility::new(cell.clone());
-    let requirements = Requirements { service: SERVICE, residency };
+    let requirements = Requirements { service: SERVICE, residency, software_version: None };
     let catalog = cell.load_full();
     let candidates = eligibility.candidates(&catalog, &requirements);
     candidates.iter().map(|backend| backend.id.clone()).collect()
 }
 
 fn rejection(cell: &CatalogCell, backend: &Backend, residency: &Residency) -> Option<Ineligible> {
-    let requirements = Requirements { service: SERVICE, residency };
+    let requirements = Requirements { service: SERVICE, residency, software_version: None };
     Eligibility::new(cell.clone()).permit(backend, &requirements).err()
 }
 
@@ -110,3 +111,45 @@
     publish(&cell, &[], &[]);
     assert_eq!(rejection(&cell, &chosen, &Residency::Anywhere), Some(Ineligible::Unknown));
 }
+
+#[test]
+fn a_request_that_continues_output_gets_only_back_ends_of_its_software_version() {
+    let cell = empty_catalog();
+    let version = |name: &str| SoftwareVersion::of_record(Some(name));
+    let of = |id: &str, software_version| Backend { software_version, ..backend(id, "a-1") };
+    let all = [
+        of("1", version("v1")),
+        of("2", version("v2")),
+        of("3", SoftwareVersion::Unnamed),
+        of("4", SoftwareVersion::Unknown),
+    ];
+    publish(&cell, &all, &[]);
+    let residency = Residency::Anywhere;
+    let eligible = |software_version: &SoftwareVersion| {
+        let software_version = Some(software_version);
+        let requirements =
+            Requirements { service: SERVICE, residency: &residency, software_version };
+        let eligibility = Eligibility::new(cell.clone());
+        let catalog = cell.load_full();
+        let candidates = eligibility.candidates(&catalog, &requirements);
+        let permitted = |backend: &&Backend| match eligibility.permit(backend, &requirements) {
+            Ok(_) => true,
+            Err(cause) => {
+                assert_eq!(cause, Ineligible::OtherSoftwareVersion);
+                false
+            }
+        };
+        let permitted: BTreeSet<String> =
+            all.iter().filter(permitted).map(|backend| backend.id.clone()).collect();
+        assert_eq!(eligibility.has_candidates(&catalog, &requirements), !permitted.is_empty());
+        assert_eq!(
+            candidates.iter().map(|backend| backend.id.clone()).collect::<BTreeSet<_>>(),
+            permitted
+        );
+        permitted
+    };
+    assert_eq!(eligible(&version("v1")), names(&["1"]));
+    assert_eq!(eligible(&version("v3")), names(&[]));
+    assert_eq!(eligible(&SoftwareVersion::Unnamed), names(&["3"]));
+    assert_eq!(eligible(&SoftwareVersion::Unknown), names(&[]));
+}
--- a/crates/serving/tests/eligibility_cost.rs
+++ b/crates/serving/tests/eligibility_cost.rs
@@ -29,6 +29,7 @@
             slots: 8,
             state: BackendState::Ready,
             cold_remaining_ms: 0,
+            software_version: Default::default(),
         })
     };
     let backends: Vec<Arc<Backend>> = (0..count).map(backend).collect();
@@ -60,12 +61,17 @@
         let chosen = catalog.ready("models")[count / 2].clone();
         let mut figures = Vec::new();
         for residency in [Residency::Anywhere, within(1), within(2)] {
-            let requirements = Requirements { service: "models", residency: &residency };
+            let requirements =
+                Requirements { service: "models", residency: &residency, software_version: None };
             figures.push(nanoseconds(|| {
                 black_box(eligibility.candidates(&catalog, &requirements).len());
             }));
         }
-        let requirements = Requirements { service: "models", residency: &Residency::Anywhere };
+        let requirements = Requirements {
+            service: "models",
+            residency: &Residency::Anywhere,
+            software_version: None,
+        };
         let permit = nanoseconds(|| drop(black_box(eligibility.permit(&chosen, &requirements))));
         let ready = nanoseconds(|| {
             black_box(catalog.is_ready(&chosen.id));
--- a/crates/serving/tests/fleet_cost.rs
+++ b/crates/serving/tests/fleet_cost.rs
@@ -34,6 +34,7 @@
         slots: 8,
         state,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     }
 }
 
@@ -91,7 +92,11 @@
             black_box(balancer.choose(NOW, all, &[], None));
         });
         let eligibility = Eligibility::new(process.cell.clone());
-        let requirements = Requirements { service: "models", residency: &Residency::Anywhere };
+        let requirements = Requirements {
+            service: "models",
+            residency: &Residency::Anywhere,
+            software_version: None,
+        };
         let chosen_from_sample = mean(|_| {
             let sample = eligibility.sample(&catalog, &requirements, Some(7), balancer.generator());
             black_box(sample.and_then(|sample| balancer.choose_from_sample(NOW, &sample, &[])));
--- a/crates/serving/tests/locality.rs
+++ b/crates/serving/tests/locality.rs
@@ -38,6 +38,7 @@
         slots: 6,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     };
     let both = |region| [0, 1].map(|index| Arc::new(backend(region, index)));
     REGIONS.iter().flat_map(both).collect()
--- a/crates/serving/tests/sample.rs
+++ b/crates/serving/tests/sample.rs
@@ -24,6 +24,7 @@
         slots: SLOTS,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     };
     (0..count).map(|index| Arc::new(backend(index))).collect()
 }
@@ -113,7 +114,8 @@
     cell.store(Arc::new(Catalog::new(None, all.iter())));
     let catalog = cell.load_full();
     let eligibility = Eligibility::new(cell.clone());
-    let requirements = Requirements { service: "models", residency: &Residency::Anywhere };
+    let requirements =
+        Requirements { service: "models", residency: &Residency::Anywhere, software_version: None };
     let mut balancer = balancer(1);
     for backend in &all[1..] {
         balancer.record_start(backend);
--- a/crates/serving/tests/state_exchange.rs
+++ b/crates/serving/tests/state_exchange.rs
@@ -68,6 +68,7 @@
         slots: 8,
         state,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     }
 }
 
--- a/crates/serving/tests/water_filling.rs
+++ b/crates/serving/tests/water_filling.rs
@@ -55,6 +55,7 @@
         slots: SLOTS,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     };
     (0..BACK_ENDS).map(|index| Arc::new(back_end(index))).collect()
 }
--- a/crates/standalone/src/catalog.rs
+++ b/crates/standalone/src/catalog.rs
@@ -9,8 +9,8 @@
 use yokefall_serving::source::Revision;
 use yokefall_serving::{
     Backend, BackendState, BatchPolicy, Change, Configuration, Evacuation, KeyDigest, ListPage,
-    RateLimit, RequestLimits, Retirement, Route, RouteKind, Service, Source, SourceError,
-    SplitPart, Tenant, TenantName, WatchResponse,
+    RateLimit, RequestLimits, Retirement, Route, RouteKind, Service, SoftwareVersion, Source,
+    SourceError, SplitPart, Tenant, TenantName, WatchResponse,
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -126,6 +126,9 @@
     /// Whether it receives no new requests.
     #[serde(default)]
     pub draining: bool,
+    /// Version of its software, if those of the service differ: a stream that breaks off continues
+    /// only at the version that began it.
+    pub software_version: Option<String>,
 }
 
 fn default_timeout_ms() -> u64 {
@@ -224,6 +227,7 @@
             slots: entry.slots,
             state,
             cold_remaining_ms: 0,
+            software_version: SoftwareVersion::of_record(entry.software_version.as_deref()),
         };
         (entry.id.clone(), backend)
     };
--- a/crates/standalone/src/dialect.rs
+++ b/crates/standalone/src/dialect.rs
@@ -24,6 +24,7 @@
             deadline_ms: HeaderName::from_static("yokefall-deadline-ms"),
             prefix: HeaderName::from_static("yokefall-prefix"),
             resume_after: HeaderName::from_static("last-event-id"),
+            continued_attempt: HeaderName::from_static("yokefall-continued-request"),
             signature: HeaderName::from_static("yokefall-request"),
             expected_backend: HeaderName::from_static("yokefall-backend"),
             load: HeaderName::from_static("yokefall-load"),
--- a/crates/suspects/tests/registry.rs
+++ b/crates/suspects/tests/registry.rs
@@ -33,6 +33,7 @@
         slots: 8,
         state: BackendState::Ready,
         cold_remaining_ms: 0,
+        software_version: Default::default(),
     }
 }
 
