Items continue only at the software version that began them

What callers saw, by a test: a result stored as complete with two events of one version and four of another (an_item_starts_again_if_no_back_end_of_its_software_version_is_left, red on: "from v1 from v1 piece 3 ...").

Change: the leader keeps the output of an interrupted item with its version, and the whole text enters the log with the result, in the forms that both builds know. The item waits up to 1 s for a slot at its version, then starts again at another one.

Kept: a result that two versions wrote is stored for good.

--- a/crates/jobstore/src/abandon.rs
+++ b/crates/jobstore/src/abandon.rs
@@ -13,24 +13,7 @@
 const MAX_UNPROCESSABLE_NOTICES: u32 = 10;
 const UNPROCESSABLE_NOTICE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Number of checks whether proposed output has been applied, and the interval between them.
-const MAX_APPLY_POLLS: u32 = 50;
-const APPLY_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 impl Store {
-    /// Waits until an item's output up to `event` is applied on this replica, or no longer can be.
-    pub async fn wait_until_applied(&self, job: &str, item: u32, event: u64) {
-        for _ in 0..MAX_APPLY_POLLS {
-            let applied = self.with_job(job, |job| {
-                job.open.get(&item).is_none_or(|open| open.partial.last_event >= event)
-            });
-            if applied != Some(false) || !self.is_leader() {
-                return;
-            }
-            tokio::time::sleep(APPLY_POLL_INTERVAL).await;
-        }
-    }
-
     /// Abandons an item. Returns once this is committed, or leadership is lost.
     pub async fn abandon(&self, job: &str, item: u32) -> Result<(), ProposeError> {
         self.propose(&abandonment(job, item)).await
--- a/crates/jobstore/src/capacity.rs
+++ b/crates/jobstore/src/capacity.rs
@@ -111,6 +111,25 @@
         Some(backend)
     }
 
+    /// Like `choose`, among the back ends that a function selects.
+    pub fn choose_where(
+        &mut self,
+        balancer: &mut Balancer,
+        now: Timestamp,
+        is_selected: impl Fn(&Backend) -> bool,
+    ) -> Option<Arc<Backend>> {
+        let selected: Vec<Arc<Backend>> =
+            self.backends.iter().filter(|backend| is_selected(backend)).cloned().collect();
+        let backend = balancer.choose(now, &selected, &[], None)?;
+        self.capacity.free = self.capacity.free.saturating_sub(1);
+        Some(backend)
+    }
+
+    /// Whether a function selects any back end with a free slot.
+    pub fn has_any(&self, is_selected: impl Fn(&Backend) -> bool) -> bool {
+        self.backends.iter().any(|backend| is_selected(backend))
+    }
+
     /// Removes a back end that has no free slot left.
     pub fn remove(&mut self, id: &str) {
         self.backends.retain(|backend| backend.id != id);
--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -7,17 +7,18 @@
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use yokefall_serving::{Backend, ItemState, JobItem, Permit};
+use yokefall_serving::{Backend, ItemState, JobItem, Permit, SoftwareVersion};
 use yokefall_telemetry::{EventName, LogLine};
 use yokefall_upstream::BackendSlot;
 
 use crate::delegation::preemption;
 use crate::item_worker::ItemWorker;
+use crate::partial_output::PartialOutput;
 use crate::preemption::Phase;
 use crate::protocol::RunRequest;
 use crate::run::{item_digest, ItemSender, PermitDenied, Progress, RunEnd};
 use crate::runner::Runner;
-use crate::running::{take_output, CountedItem, ItemKey, Running};
+use crate::running::{CountedItem, ItemKey, Running};
 use crate::state::{Command, Run};
 
 const RETRY_BACKOFF: Duration = Duration::from_millis(150);
@@ -32,15 +33,20 @@
 
 impl Runner {
     pub(crate) fn start(self: &Rc<Self>, key: ItemKey, backend: Arc<Backend>, worker: ItemWorker) {
-        let Some(Some((sender, item, partial))) = self.store.with_job(&key.0, |job| {
+        let Some(Some((sender, item, logged))) = self.store.with_job(&key.0, |job| {
             let open = job.open.get(&key.1)?;
             let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
             Some((sender, open.item.clone(), open.partial.last_event))
         }) else {
             return;
         };
-        let run = Run { number: rand::random(), resume_after: partial };
-        let progress = Progress { run, committed_event: partial, last_event: partial, text: None };
+        let run = Run { number: rand::random(), resume_after: logged };
+        let mut progress =
+            Progress { run, committed_event: logged, last_event: logged, text: None };
+        // Output in the log, by a leader of an older build, cannot be replaced.
+        if let Some(output) = self.partial_outputs.take_fitting(&key, &backend) {
+            progress.extend(output.last_event, Some(output.text));
+        }
         let progress = Rc::new(RefCell::new(progress));
         let slot = self.worker.balancer.take(backend.clone());
         let preempted = Rc::new(Notify::new());
@@ -72,6 +78,7 @@
             ItemWorker::Other(member) => Some(member),
         };
         let incarnation = slot.backend.incarnation();
+        let software_version = slot.backend.software_version.clone();
         LogLine::new(EventName::ItemStarted)
             .id(&item.id)
             .text("job", &key.0)
@@ -126,6 +133,9 @@
             estimator.observe(item.tokens, events, events - events_before, began.elapsed());
             self.estimator.set(estimator);
         }
+        if matches!(end, RunEnd::Retry { .. } | RunEnd::ItemFailed) {
+            self.keep_output(&key, &progress, software_version);
+        }
         self.finish(&key, &item, &progress, end).await;
         self.running.borrow_mut().remove(&key);
         self.store.work_changed.notify_one();
@@ -146,6 +156,20 @@
         self.worker.permit(backend, sender, item)
     }
 
+    /// Keeps what the runs of an item have produced for the next one.
+    fn keep_output(
+        &self,
+        key: &ItemKey,
+        progress: &Rc<RefCell<Progress>>,
+        software_version: SoftwareVersion,
+    ) {
+        let mut progress = progress.borrow_mut();
+        let Some(text) = progress.text.take() else { return };
+        let (last_event, interrupted_at) = (progress.last_event, Instant::now());
+        let output = PartialOutput { software_version, last_event, text, interrupted_at };
+        self.partial_outputs.keep(key.clone(), output);
+    }
+
     async fn finish(
         &self,
         key: &ItemKey,
@@ -189,12 +213,6 @@
                     .field("after_event", progress.borrow().last_event)
                     .field("cause", cause)
                     .write();
-                // The next run resumes after the output in the log, so it must be committed first.
-                if let Some(command) = take_output(key, progress) {
-                    let _ = self.store.propose(&command).await;
-                }
-                let committed_event = progress.borrow().committed_event;
-                self.store.wait_until_applied(&key.0, key.1, committed_event).await;
                 if backoff {
                     tokio::time::sleep(RETRY_BACKOFF).await;
                 }
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod item_worker;
 pub mod loads;
 pub mod packed;
+pub mod partial_output;
 pub mod pool_slots;
 pub mod preemption;
 pub mod protocol;
--- /dev/null
+++ b/crates/jobstore/src/partial_output.rs
@@ -0,0 +1,83 @@
+//! Output of items whose run was interrupted, kept by the leader until the next run. It continues
+//! only at the software version that began it; at another one the item starts again.
+//!
+//! The output is not in the log: what is there cannot be taken back once no back end of its version
+//! is left, and the log would join it with the output of another version.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use yokefall_serving::{Backend, SoftwareVersion};
+
+use crate::running::ItemKey;
+
+/// Time for which an item waits for a slot at its software version before it starts again at
+/// another one: preempted slots are free again within a second, and a new run costs several.
+const MAX_WAIT_FOR_VERSION: Duration = Duration::from_millis(1_000);
+
+/// Output of an interrupted run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartialOutput {
+    /// Version of the back ends that produced it.
+    pub software_version: SoftwareVersion,
+    /// Last event in the text.
+    pub last_event: u64,
+    /// Data of the events.
+    pub text: String,
+    /// When the run was interrupted.
+    pub interrupted_at: Instant,
+}
+
+impl PartialOutput {
+    /// Whether a run at a back end may continue it.
+    pub fn fits(&self, backend: &Backend) -> bool {
+        self.software_version.fits(&backend.software_version)
+    }
+
+    /// Whether the item should rather wait than start again at another version.
+    pub fn is_worth_waiting(&self) -> bool {
+        self.interrupted_at.elapsed() < MAX_WAIT_FOR_VERSION
+    }
+}
+
+/// Outputs by item.
+#[derive(Debug, Default)]
+pub struct PartialOutputs {
+    outputs: RefCell<HashMap<ItemKey, PartialOutput>>,
+}
+
+impl PartialOutputs {
+    /// Keeps the output of an interrupted run, unless its version is not known.
+    pub fn keep(&self, key: ItemKey, output: PartialOutput) {
+        if output.software_version.is_known() {
+            self.outputs.borrow_mut().insert(key, output);
+        }
+    }
+
+    /// Takes the output that a run at a back end continues; other output of the item is dropped.
+    pub fn take_fitting(&self, key: &ItemKey, backend: &Backend) -> Option<PartialOutput> {
+        self.outputs.borrow_mut().remove(key).filter(|output| output.fits(backend))
+    }
+
+    /// The last event of an item's output; 0 if there is none.
+    pub fn last_event(&self, key: &ItemKey) -> u64 {
+        self.outputs.borrow().get(key).map_or(0, |output| output.last_event)
+    }
+
+    /// Applies a function to the output of an item.
+    pub fn with<T>(&self, key: &ItemKey, read: impl FnOnce(Option<&PartialOutput>) -> T) -> T {
+        read(self.outputs.borrow().get(key))
+    }
+
+    /// Drops the outputs of items for which `keeps` returns false.
+    pub fn retain(&self, keeps: impl Fn(&ItemKey) -> bool) {
+        self.outputs.borrow_mut().retain(|key, _| keeps(key));
+    }
+
+    /// Drops all outputs.
+    pub fn clear(&self) {
+        self.outputs.borrow_mut().clear();
+    }
+}
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -5,27 +5,29 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use yokefall_serving::{BackendIncarnation, FleetCell, InFlight, Policy};
+use yokefall_serving::{Backend, BackendIncarnation, FleetCell, InFlight, Policy};
 use yokefall_suspects::RequestDigest;
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::backlog::{Backlog, PassStats};
-use crate::capacity::FreeSlots;
+use crate::capacity::{FreeSlots, ServiceSlots};
 use crate::delegation::Delegation;
 use crate::held_items::HeldItems;
+use crate::partial_output::PartialOutputs;
 use crate::preemption::Phase;
 use crate::run::{item_digest, ItemSender};
-use crate::running::{take_output, ItemKey, Running};
+use crate::running::{ItemKey, Running};
 use crate::state::{Command, OpenItem};
 use crate::store::Store;
 use crate::urgency::{DurationEstimator, WaitingItem, WaitingJob};
 use crate::worker::Worker;
 
-/// Interval at which the output of running items is committed.
-const COMMIT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Maximum interval between two passes while there are open jobs.
+const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Minimum interval between two scheduling passes; with few gateways, load reports are as frequent.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(20);
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(500);
@@ -41,6 +43,8 @@
     /// Estimates how long items take.
     pub(crate) estimator: Cell<DurationEstimator>,
     backlog: Backlog,
+    /// Output of items whose run was interrupted.
+    pub(crate) partial_outputs: PartialOutputs,
     /// Items that are held back because back ends crashed while running them.
     held: HeldItems,
     pub(crate) options: RunnerOptions,
@@ -68,7 +72,19 @@
     ) -> Self {
         let (running, estimator) = (RefCell::default(), Cell::default());
         let (backlog, held) = (Backlog::default(), HeldItems::default());
-        Self { store, worker, delegation, fleet, running, estimator, backlog, held, options }
+        let partial_outputs = PartialOutputs::default();
+        Self {
+            store,
+            worker,
+            delegation,
+            fleet,
+            running,
+            estimator,
+            backlog,
+            partial_outputs,
+            held,
+            options,
+        }
     }
 
     /// Waits for leadership, runs items until it is lost, and repeats. Never returns.
@@ -90,10 +106,11 @@
         for (_, running) in self.running.borrow_mut().drain() {
             running.task.abort();
         }
+        // Another leader may complete these items.
+        self.partial_outputs.clear();
     }
 
     async fn lead(self: Rc<Self>) {
-        let mut commit_at = Instant::now() + COMMIT_INTERVAL;
         let mut purge_at = Instant::now() + PURGE_INTERVAL;
         // Items keep running while the leader has no valid lease, but none is started.
         while self.store.is_leader() {
@@ -104,25 +121,21 @@
                 self.start_items();
             }
             let now = Instant::now();
-            if now >= commit_at {
-                self.commit_output();
-                commit_at = now + COMMIT_INTERVAL;
-            }
             if now >= purge_at {
                 self.purge_jobs();
                 purge_at = now + PURGE_INTERVAL;
             }
-            self.wait_for_work(commit_at).await;
+            self.wait_for_work().await;
         }
     }
 
-    async fn wait_for_work(&self, commit_at: Instant) {
+    async fn wait_for_work(&self) {
         // Load is reported many times a second; one pass handles all that arrived in the meantime.
         tokio::time::sleep(MIN_PASS_INTERVAL).await;
         let woken = self.store.work_changed.notified();
         let busy = !self.running.borrow().is_empty() || self.store.has_open_jobs();
-        let until = if busy { commit_at } else { Instant::now() + PURGE_INTERVAL };
-        let _ = tokio::time::timeout_at(until, woken).await;
+        let wait = if busy { BUSY_CHECK_INTERVAL } else { PURGE_INTERVAL };
+        let _ = tokio::time::timeout(wait, woken).await;
     }
 
     /// Stops runs of items that have a result or whose job was ended.
@@ -202,7 +215,9 @@
             let is_waiting =
                 |(index, _): &(&u32, &OpenItem)| !running.contains_key(&(job.id.clone(), **index));
             let remaining = |(index, open): (&u32, &OpenItem)| {
-                let remaining = estimator.remaining(open.item.tokens, open.partial.last_event);
+                let interrupted = self.partial_outputs.last_event(&(job.id.clone(), *index));
+                let last_event = interrupted.max(open.partial.last_event);
+                let remaining = estimator.remaining(open.item.tokens, last_event);
                 WaitingItem { index: *index, remaining }
             };
             stored.open.iter().filter(is_waiting).map(remaining).collect::<Vec<WaitingItem>>()
@@ -220,7 +235,11 @@
             let free = services.of(&pool, || self.free_slots(&pool));
             let may_start =
                 free.startable_items() > 0 && self.running.borrow().len() < self.options.max_runs;
-            let choose = || self.worker.balancer.with(|balancer, now| free.choose(balancer, now));
+            if may_start && self.should_wait_for_version(&key, free) {
+                free.queued += 1;
+                continue;
+            }
+            let choose = || self.choose_backend(&key, free);
             let Some(backend) = may_start.then(choose).flatten() else {
                 free.queued += waiting.len() - started;
                 return;
@@ -240,6 +259,26 @@
         }
     }
 
+    /// Whether the output of an item fits to back ends that have no free slot now, but soon may.
+    fn should_wait_for_version(&self, key: &ItemKey, free: &ServiceSlots) -> bool {
+        self.partial_outputs.with(key, |output| {
+            output.is_some_and(|output| {
+                output.is_worth_waiting() && !free.has_any(|backend| output.fits(backend))
+            })
+        })
+    }
+
+    /// Chooses a back end of the software version that an item's output fits to, or any.
+    fn choose_backend(&self, key: &ItemKey, free: &mut ServiceSlots) -> Option<Arc<Backend>> {
+        self.worker.balancer.with(|balancer, now| {
+            let fitting = self.partial_outputs.with(key, |output| {
+                let output = output?;
+                free.choose_where(balancer, now, |backend| output.fits(backend))
+            });
+            fitting.or_else(|| free.choose(balancer, now))
+        })
+    }
+
     fn digest_of(&self, (job, index): &ItemKey) -> Option<RequestDigest> {
         self.store.with_job(job, |job| {
             let item = job.open.get(index)?.item.clone();
@@ -273,16 +312,6 @@
         self.running.borrow_mut().insert(key, running);
     }
 
-    /// Commits the output of running items, so that another leader can resume them.
-    fn commit_output(&self) {
-        let running = self.running.borrow();
-        let commands: Vec<Command> =
-            running.iter().filter_map(|(key, run)| take_output(key, &run.progress)).collect();
-        if !commands.is_empty() {
-            self.store.propose_detached(&Command::Batch(commands));
-        }
-    }
-
     fn purge_jobs(&self) {
         let mut removals = Vec::new();
         self.store.for_each_job(|id, job, age| {
@@ -293,9 +322,11 @@
         if !removals.is_empty() {
             self.store.propose_detached(&Command::Batch(removals));
         }
-        self.held.retain(|(job, item)| {
+        let is_open = |(job, item): &ItemKey| {
             self.store.with_job(job, |job| job.open.contains_key(item)) == Some(true)
-        });
+        };
+        self.held.retain(is_open);
+        self.partial_outputs.retain(is_open);
         let catalog = self.worker.catalog.load();
         self.worker.items.pool.retain(|incarnation| catalog.is_ready_incarnation(incarnation));
         self.worker.balancer.with(|balancer, now| {
--- a/crates/jobstore/src/running.rs
+++ b/crates/jobstore/src/running.rs
@@ -10,7 +10,6 @@
 
 use crate::preemption::{Phase, PlacedRun};
 use crate::run::Progress;
-use crate::state::Command;
 use crate::store::Store;
 
 /// Id of the job and index of the item.
@@ -67,20 +66,3 @@
         self.store.loads_changed.notify_one();
     }
 }
-
-/// The command that commits the output since the last one. The log preserves the order of a
-/// leader's proposals, so that the end of the item follows its output.
-pub fn take_output(key: &ItemKey, progress: &Rc<RefCell<Progress>>) -> Option<Command> {
-    let mut progress = progress.borrow_mut();
-    let text = progress.text.take()?;
-    let after_event = progress.committed_event;
-    progress.committed_event = progress.last_event;
-    Some(Command::AppendOutput {
-        job: key.0.clone(),
-        item: key.1,
-        run: progress.run,
-        after_event,
-        last_event: progress.last_event,
-        text,
-    })
-}
