--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -122,7 +122,7 @@
         Some(_) => recorded_origin(shared, route, key).await,
         None => sole_origin(shared, route),
     };
-    let log_line = LogLine::new(EventName::StreamContinued)
+    let log_line = LogLine::new(EventName::ContinuationRequested)
         .id(id)
         .field("first_attempt", first_attempt)
         .field("after_event", after_event);
--- a/crates/jobstore/src/partial_output.rs
+++ b/crates/jobstore/src/interrupted_output.rs
@@ -19,7 +19,7 @@
 
 /// Output of an interrupted run.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PartialOutput {
+pub struct InterruptedOutput {
     /// Version of the back ends that produced it.
     pub software_version: SoftwareVersion,
     /// Last event in the text.
@@ -30,7 +30,7 @@
     pub interrupted_at: Instant,
 }
 
-impl PartialOutput {
+impl InterruptedOutput {
     /// Whether a run at a back end may continue it.
     pub fn fits(&self, backend: &Backend) -> bool {
         self.software_version.fits(&backend.software_version)
@@ -44,20 +44,20 @@
 
 /// Outputs by item.
 #[derive(Debug, Default)]
-pub struct PartialOutputs {
-    outputs: RefCell<HashMap<ItemKey, PartialOutput>>,
+pub struct InterruptedOutputs {
+    outputs: RefCell<HashMap<ItemKey, InterruptedOutput>>,
 }
 
-impl PartialOutputs {
+impl InterruptedOutputs {
     /// Keeps the output of an interrupted run, unless its version is not known.
-    pub fn keep(&self, key: ItemKey, output: PartialOutput) {
+    pub fn keep(&self, key: ItemKey, output: InterruptedOutput) {
         if output.software_version.is_known() {
             self.outputs.borrow_mut().insert(key, output);
         }
     }
 
     /// Takes the output that a run at a back end continues; other output of the item is dropped.
-    pub fn take_fitting(&self, key: &ItemKey, backend: &Backend) -> Option<PartialOutput> {
+    pub fn take_fitting(&self, key: &ItemKey, backend: &Backend) -> Option<InterruptedOutput> {
         self.outputs.borrow_mut().remove(key).filter(|output| output.fits(backend))
     }
 
@@ -67,7 +67,7 @@
     }
 
     /// Applies a function to the output of an item.
-    pub fn with<T>(&self, key: &ItemKey, read: impl FnOnce(Option<&PartialOutput>) -> T) -> T {
+    pub fn with<T>(&self, key: &ItemKey, read: impl FnOnce(Option<&InterruptedOutput>) -> T) -> T {
         read(self.outputs.borrow().get(key))
     }
 
--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -12,8 +12,8 @@
 use yokefall_upstream::BackendSlot;
 
 use crate::delegation::preemption;
+use crate::interrupted_output::InterruptedOutput;
 use crate::item_worker::ItemWorker;
-use crate::partial_output::PartialOutput;
 use crate::preemption::Phase;
 use crate::protocol::RunRequest;
 use crate::run::{item_digest, ItemSender, PermitDenied, Progress, RunEnd};
@@ -44,7 +44,7 @@
         let mut progress =
             Progress { run, committed_event: logged, last_event: logged, text: None };
         // Output in the log, by a leader of an older build, cannot be replaced.
-        if let Some(output) = self.partial_outputs.take_fitting(&key, &backend) {
+        if let Some(output) = self.interrupted_outputs.take_fitting(&key, &backend) {
             progress.extend(output.last_event, Some(output.text));
         }
         let progress = Rc::new(RefCell::new(progress));
@@ -166,8 +166,8 @@
         let mut progress = progress.borrow_mut();
         let Some(text) = progress.text.take() else { return };
         let (last_event, interrupted_at) = (progress.last_event, Instant::now());
-        let output = PartialOutput { software_version, last_event, text, interrupted_at };
-        self.partial_outputs.keep(key.clone(), output);
+        let output = InterruptedOutput { software_version, last_event, text, interrupted_at };
+        self.interrupted_outputs.keep(key.clone(), output);
     }
 
     async fn finish(
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -17,7 +17,7 @@
 use crate::capacity::{FreeSlots, ServiceSlots};
 use crate::delegation::Delegation;
 use crate::held_items::HeldItems;
-use crate::partial_output::PartialOutputs;
+use crate::interrupted_output::InterruptedOutputs;
 use crate::preemption::Phase;
 use crate::run::{item_digest, ItemSender};
 use crate::running::{ItemKey, Running};
@@ -44,7 +44,7 @@
     pub(crate) estimator: Cell<DurationEstimator>,
     backlog: Backlog,
     /// Output of items whose run was interrupted.
-    pub(crate) partial_outputs: PartialOutputs,
+    pub(crate) interrupted_outputs: InterruptedOutputs,
     /// Items that are held back because back ends crashed while running them.
     held: HeldItems,
     pub(crate) options: RunnerOptions,
@@ -72,7 +72,7 @@
     ) -> Self {
         let (running, estimator) = (RefCell::default(), Cell::default());
         let (backlog, held) = (Backlog::default(), HeldItems::default());
-        let partial_outputs = PartialOutputs::default();
+        let interrupted_outputs = InterruptedOutputs::default();
         Self {
             store,
             worker,
@@ -81,7 +81,7 @@
             running,
             estimator,
             backlog,
-            partial_outputs,
+            interrupted_outputs,
             held,
             options,
         }
@@ -107,7 +107,7 @@
             running.task.abort();
         }
         // Another leader may complete these items.
-        self.partial_outputs.clear();
+        self.interrupted_outputs.clear();
     }
 
     async fn lead(self: Rc<Self>) {
@@ -215,7 +215,7 @@
             let is_waiting =
                 |(index, _): &(&u32, &OpenItem)| !running.contains_key(&(job.id.clone(), **index));
             let remaining = |(index, open): (&u32, &OpenItem)| {
-                let interrupted = self.partial_outputs.last_event(&(job.id.clone(), *index));
+                let interrupted = self.interrupted_outputs.last_event(&(job.id.clone(), *index));
                 let last_event = interrupted.max(open.partial.last_event);
                 let remaining = estimator.remaining(open.item.tokens, last_event);
                 WaitingItem { index: *index, remaining }
@@ -261,7 +261,7 @@
 
     /// Whether the output of an item fits to back ends that have no free slot now, but soon may.
     fn should_wait_for_version(&self, key: &ItemKey, free: &ServiceSlots) -> bool {
-        self.partial_outputs.with(key, |output| {
+        self.interrupted_outputs.with(key, |output| {
             output.is_some_and(|output| {
                 output.is_worth_waiting() && !free.has_any(|backend| output.fits(backend))
             })
@@ -271,7 +271,7 @@
     /// Chooses a back end of the software version that an item's output fits to, or any.
     fn choose_backend(&self, key: &ItemKey, free: &mut ServiceSlots) -> Option<Arc<Backend>> {
         self.worker.balancer.with(|balancer, now| {
-            let fitting = self.partial_outputs.with(key, |output| {
+            let fitting = self.interrupted_outputs.with(key, |output| {
                 let output = output?;
                 free.choose_where(balancer, now, |backend| output.fits(backend))
             });
@@ -326,7 +326,7 @@
             self.store.with_job(job, |job| job.open.contains_key(item)) == Some(true)
         };
         self.held.retain(is_open);
-        self.partial_outputs.retain(is_open);
+        self.interrupted_outputs.retain(is_open);
         let catalog = self.worker.catalog.load();
         self.worker.items.pool.retain(|incarnation| catalog.is_ready_incarnation(incarnation));
         self.worker.balancer.with(|balancer, now| {
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -120,8 +120,8 @@
     AnswerBroken = "answer-broken", Warn, FAILURE_LINES_PER_SECOND;
     /// A stream was resumed at another back end.
     StreamResumed = "stream-resumed", Warn, FAILURE_LINES_PER_SECOND;
-    /// A client continues a stream; whether it is known where that began.
-    StreamContinued = "stream-continued", Info, FAILURE_LINES_PER_SECOND;
+    /// A client asks for the rest of a stream; whether it is known where that began.
+    ContinuationRequested = "continuation-requested", Info, FAILURE_LINES_PER_SECOND;
     /// A back end did not accept or finish a request; it may be retried at another one.
     AttemptFailed = "attempt-failed", Warn, FAILURE_LINES_PER_SECOND;
     /// A back end has sent nothing for a while.
