--- a/crates/bench/src/soak/clients.rs
+++ b/crates/bench/src/soak/clients.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -263,21 +264,41 @@
     id: &str,
     body: Bytes,
 ) -> Option<Answer> {
-    let stream = TcpStream::connect(gateway).await.ok()?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
-    let connection = tokio::spawn(connection);
-    let request = Request::builder()
+    let mut connection = ClientConnection::open(gateway).await?;
+    let request = request(method, path, id).body(Full::new(body)).ok()?;
+    let answer = connection.sender.send_request(request).await.ok()?;
+    let status = answer.status();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some(Answer { status, body })
+}
+
+/// A connection to a gateway, closed when it is dropped.
+pub(super) struct ClientConnection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<hyper::Result<()>>,
+}
+
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl ClientConnection {
+    /// Opens a connection; `None` if that fails.
+    pub(super) async fn open(gateway: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(gateway).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        Some(Self { sender, task: tokio::spawn(connection) })
+    }
+}
+
+/// A request with the headers of every client.
+pub(super) fn request(method: Method, path: &str, id: &str) -> http::request::Builder {
+    Request::builder()
         .method(method)
         .uri(path)
         .header("Host", "soak.example")
         .header("Yokefall-Request", id)
         .header("Yokefall-Deadline-Ms", "5000")
-        .body(Full::new(body))
-        .ok()?;
-    let answer = sender.send_request(request).await.ok()?;
-    let status = answer.status();
-    let body = answer.into_body().collect().await.ok()?.to_bytes();
-    connection.abort();
-    Some(Answer { status, body })
 }
--- a/crates/bench/src/soak/streams.rs
+++ b/crates/bench/src/soak/streams.rs
@@ -5,16 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper_util::rt::TokioIo;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::back_end::{events_of, STREAM_PATH};
-use super::clients::Clients;
+use super::clients::{request, ClientConnection, Clients};
 use super::oracle::StreamOutcome;
 
 /// Mean interval between the streams of one client.
@@ -113,23 +111,15 @@
 
 /// Sends an attempt and returns as much of its answer as arrives; `None` without a head.
 async fn send(gateway: SocketAddr, stream: &str, id: &str, received: &Received) -> Option<Answer> {
-    let connected = TcpStream::connect(gateway).await.ok()?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(connected)).await.ok()?;
-    let connection = tokio::spawn(connection);
-    let mut request = Request::builder()
-        .method("POST")
-        .uri(format!("{STREAM_PATH}{stream}"))
-        .header("Host", "soak.example")
-        .header("Yokefall-Request", id)
-        .header("Yokefall-Deadline-Ms", "5000");
+    let mut connection = ClientConnection::open(gateway).await?;
+    let mut request = request(Method::POST, &format!("{STREAM_PATH}{stream}"), id);
     if let Some(first_attempt) = &received.first_attempt {
         request = request
             .header("Last-Event-Id", received.last_event)
             .header("Yokefall-Continued-Request", first_attempt);
     }
     let request = request.body(Full::new(Bytes::new())).ok()?;
-    let mut answer = sender.send_request(request).await.ok()?;
+    let mut answer = connection.sender.send_request(request).await.ok()?;
     let retry_after = answer.headers().get(http::header::RETRY_AFTER);
     let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
     let mut body = Vec::new();
@@ -139,7 +129,6 @@
             body.extend_from_slice(&data);
         }
     }
-    connection.abort();
     Some(Answer {
         status: answer.status(),
         retry_after: retry_after.map(Duration::from_secs_f64),
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -174,8 +174,8 @@
             .text("build", version::build())
             .field("formats", version::FORMAT_VERSION)
             .write();
-        let (notices, port) = Notices::channel();
-        let (direct, direct_port) = DirectMessages::channel();
+        let (notices, port) = Notices::new();
+        let (direct, direct_port) = DirectMessages::new();
         let shared = Rc::new(shared_state(&options, &platform, direct_port.outgoing));
         let messages = PeerMessages { notices, direct };
         start_control(&options, platform, ports, &shared, messages, stop.clone())?;
--- a/crates/jobstore/src/capacity.rs
+++ b/crates/jobstore/src/capacity.rs
@@ -7,6 +7,7 @@
 use yokefall_core::Timestamp;
 use yokefall_serving::{Backend, Balancer, Residency};
 
+use crate::interrupted_output::InterruptedOutput;
 use crate::loads::Coverage;
 
 /// Assumed time in which a burst of online requests fills all slots of a service. The reserve is
@@ -107,27 +108,26 @@
     /// Chooses a back end for the next item and occupies one of its slots.
     pub fn choose(&mut self, balancer: &mut Balancer, now: Timestamp) -> Option<Arc<Backend>> {
         let backend = balancer.choose(now, &self.backends, &[], None)?;
-        self.capacity.free = self.capacity.free.saturating_sub(1);
+        self.occupy_slot();
         Some(backend)
     }
 
-    /// Like `choose`, among the back ends that a function selects.
-    pub fn choose_where(
+    /// Like `choose`, among the back ends to which the output of an item fits.
+    pub fn choose_fitting(
         &mut self,
         balancer: &mut Balancer,
         now: Timestamp,
-        is_selected: impl Fn(&Backend) -> bool,
+        output: &InterruptedOutput,
     ) -> Option<Arc<Backend>> {
-        let selected: Vec<Arc<Backend>> =
-            self.backends.iter().filter(|backend| is_selected(backend)).cloned().collect();
-        let backend = balancer.choose(now, &selected, &[], None)?;
-        self.capacity.free = self.capacity.free.saturating_sub(1);
+        let fits = |backend: &&Arc<Backend>| output.fits(backend);
+        let fitting: Vec<Arc<Backend>> = self.backends.iter().filter(fits).cloned().collect();
+        let backend = balancer.choose(now, &fitting, &[], None)?;
+        self.occupy_slot();
         Some(backend)
     }
 
-    /// Whether a function selects any back end with a free slot.
-    pub fn has_any(&self, is_selected: impl Fn(&Backend) -> bool) -> bool {
-        self.backends.iter().any(|backend| is_selected(backend))
+    fn occupy_slot(&mut self) {
+        self.capacity.free = self.capacity.free.saturating_sub(1);
     }
 
     /// Removes a back end that has no free slot left.
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -179,13 +179,13 @@
         tokio::task::spawn_local(tick(store.clone()));
 
         let freshness = Freshness::new(options.suspension.clone());
-        let (notices, port) = Notices::channel();
+        let (notices, port) = Notices::new();
         let discovery = DiscoveryOptions {
             identity,
             seeds: options.seeds.clone(),
             is_first_start: options.bootstrap,
             notices,
-            direct_messages: DirectMessages::channel().0,
+            direct_messages: DirectMessages::new().0,
             clock: clock(),
             zones: options.zones.clone(),
             placement: options.placement,
--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -90,6 +90,7 @@
             .write();
         let counted = CountedItem::new(self.store.clone(), incarnation);
         let (began, events_before) = (Instant::now(), progress.borrow().last_event);
+        let continues_output = progress.borrow().text.is_some();
         let end = match worker {
             Some(worker) => {
                 let request = RunRequest {
@@ -103,7 +104,8 @@
             }
             None => {
                 let backend = slot.backend.clone();
-                let permit = || self.permit(&key, &backend, &sender, &item);
+                let continued = continues_output.then_some(&software_version);
+                let permit = || self.permit(&key, &backend, &sender, &item, continued);
                 let items = &self.worker.items;
                 tokio::select! {
                     end = items.run_at(&mut slot, &sender, &item, &progress, permit) => end,
@@ -148,12 +150,13 @@
         backend: &Backend,
         sender: &ItemSender,
         item: &JobItem,
+        software_version: Option<&SoftwareVersion>,
     ) -> Result<Permit, PermitDenied> {
         let is_open = self.store.with_job(job, |job| job.open.contains_key(index));
         if !self.store.serves() || is_open != Some(true) {
             return Err(PermitDenied::new("it is not wanted any more"));
         }
-        self.worker.permit(backend, sender, item)
+        self.worker.permit(backend, sender, item, software_version)
     }
 
     /// Keeps what the runs of an item have produced for the next one.
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -33,6 +33,16 @@
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(500);
 const PURGE_INTERVAL: Duration = Duration::from_millis(5_000);
 
+/// Where a waiting item may run now.
+enum ItemPlacement {
+    /// At this back end, of which a slot has been occupied.
+    At(Arc<Backend>),
+    /// Back ends of the software version of its output have no free slot, but soon may.
+    WaitForVersion,
+    /// Nowhere.
+    NoSlot,
+}
+
 /// State of the runner, shared by its tasks.
 pub struct Runner {
     pub(crate) store: Rc<Store>,
@@ -235,14 +245,18 @@
             let free = services.of(&pool, || self.free_slots(&pool));
             let may_start =
                 free.startable_items() > 0 && self.running.borrow().len() < self.options.max_runs;
-            if may_start && self.should_wait_for_version(&key, free) {
-                free.queued += 1;
-                continue;
-            }
-            let choose = || self.choose_backend(&key, free);
-            let Some(backend) = may_start.then(choose).flatten() else {
-                free.queued += waiting.len() - started;
-                return;
+            let choice =
+                if may_start { self.choose_backend(&key, free) } else { ItemPlacement::NoSlot };
+            let backend = match choice {
+                ItemPlacement::At(backend) => backend,
+                ItemPlacement::WaitForVersion => {
+                    free.queued += 1;
+                    continue;
+                }
+                ItemPlacement::NoSlot => {
+                    free.queued += waiting.len() - started;
+                    return;
+                }
             };
             let suspects = &self.worker.items.suspects;
             if !self.held.may_start(suspects, &key, &backend.id, || self.digest_of(&key)) {
@@ -259,23 +273,20 @@
         }
     }
 
-    /// Whether the output of an item fits to back ends that have no free slot now, but soon may.
-    fn should_wait_for_version(&self, key: &ItemKey, free: &ServiceSlots) -> bool {
-        self.interrupted_outputs.with(key, |output| {
-            output.is_some_and(|output| {
-                output.is_worth_waiting() && !free.has_any(|backend| output.fits(backend))
-            })
-        })
-    }
-
-    /// Chooses a back end of the software version that an item's output fits to, or any.
-    fn choose_backend(&self, key: &ItemKey, free: &mut ServiceSlots) -> Option<Arc<Backend>> {
+    /// Chooses a back end to which the output of an item fits, or any after it has waited.
+    fn choose_backend(&self, key: &ItemKey, free: &mut ServiceSlots) -> ItemPlacement {
         self.worker.balancer.with(|balancer, now| {
-            let fitting = self.interrupted_outputs.with(key, |output| {
-                let output = output?;
-                free.choose_where(balancer, now, |backend| output.fits(backend))
-            });
-            fitting.or_else(|| free.choose(balancer, now))
+            self.interrupted_outputs.with(key, |output| {
+                if let Some(output) = output {
+                    if let Some(fitting) = free.choose_fitting(balancer, now, output) {
+                        return ItemPlacement::At(fitting);
+                    }
+                    if output.is_worth_waiting() {
+                        return ItemPlacement::WaitForVersion;
+                    }
+                }
+                free.choose(balancer, now).map_or(ItemPlacement::NoSlot, ItemPlacement::At)
+            })
         })
     }
 
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -44,7 +44,8 @@
         /// Data of the events after it; `None` if there are none.
         text: Option<String>,
     },
-    /// Appends to the stored output of an item, so that its run can be resumed elsewhere.
+    /// Appends to the stored output of an item. Only leaders of older builds propose this: output in
+    /// the log cannot be taken back where no back end of its software version is left.
     AppendOutput {
         /// Id of the job.
         job: String,
--- a/crates/jobstore/src/suspects.rs
+++ b/crates/jobstore/src/suspects.rs
@@ -10,6 +10,7 @@
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 use yokefall_serving::fleet::NoticePort;
+use yokefall_serving::message_channel::MessagePort;
 use yokefall_serving::{Fleet, FleetCell, FleetMember};
 use yokefall_suspects::{notices, Registry, SuspectReport};
 
@@ -67,7 +68,7 @@
     target: ReportTarget,
     port: NoticePort,
 ) {
-    let NoticePort { outgoing, incoming } = port;
+    let MessagePort { outgoing, incoming } = port;
     tokio::task::spawn_local(notices::publish(registry.clone(), fleet.clone(), outgoing));
     tokio::task::spawn_local(notices::receive(registry.clone(), incoming));
     tokio::task::spawn_local(exchange(registry, client, fleet, target));
--- a/crates/jobstore/src/worker.rs
+++ b/crates/jobstore/src/worker.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use yokefall_serving::{
     Backend, CatalogCell, ColdStartLimiter, Eligibility, Freshness, Ineligible, JobItem, Outcome,
-    Permit, Requirements,
+    Permit, Requirements, SoftwareVersion,
 };
 use yokefall_upstream::SharedBalancer;
 
@@ -57,14 +57,16 @@
     }
 
     /// Permission to send an item to a back end now, as known to this process; otherwise the cause.
+    /// `software_version` is that of the output which the run continues.
     pub fn permit(
         &self,
         backend: &Backend,
         sender: &ItemSender,
         item: &JobItem,
+        software_version: Option<&SoftwareVersion>,
     ) -> Result<Permit, PermitDenied> {
         self.with_requirements(backend, sender, item, |requirements| {
-            self.eligibility.permit(backend, requirements)
+            self.eligibility.permit(backend, &Requirements { software_version, ..*requirements })
         })
     }
 
@@ -124,7 +126,8 @@
         }
         let mut slot = self.balancer.take(backend.clone());
         let end = {
-            let permit = || self.permit(&backend, &sender, &item);
+            // The request tells no version: the leader chose this incarnation by that of its output.
+            let permit = || self.permit(&backend, &sender, &item, None);
             let running = self.items.run_at(&mut slot, &sender, &item, &progress, permit);
             tokio::pin!(running);
             loop {
--- a/crates/serving/src/direct_messages.rs
+++ b/crates/serving/src/direct_messages.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 
 use borsh::{BorshDeserialize, BorshSerialize};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+
+use crate::message_channel::MessageChannel;
 
 const MARK: [u8; 4] = [0xff; 4];
 /// Version of the envelope. Content that older readers cannot read needs a new kind.
@@ -56,29 +57,5 @@
     pub envelope: Envelope,
 }
 
-/// Messages to and from other processes; the other ends may be on another thread.
-#[derive(Debug)]
-pub struct DirectMessages {
-    /// Messages to send. Like any datagram, they may be lost.
-    pub outgoing: UnboundedReceiver<DirectMessage>,
-    /// Messages that arrived.
-    pub incoming: UnboundedSender<DirectMessage>,
-}
-
-/// The other ends of the channels of `DirectMessages`.
-#[derive(Debug)]
-pub struct DirectMessagePort {
-    /// Sends a message.
-    pub outgoing: UnboundedSender<DirectMessage>,
-    /// Messages that arrived.
-    pub incoming: UnboundedReceiver<DirectMessage>,
-}
-
-impl DirectMessages {
-    /// Creates both ends.
-    pub fn channel() -> (Self, DirectMessagePort) {
-        let (to_send, outgoing) = unbounded_channel();
-        let (incoming, arrived) = unbounded_channel();
-        (Self { outgoing, incoming }, DirectMessagePort { outgoing: to_send, incoming: arrived })
-    }
-}
+/// Messages to and from single processes. Like any datagram, they may be lost.
+pub type DirectMessages = MessageChannel<DirectMessage>;
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -8,7 +8,6 @@
 
 use arc_swap::ArcSwap;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 use yokefall_clock::ElapsedClock;
 use yokefall_core::membership::{
@@ -20,6 +19,7 @@
 use crate::direct_messages::{DirectMessage, DirectMessages, Envelope};
 use crate::known_processes::{KnownProcesses, ProcessHistory};
 use crate::lateness::Lateness;
+use crate::message_channel::{MessageChannel, MessagePort};
 use crate::peer_sync::{PeerSync, StateDigest};
 use crate::stall_detector::StallDetector;
 use crate::watch_role::{Ranking, HEARTBEAT_INTERVAL_MS};
@@ -140,32 +140,11 @@
     pub clock: ElapsedClock,
 }
 
-/// Encoded broadcast messages in membership datagrams; the other ends may be on another thread.
-#[derive(Debug)]
-pub struct Notices {
-    /// Messages to send to all members.
-    pub outgoing: UnboundedReceiver<Vec<u8>>,
-    /// Messages received from other members.
-    pub incoming: UnboundedSender<Vec<u8>>,
-}
-
-/// The other ends of the channels of `Notices`.
-#[derive(Debug)]
-pub struct NoticePort {
-    /// Sends a message to all other processes.
-    pub outgoing: UnboundedSender<Vec<u8>>,
-    /// Messages received from other processes.
-    pub incoming: UnboundedReceiver<Vec<u8>>,
-}
+/// Encoded broadcast messages in membership datagrams.
+pub type Notices = MessageChannel<Vec<u8>>;
 
-impl Notices {
-    /// Creates both ends.
-    pub fn channel() -> (Self, NoticePort) {
-        let (to_send, outgoing) = unbounded_channel();
-        let (incoming, arrived) = unbounded_channel();
-        (Self { outgoing, incoming }, NoticePort { outgoing: to_send, incoming: arrived })
-    }
-}
+/// The other ends of `Notices`.
+pub type NoticePort = MessagePort<Vec<u8>>;
 
 /// Runs the membership loop until the process ends.
 pub async fn run_membership(parameters: Membership) {
@@ -180,7 +159,7 @@
         clock,
         ..
     } = parameters;
-    let Notices { mut outgoing, incoming } = parameters.notices;
+    let MessageChannel { mut outgoing, incoming } = parameters.notices;
     let mut direct = parameters.direct_messages;
     let (name, zone) = (identity.name.clone(), identity.zone.clone());
     let own_address = identity.address;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod lateness;
 pub mod listing;
 pub mod locality;
+pub mod message_channel;
 pub mod model;
 pub mod objects;
 pub mod observer;
--- a/crates/serving/src/state_digest.rs
+++ b/crates/serving/src/state_digest.rs
@@ -5,6 +5,9 @@
 
 /// Digest sent by a process without back ends to request a subset of them. No list has this digest.
 const SUBSET_REQUEST_DIGEST: u64 = 1;
+/// Digest sent by a process that reads `state_sections`. No list has this digest, and responders of
+/// older builds compare it only with that of a request for a subset.
+pub(crate) const SECTIONS_REQUEST_DIGEST: u64 = 2;
 
 /// Digest of the state of one process; fits into a datagram.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
--- a/crates/serving/src/state_sections.rs
+++ b/crates/serving/src/state_sections.rs
@@ -7,11 +7,9 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use crate::model::SoftwareVersion;
+use crate::state_digest::SECTIONS_REQUEST_DIGEST;
 use crate::state_exchange::{BackendUpdates, StateRequest, StateResponse};
 
-/// Digest sent by a process that reads sections. No list has this digest, and responders of older
-/// builds compare it only with that of a request for a subset.
-const SECTIONS_REQUEST_DIGEST: u64 = 2;
 const SOFTWARE_VERSIONS_KIND: u8 = 1;
 
 #[derive(BorshSerialize, BorshDeserialize)]
@@ -65,8 +63,7 @@
 
 /// The request of a process that reads sections. A request for a subset keeps its digest, by which
 /// older builds recognize it, and they ignore `whole` in it.
-pub fn requesting_sections(request: StateRequest) -> StateRequest {
-    let mut request = request;
+pub fn requesting_sections(mut request: StateRequest) -> StateRequest {
     match request.known.requests_subset() {
         true => request.whole = true,
         false => request.known.backends_digest = SECTIONS_REQUEST_DIGEST,
