--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -3,7 +3,7 @@
 //! clients and back ends observe.
 //!
 //! `fleet` runs the processes, `back_end` simulates back ends, `proxy` the links to them, `clients`
-//! generates the load and `faults` injects faults on a schedule that follows from the seed.
+//! and `streams` generate the load and `faults` injects faults on a schedule that follows from the seed.
 
 mod back_end;
 mod clients;
@@ -11,6 +11,7 @@
 mod fleet;
 mod oracle;
 mod proxy;
+mod streams;
 
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/crates/bench/src/soak/proxy.rs
+++ b/crates/bench/src/soak/proxy.rs
@@ -49,6 +49,7 @@
     pub address: SocketAddr,
     state: Arc<AtomicU8>,
     restarts: Arc<AtomicU64>,
+    releases: Arc<AtomicU64>,
 }
 
 impl Link {
@@ -57,7 +58,12 @@
         let listener = TcpListener::bind(any_port).await;
         let listener = listener.map_err(|error| format!("open a link: {error}"))?;
         let address = listener.local_addr().map_err(|error| format!("open a link: {error}"))?;
-        let link = Self { address, state: Arc::default(), restarts: Arc::default() };
+        let link = Self {
+            address,
+            state: Arc::default(),
+            restarts: Arc::default(),
+            releases: Arc::default(),
+        };
         tokio::spawn(link.clone().accept(listener, to));
         Ok(link)
     }
@@ -92,6 +98,17 @@
         self.set(LinkState::Normal);
     }
 
+    /// Simulates the replacement of the back end by one of another software version.
+    pub fn release(&self) {
+        self.releases.fetch_add(1, Ordering::Relaxed);
+        self.restart();
+    }
+
+    /// Number of times that the back end behind it was replaced.
+    pub fn releases(&self) -> u64 {
+        self.releases.load(Ordering::Relaxed)
+    }
+
     /// Incarnation of the back end behind it; each restart increases the number.
     pub fn incarnation(&self) -> u64 {
         self.restarts.load(Ordering::Relaxed) + 1
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -202,10 +202,10 @@
     if let Some(wait) = suspect::held_back(shared, context) {
         return Err(ForwardError::HeldBack(wait));
     }
-    // A request that has already been sent to a back end, or that continues a stream, is not queued.
-    let is_new = after_event == 0 && context.tried.is_empty();
-    let is_new = is_new && context.continued_version().is_none();
-    let mut admitted = match is_new {
+    // A request that has already been sent to a back end is never queued again, and one that
+    // continues a stream was admitted when the stream began.
+    let may_queue = after_event == 0 && context.tried.is_empty();
+    let mut admitted = match may_queue && context.continued_version().is_none() {
         false => None,
         true => match admit(shared, context, affinity).await {
             Ok(slot) => slot,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -16,7 +16,6 @@
 use tokio::time::Instant;
 use yokefall_serving::identity::{self, identify, KeyError};
 use yokefall_serving::{Caller, Catalog, RequestLimits, Route, RouteKind};
-use yokefall_streams::StreamKey;
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::connection::{LimitedStream, PhaseCell, TimeLimits};
@@ -240,7 +239,7 @@
         regions::log_no_common_region(&id, &route, &caller, configuration.version);
         return regions::reject(&shared.dialect.headers().retry_after, &residency);
     }
-    let continued = match stream::origin_of_continued(shared, &route, &parts, &id).await {
+    let continued = match stream::find_continued(shared, &route, &parts, &id).await {
         Ok(continued) => continued,
         Err(cause) => return cause.response(shared),
     };
@@ -249,20 +248,15 @@
         Err(cause) => return token_rejection(&shared.dialect.headers().retry_after, cause),
     };
     let service = match &continued {
-        Some((_, origin)) => Some(origin.service.clone()),
+        Some(stream) => Some(stream.origin.service.clone()),
         None => shared.splitter.borrow_mut().next(&route).map(str::to_owned),
     };
     let Some(service) = service else {
         return plain(StatusCode::BAD_GATEWAY, "the route has no service");
     };
     let stream = match continued {
-        Some((key, origin)) => {
-            Some(StreamState { key, software_version: Some(origin.software_version()) })
-        }
-        None if route.kind == RouteKind::Stream && route.resumable => {
-            Some(StreamState { key: StreamKey::of_attempt(&id), software_version: None })
-        }
-        None => None,
+        Some(stream) => Some(stream.into()),
+        None => StreamState::of_new_request(&route, &id),
     };
     let rank = caller.rank(route.priority);
     let context = RequestContext {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,9 +6,8 @@
 //! through `connection` (timeouts), `ingress` (routing and authentication), `body` (size limits),
 //! `quota` (rate limits of tenants), `admission` (queues requests while back ends have no
 //! capacity), `forward` (attempts, each checked by `suspect`), and then `relay` (the response) or
-//! `jobs`. `stream` finds where a
-//! continued stream began. `context` holds the state of a request on this path; `request` builds the request that
-//! is sent to a back end.
+//! `jobs`. `stream` finds where a continued stream began. `context` holds the state of a request on
+//! this path; `request` builds the request that is sent to a back end.
 
 pub mod admission;
 pub mod body;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -29,6 +29,30 @@
     pub software_version: Option<SoftwareVersion>,
 }
 
+impl StreamState {
+    /// The stream that a request begins; `None` if its answer cannot be continued.
+    pub fn of_new_request(route: &Route, id: &str) -> Option<Self> {
+        let may_continue = route.kind == RouteKind::Stream && route.resumable;
+        may_continue.then(|| Self { key: StreamKey::of_attempt(id), software_version: None })
+    }
+}
+
+/// A stream that a client continues.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ContinuedStream {
+    /// Its key.
+    pub key: StreamKey,
+    /// Where it began.
+    pub origin: StreamOrigin,
+}
+
+impl From<ContinuedStream> for StreamState {
+    fn from(stream: ContinuedStream) -> Self {
+        let software_version = Some(stream.origin.software_version());
+        Self { key: stream.key, software_version }
+    }
+}
+
 /// Why a stream cannot be continued. Nothing was sent to a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContinuationError {
@@ -80,13 +104,13 @@
     requested.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0)
 }
 
-/// Finds where the stream began that a request continues; `None` if it continues none.
-pub async fn origin_of_continued(
+/// The stream that a request continues, with where it began; `None` if it continues none.
+pub async fn find_continued(
     shared: &Rc<Shared>,
     route: &Route,
     parts: &Parts,
     id: &str,
-) -> Result<Option<(StreamKey, StreamOrigin)>, ContinuationError> {
+) -> Result<Option<ContinuedStream>, ContinuationError> {
     let after_event = requested_event(shared, parts);
     if route.kind != RouteKind::Stream || after_event == 0 {
         return Ok(None);
@@ -110,7 +134,7 @@
             .write(),
         Err(error) => log_line.field("origin", error.name()).write(),
     }
-    origin.map(|origin| Some((key, origin)))
+    origin.map(|origin| Some(ContinuedStream { key, origin }))
 }
 
 async fn recorded_origin(
