Lines of relayed responses tell how their end was marked, and how many bytes were relayed

What the lines of the incident could not tell: whether the short answers had a length, chunks, or neither, and whether anything was lost after the back end. request-answered now has framing and bytes, answer-broken has bytes. No logic changed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, Sleep};
 use yokefall_serving::{Outcome, RouteKind};
 use yokefall_telemetry::{EventName, LogLine};
-use yokefall_upstream::{BackendSlot, Connection};
+use yokefall_upstream::{BackendSlot, Connection, Framing};
 
 use crate::context::{may_retry, RequestContext};
 use crate::forward::{log_silence, send, BackendResponse, SILENCE_TIMEOUT};
@@ -35,6 +35,7 @@
     let streamed =
         context.route.kind == RouteKind::Stream && backend_response.response.status().is_success();
     let BackendResponse { response, connection, slot } = backend_response;
+    let framing = Framing::of(&response);
     let (head, body) = response.into_parts();
     let resumes = streamed && context.route.resumable;
     let last_event = if resumes { requested_event(shared, &context.parts) } else { 0 };
@@ -43,13 +44,14 @@
     let mut relay = Relay {
         shared: shared.clone(),
         context: Box::new(context),
-        source: Some(Source { body, connection, slot, close }),
+        source: Some(Source { body, framing, connection, slot, close }),
         deadline,
         silence: Box::pin(tokio::time::sleep(SILENCE_TIMEOUT)),
         resumes,
         last_event,
         is_recorded: false,
         partial: BytesMut::new(),
+        relayed_bytes: 0,
     };
     let mut collected = BytesMut::new();
     let first = loop {
@@ -85,6 +87,7 @@
 
 struct Source {
     body: Incoming,
+    framing: Framing,
     connection: Connection,
     slot: BackendSlot,
     /// Whether the back end closes the connection after the response.
@@ -107,6 +110,8 @@
     is_recorded: bool,
     /// Bytes of an incomplete event.
     partial: BytesMut,
+    /// Number of bytes of the body that were relayed.
+    relayed_bytes: u64,
 }
 
 enum NextFrame {
@@ -122,10 +127,14 @@
         loop {
             let source = self.source.as_mut()?;
             match next_frame(&self.shared, source, &mut self.deadline, &mut self.silence).await {
-                NextFrame::Data(data) if !self.resumes => return Some(Ok(data)),
+                NextFrame::Data(data) if !self.resumes => {
+                    self.relayed_bytes += data.len() as u64;
+                    return Some(Ok(data));
+                }
                 NextFrame::Data(data) => {
                     if let Some(events) = self.complete_events(&data) {
                         self.record_origin();
+                        self.relayed_bytes += events.len() as u64;
                         return Some(Ok(events));
                     }
                 }
@@ -164,13 +173,21 @@
     }
 
     fn log(&self, log_line: LogLine, cause: &str) {
-        log_line.field("last_event", self.last_event).field("cause", cause).write();
+        log_line
+            .field("last_event", self.last_event)
+            .field("bytes", self.relayed_bytes)
+            .field("cause", cause)
+            .write();
     }
 
     fn finish(&mut self) {
         let Some(mut source) = self.source.take() else { return };
         let log_line = self.context.final_log_line(EventName::RequestAnswered);
-        log_line.field("backend", source.slot.backend.id.as_str()).write();
+        log_line
+            .field("backend", source.slot.backend.id.as_str())
+            .field("framing", source.framing.name())
+            .field("bytes", self.relayed_bytes)
+            .write();
         source.slot.outcome = Outcome::Answered;
         suspect::record_answer(&self.shared, &self.context);
         if !source.close {
@@ -208,8 +225,9 @@
             return false;
         }
         self.log(self.context.log_line(EventName::StreamResumed), "previous back end failed");
-        let close = Connection::closes_after(response.headers());
-        self.source = Some(Source { body: response.into_body(), connection, slot, close });
+        let (framing, close) =
+            (Framing::of(&response), Connection::closes_after(response.headers()));
+        self.source = Some(Source { body: response.into_body(), framing, connection, slot, close });
         true
     }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,9 +4,11 @@
 //! have been executed.
 
 pub mod exchange;
+pub mod framing;
 pub mod pool;
 pub mod slot;
 
 pub use exchange::{exchange, SendFailure};
+pub use framing::Framing;
 pub use pool::{ConnectFailure, Connection, Pool};
 pub use slot::{BackendSlot, SharedBalancer};
