A response ends without an error only if it is whole: streams cut within an event are broken

Cause: a body with neither a length nor chunks ends with its connection, and every reader took the end of the body for the end of the response.

Change: BackendBody is the only reader of back end bodies. It follows the lines of an event stream (LF, CRLF, CR, split anywhere) and ends with an error within an event, or before the first byte of an unframed stream. Resumable streams go on elsewhere after the last event with a number, others are aborted, for HTTP/1.0 by a reset; a cut run of an item is retried. Crashes are no longer booked as answers, which had cleared suspects and credited back ends.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -53,6 +53,18 @@
     }
 }
 
+/// Whether a connection is reset when it closes, shared with the responses on it. Where the end of
+/// the connection marks the end of a response, only a reset shows that it is not whole.
+#[derive(Clone, Debug, Default)]
+pub struct ResetOnClose(Rc<Cell<bool>>);
+
+impl ResetOnClose {
+    /// Resets the connection when it closes.
+    pub fn set(&self) {
+        self.0.set(true);
+    }
+}
+
 /// Timeouts of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct TimeLimits {
@@ -67,6 +79,7 @@
     stream: TcpStream,
     limits: TimeLimits,
     phase: PhaseCell,
+    reset_on_close: ResetOnClose,
     /// The current timer and the phase it belongs to.
     timer: Option<(Phase, Pin<Box<Sleep>>)>,
 }
@@ -75,10 +88,16 @@
     /// Wraps a stream with timeouts.
     pub fn new(stream: TcpStream, limits: TimeLimits) -> (Self, PhaseCell) {
         let phase = PhaseCell(Rc::new(Cell::new((Phase::Idle, Instant::now()))));
-        let limited = Self { stream, limits, phase: phase.clone(), timer: None };
+        let reset_on_close = ResetOnClose::default();
+        let limited = Self { stream, limits, phase: phase.clone(), reset_on_close, timer: None };
         (limited, phase)
     }
 
+    /// Decides how the connection closes.
+    pub fn reset_on_close(&self) -> ResetOnClose {
+        self.reset_on_close.clone()
+    }
+
     /// Whether the timeout of the current phase has expired. Registers a wake-up otherwise.
     fn has_timed_out(&mut self, context: &mut Context<'_>) -> bool {
         let phase = self.phase.phase();
@@ -104,6 +123,15 @@
     }
 }
 
+impl Drop for LimitedStream {
+    fn drop(&mut self) {
+        if self.reset_on_close.0.get() {
+            // Fails only if the connection is already gone.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for LimitedStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::time::Instant;
-use yokefall_serving::{Ineligible, Outcome, Residency};
+use yokefall_serving::{Ineligible, Outcome, Residency, RouteKind};
 use yokefall_telemetry::{EventName, LogLine};
-use yokefall_upstream::{exchange, BackendSlot, ConnectFailure, Connection, SendFailure};
+use yokefall_upstream::{
+    exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody, SendFailure,
+};
 
 use crate::admission::{admit, choose, QueueTimeout};
 use crate::context::{may_retry, RequestContext};
@@ -49,7 +50,7 @@
 /// Response of a back end, with the slot and the connection it uses.
 pub struct BackendResponse {
     /// The response head and the unread body.
-    pub response: Response<Incoming>,
+    pub response: Response<BackendBody>,
     /// The connection.
     pub connection: Connection,
     /// The slot.
@@ -287,7 +288,7 @@
                 continue;
             }
         };
-        let sent = exchange(&mut connection, request, id_header, permit);
+        let sent = exchange(&mut connection, request, id_header, expected_body(context), permit);
         let limit = attempt_deadline(context);
         let response = match await_response(shared, &slot, limit, sent).await {
             Ok(Ok(response)) => response,
@@ -371,6 +372,15 @@
     ForwardError::AllCold(Duration::from_millis(wait_ms))
 }
 
+fn expected_body(context: &RequestContext) -> ExpectedBody {
+    match context.route.kind {
+        RouteKind::Stream => ExpectedBody::Events,
+        RouteKind::Repeatable | RouteKind::AtMostOnce | RouteKind::Batch => {
+            ExpectedBody::AsDeclared
+        }
+    }
+}
+
 fn log_failed_attempt(context: &RequestContext, backend: &str, cause: &str) {
     context
         .log_line(EventName::AttemptFailed)
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::request::Parts;
-use http::{header, HeaderValue, Request, StatusCode};
+use http::{header, HeaderValue, Request, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,7 +18,7 @@
 use yokefall_serving::{Caller, Catalog, RequestLimits, Route, RouteKind};
 use yokefall_telemetry::{EventName, LogLine};
 
-use crate::connection::{LimitedStream, PhaseCell, TimeLimits};
+use crate::connection::{LimitedStream, PhaseCell, ResetOnClose, TimeLimits};
 use crate::context::RequestContext;
 use crate::forward::{forward, token_rejection};
 use crate::quota::{self, QuotaCheck, Token, TokenError};
@@ -81,7 +81,11 @@
         head: Duration::from_millis(limits.header_timeout_ms),
     };
     let (stream, phase) = LimitedStream::new(stream, time_limits);
-    let service = service_fn(|request| handle(shared.clone(), port, phase.clone(), request));
+    let reset_on_close = stream.reset_on_close();
+    let service = service_fn(|request| {
+        let reset_on_close = reset_on_close.clone();
+        handle(shared.clone(), port, phase.clone(), reset_on_close, request)
+    });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES));
     // A connection accepted after closing began gets one response, sending its client elsewhere.
@@ -128,8 +132,10 @@
     shared: Rc<Shared>,
     port: Port,
     phase: PhaseCell,
+    reset_on_close: ResetOnClose,
     request: Request<Incoming>,
 ) -> Result<ClientResponse, Infallible> {
+    let version = request.version();
     let serving = ActiveRequest::begin(&shared, phase);
     let mut response = match port {
         Port::Readiness => readiness(&shared, &request),
@@ -145,6 +151,9 @@
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response.body_mut().retain(Box::new(serving));
+    if version < Version::HTTP_11 {
+        response.body_mut().reset_if_aborted(reset_on_close);
+    }
     Ok(response)
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,13 +5,12 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
 use http::{header, HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::{Instant, Sleep};
 use yokefall_serving::{Outcome, RouteKind};
 use yokefall_telemetry::{EventName, LogLine};
-use yokefall_upstream::{BackendSlot, Connection, Framing};
+use yokefall_upstream::{BackendBody, BackendSlot, Connection, EventBoundaries, StreamPosition};
 
 use crate::context::{may_retry, RequestContext};
 use crate::forward::{log_silence, send, BackendResponse, SILENCE_TIMEOUT};
@@ -24,8 +23,6 @@
 /// Maximum size of a response that is collected before it is relayed.
 const MAX_COLLECTED_BYTES: usize = 256 * 1024;
 
-const EVENT_END: &[u8] = b"\n\n";
-
 /// Relays a response; returns the context and the cause if it fails before any of it was sent.
 pub async fn relay(
     shared: &Rc<Shared>,
@@ -35,7 +32,6 @@
     let streamed =
         context.route.kind == RouteKind::Stream && backend_response.response.status().is_success();
     let BackendResponse { response, connection, slot } = backend_response;
-    let framing = Framing::of(&response);
     let (head, body) = response.into_parts();
     let resumes = streamed && context.route.resumable;
     let last_event = if resumes { requested_event(shared, &context.parts) } else { 0 };
@@ -44,11 +40,13 @@
     let mut relay = Relay {
         shared: shared.clone(),
         context: Box::new(context),
-        source: Some(Source { body, framing, connection, slot, close }),
+        source: Some(Source { body, connection, slot, close }),
         deadline,
         silence: Box::pin(tokio::time::sleep(SILENCE_TIMEOUT)),
         resumes,
         last_event,
+        is_position_known: true,
+        boundaries: EventBoundaries::default(),
         is_recorded: false,
         partial: BytesMut::new(),
         relayed_bytes: 0,
@@ -86,8 +84,7 @@
 }
 
 struct Source {
-    body: Incoming,
-    framing: Framing,
+    body: BackendBody,
     connection: Connection,
     slot: BackendSlot,
     /// Whether the back end closes the connection after the response.
@@ -106,6 +103,10 @@
     resumes: bool,
     /// Last event that was relayed.
     last_event: u64,
+    /// Whether nothing was relayed after that event, so that the stream can be resumed there.
+    is_position_known: bool,
+    /// Ends of the events from the current source.
+    boundaries: EventBoundaries,
     /// Whether it was recorded which software version began the stream.
     is_recorded: bool,
     /// Bytes of an incomplete event.
@@ -114,9 +115,10 @@
     relayed_bytes: u64,
 }
 
-enum NextFrame {
+enum NextChunk {
     Data(Bytes),
-    End,
+    /// The response has ended and is whole.
+    Whole,
     Broken(String),
     TimedOut,
 }
@@ -126,24 +128,24 @@
     async fn chunk(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         loop {
             let source = self.source.as_mut()?;
-            match next_frame(&self.shared, source, &mut self.deadline, &mut self.silence).await {
-                NextFrame::Data(data) if !self.resumes => {
+            match next_chunk(&self.shared, source, &mut self.deadline, &mut self.silence).await {
+                NextChunk::Data(data) if !self.resumes => {
                     self.relayed_bytes += data.len() as u64;
                     return Some(Ok(data));
                 }
-                NextFrame::Data(data) => {
+                NextChunk::Data(data) => {
                     if let Some(events) = self.complete_events(&data) {
                         self.record_origin();
                         self.relayed_bytes += events.len() as u64;
                         return Some(Ok(events));
                     }
                 }
-                NextFrame::End => {
+                NextChunk::Whole => {
                     self.finish();
                     let rest = std::mem::take(&mut self.partial);
                     return (!rest.is_empty()).then(|| Ok(rest.freeze()));
                 }
-                NextFrame::TimedOut => {
+                NextChunk::TimedOut => {
                     self.source = None;
                     self.log(
                         self.context.final_log_line(EventName::AnswerBroken),
@@ -151,7 +153,7 @@
                     );
                     return Some(Err(ResponseAborted("its time ended".into())));
                 }
-                NextFrame::Broken(cause) => {
+                NextChunk::Broken(cause) => {
                     source.slot.outcome = Outcome::Failed;
                     source.slot.record_failure();
                     self.record_disconnect().await;
@@ -185,7 +187,7 @@
         let log_line = self.context.final_log_line(EventName::RequestAnswered);
         log_line
             .field("backend", source.slot.backend.id.as_str())
-            .field("framing", source.framing.name())
+            .field("framing", source.body.framing().name())
             .field("bytes", self.relayed_bytes)
             .write();
         source.slot.outcome = Outcome::Answered;
@@ -204,11 +206,17 @@
 
     /// Extracts the complete events; a partial one is held, since the back end may fail within it.
     fn complete_events(&mut self, data: &[u8]) -> Option<Bytes> {
+        let held = self.partial.len();
         self.partial.extend_from_slice(data);
-        let end = last_position(&self.partial, EVENT_END)? + EVENT_END.len();
+        let end = held + self.boundaries.read(data)?;
         let events = self.partial.split_to(end).freeze();
-        if let Some(event) = last_event_id(&events) {
-            self.last_event = event;
+        match StreamPosition::after(&events) {
+            StreamPosition::Unchanged => {}
+            StreamPosition::After(event) => {
+                self.last_event = event;
+                self.is_position_known = true;
+            }
+            StreamPosition::Unknown => self.is_position_known = false,
         }
         Some(events)
     }
@@ -216,7 +224,8 @@
     /// Continues at another back end. Returns whether one has taken over.
     async fn resume(&mut self) -> bool {
         self.partial.clear();
-        if !may_retry(&self.context) {
+        self.boundaries = EventBoundaries::default();
+        if !self.is_position_known || !may_retry(&self.context) {
             return false;
         }
         let sent = send(&self.shared, &mut self.context, self.last_event).await;
@@ -225,9 +234,8 @@
             return false;
         }
         self.log(self.context.log_line(EventName::StreamResumed), "previous back end failed");
-        let (framing, close) =
-            (Framing::of(&response), Connection::closes_after(response.headers()));
-        self.source = Some(Source { body: response.into_body(), framing, connection, slot, close });
+        let close = Connection::closes_after(response.headers());
+        self.source = Some(Source { body: response.into_body(), connection, slot, close });
         true
     }
 
@@ -245,18 +253,18 @@
     }
 }
 
-async fn next_frame(
+async fn next_chunk(
     shared: &Shared,
     source: &mut Source,
     deadline: &mut Pin<Box<Sleep>>,
     silence: &mut Pin<Box<Sleep>>,
-) -> NextFrame {
+) -> NextChunk {
     let waiting_since = Instant::now();
     loop {
-        let frame = tokio::select! {
+        let chunk = tokio::select! {
             biased;
-            frame = source.body.frame() => frame,
-            () = deadline.as_mut() => return NextFrame::TimedOut,
+            chunk = source.body.next() => chunk,
+            () = deadline.as_mut() => return NextChunk::TimedOut,
             () = silence.as_mut() => {
                 if waiting_since.elapsed() >= SILENCE_TIMEOUT {
                     log_silence(shared, &source.slot);
@@ -265,26 +273,13 @@
                 continue;
             }
         };
-        match frame {
-            Some(Ok(frame)) => {
+        return match chunk {
+            Some(Ok(data)) => {
                 source.slot.record_activity();
-                if let Ok(data) = frame.into_data() {
-                    return NextFrame::Data(data);
-                }
+                NextChunk::Data(data)
             }
-            Some(Err(error)) => return NextFrame::Broken(error.to_string()),
-            None => return NextFrame::End,
-        }
+            Some(Err(error)) => NextChunk::Broken(error.to_string()),
+            None => NextChunk::Whole,
+        };
     }
 }
-
-fn last_position(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).rposition(|window| window == wanted)
-}
-
-/// Id of the last of several complete events.
-fn last_event_id(events: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(events).ok()?;
-    let id = text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
-    id.trim().parse().ok()
-}
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -12,6 +12,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::connection::ResetOnClose;
+
 /// Why a response was aborted.
 #[derive(Debug)]
 pub struct ResponseAborted(pub String);
@@ -32,17 +34,28 @@
     content: Content,
     /// Dropped when the response has been sent or is abandoned.
     retained: Option<Box<dyn std::any::Any>>,
+    /// Set when the body is aborted, if the client could not see it otherwise.
+    reset_on_close: Option<ResetOnClose>,
 }
 
 impl ResponseBody {
     /// A body that is completely in memory.
     pub fn complete(bytes: impl Into<Bytes>) -> Self {
-        Self { content: Content::Complete(Full::new(bytes.into()).boxed()), retained: None }
+        Self::new(Content::Complete(Full::new(bytes.into()).boxed()))
     }
 
     /// A body that is streamed.
     pub fn streamed(chunks: ChunkStream) -> Self {
-        Self { content: Content::Streamed(chunks), retained: None }
+        Self::new(Content::Streamed(chunks))
+    }
+
+    fn new(content: Content) -> Self {
+        Self { content, retained: None, reset_on_close: None }
+    }
+
+    /// Resets the connection if the body is aborted.
+    pub fn reset_if_aborted(&mut self, reset_on_close: ResetOnClose) {
+        self.reset_on_close = Some(reset_on_close);
     }
 
     /// Keeps a value alive as long as the body.
@@ -66,12 +79,17 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        match &mut self.get_mut().content {
+        let this = self.get_mut();
+        match &mut this.content {
             Content::Complete(body) => Pin::new(body)
                 .poll_frame(context)
                 .map(|frame| frame.map(|frame| frame.map_err(|never| match never {}))),
             Content::Streamed(chunks) => {
-                chunks.as_mut().poll_next(context).map(|chunk| chunk.map(|p| p.map(Frame::data)))
+                let polled = chunks.as_mut().poll_next(context);
+                if let (Poll::Ready(Some(Err(_))), Some(reset)) = (&polled, &this.reset_on_close) {
+                    reset.set();
+                }
+                polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
     }
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -10,11 +10,13 @@
 use eventsource_stream::Eventsource;
 use futures::StreamExt;
 use http::{header, HeaderName, HeaderValue, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use yokefall_serving::identity::set_tenant_header;
 use yokefall_serving::{Backend, Dialect, JobItem, Outcome, Permit, TenantName};
 use yokefall_suspects::{Registry, RequestDigest, RequestIdentity};
-use yokefall_upstream::{exchange, BackendSlot, ConnectFailure, Connection, Pool, SendFailure};
+use yokefall_upstream::{
+    exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody, Pool, SendFailure,
+};
 
 use crate::state::Run;
 
@@ -181,7 +183,7 @@
         };
         let names = self.dialect.headers();
         let id_header = self.dialect.signs_responses().then_some(&names.request_id);
-        let sent = exchange(&mut connection, request, id_header, permit);
+        let sent = exchange(&mut connection, request, id_header, ExpectedBody::Events, permit);
         let answer = match tokio::time::timeout(SILENCE_TIMEOUT, sent).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
@@ -273,7 +275,7 @@
         &self,
         slot: &mut BackendSlot,
         connection: Connection,
-        answer: http::Response<hyper::body::Incoming>,
+        answer: http::Response<BackendBody>,
         progress: &Rc<RefCell<Progress>>,
         digest: impl FnOnce() -> RequestDigest,
     ) -> RunEnd {
@@ -281,7 +283,7 @@
         let signature = &self.dialect.headers().signature;
         let signed = !self.dialect.signs_responses() || answer.headers().contains_key(signature);
         let closes = Connection::closes_after(answer.headers());
-        let mut events = answer.into_body().into_data_stream().eventsource();
+        let mut events = answer.into_body().eventsource();
         loop {
             let event = match tokio::time::timeout(SILENCE_TIMEOUT, events.next()).await {
                 Ok(Some(Ok(event))) => event,
--- /dev/null
+++ b/crates/upstream/src/body.rs
@@ -0,0 +1,136 @@
+//! The body of a back end's response, which tells a whole one from one that broke off.
+//!
+//! Invariant: a body ends without an error only if it is whole, as far as its framing and its
+//! content can tell. This is the only reader of back end bodies.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures::Stream;
+use http::{header, HeaderMap, Response};
+use hyper::body::{Body, Incoming};
+
+use crate::event_stream::EventBoundaries;
+use crate::framing::Framing;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// What a successful response to a request contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExpectedBody {
+    /// Events.
+    Events,
+    /// Events if the response declares them, otherwise any bytes.
+    AsDeclared,
+}
+
+/// Why a body is not whole.
+#[derive(Debug)]
+pub enum BodyError {
+    /// The connection failed, or it ended before the length or the last chunk.
+    Connection(hyper::Error),
+    /// The event stream ended within an event.
+    WithinEvent,
+    /// The event stream ended with its connection before its first byte.
+    NoEvents,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::Connection(error) => write!(formatter, "read body: {error}"),
+            BodyError::WithinEvent => write!(formatter, "read body: it ended within an event"),
+            BodyError::NoEvents => {
+                write!(formatter, "read body: the connection ended before the first event")
+            }
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// The body of a response.
+#[derive(Debug)]
+pub struct BackendBody {
+    body: Incoming,
+    framing: Framing,
+    /// The structure read so far, if the body is an event stream.
+    events: Option<EventBoundaries>,
+    is_empty: bool,
+    has_ended: bool,
+}
+
+impl BackendBody {
+    /// Wraps the body of a response.
+    pub fn of(response: Response<Incoming>, expected: ExpectedBody) -> Response<Self> {
+        let framing = Framing::of(&response);
+        let (head, body) = response.into_parts();
+        let is_event_stream = head.status.is_success()
+            && (expected == ExpectedBody::Events || declares_events(&head.headers));
+        let events = is_event_stream.then(EventBoundaries::default);
+        let body = Self { body, framing, events, is_empty: true, has_ended: false };
+        Response::from_parts(head, body)
+    }
+
+    /// How its end is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    fn read(&mut self, data: &[u8]) {
+        self.is_empty &= data.is_empty();
+        if let Some(events) = &mut self.events {
+            events.read(data);
+        }
+    }
+
+    /// Whether the body is whole if it ends here in the order of its framing.
+    fn check_end(&self) -> Result<(), BodyError> {
+        match &self.events {
+            Some(events) if events.is_within_event() => Err(BodyError::WithinEvent),
+            // A run produces an event at least; nothing else proves that there was one.
+            Some(_) if self.is_empty && self.framing == Framing::Connection => {
+                Err(BodyError::NoEvents)
+            }
+            Some(_) | None => Ok(()),
+        }
+    }
+}
+
+impl Stream for BackendBody {
+    type Item = Result<Bytes, BodyError>;
+
+    fn poll_next(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        while !this.has_ended {
+            let Poll::Ready(frame) = Pin::new(&mut this.body).poll_frame(context) else {
+                return Poll::Pending;
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    // Trailers are not passed on.
+                    let Ok(data) = frame.into_data() else { continue };
+                    this.read(&data);
+                    return Poll::Ready(Some(Ok(data)));
+                }
+                Some(Err(error)) => {
+                    this.has_ended = true;
+                    return Poll::Ready(Some(Err(BodyError::Connection(error))));
+                }
+                None => {
+                    this.has_ended = true;
+                    return Poll::Ready(this.check_end().err().map(Err));
+                }
+            }
+        }
+        Poll::Ready(None)
+    }
+}
+
+fn declares_events(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = content_type.and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderName, Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use yokefall_serving::Permit;
 
+use crate::body::{BackendBody, ExpectedBody};
 use crate::pool::Connection;
 
 /// Why an exchange produced no response.
@@ -36,14 +36,16 @@
 
 /// Sends a request and waits for the response head. A response that does not carry the id of the
 /// request belongs to another request: it is discarded together with the connection. `id_header` is
-/// `None` where back ends do not echo request ids. `permit` authorizes exactly this request; with a
+/// `None` where back ends do not echo request ids. `expected` decides how the end of the body is
+/// judged. `permit` authorizes exactly this request; with a
 /// permit for another back end, or for another incarnation of it, nothing is sent.
 pub async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
     id_header: Option<&HeaderName>,
+    expected: ExpectedBody,
     permit: Permit,
-) -> Result<Response<Incoming>, SendFailure> {
+) -> Result<Response<BackendBody>, SendFailure> {
     if *permit.incarnation() != connection.incarnation {
         let cause = "the connection is to another life of the back end".to_owned();
         return Err(SendFailure::NotSent { cause });
@@ -69,5 +71,5 @@
         let cause = "the answer names another request".to_owned();
         return Err(SendFailure::MayHaveRun { cause });
     }
-    Ok(response)
+    Ok(BackendBody::of(response, expected))
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,13 +1,17 @@
 //! Connections to back ends and request/response exchanges on them.
 //!
-//! Retries depend on one question that is answered here: whether a request that got no response may
-//! have been executed.
+//! Retries depend on two questions that are answered here: whether a request that got no response
+//! may have been executed, and whether a response is whole.
 
+pub mod body;
+pub mod event_stream;
 pub mod exchange;
 pub mod framing;
 pub mod pool;
 pub mod slot;
 
+pub use body::{BackendBody, BodyError, ExpectedBody};
+pub use event_stream::{EventBoundaries, StreamPosition};
 pub use exchange::{exchange, SendFailure};
 pub use framing::Framing;
 pub use pool::{ConnectFailure, Connection, Pool};
