Lines of failed attempts and broken responses name the shared parts of the prompt

The header is decoded once a request, in the dialect, instead of once an attempt; no decision changed.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,7 +6,7 @@
 use http::request::Parts;
 use tokio::time::Instant;
 use yokefall_serving::{
-    Caller, Catalog, Requirements, Residency, Route, RouteKind, SoftwareVersion,
+    Caller, Catalog, PrefixPart, Requirements, Residency, Route, RouteKind, SoftwareVersion,
 };
 use yokefall_suspects::{IsolatedRun, RequestDigest, RequestIdentity};
 use yokefall_telemetry::{EventName, LogLine};
@@ -33,6 +33,8 @@
     pub parts: Parts,
     /// The body.
     pub body: BufferedBody,
+    /// Parts of the prompt that other requests may share: all but the last.
+    pub shared_parts: Vec<PrefixPart>,
     /// Version of the configuration that contained the route.
     pub version: u64,
     /// When it arrived.
@@ -112,6 +114,11 @@
             .field("left_ms", self.deadline.duration_since(Instant::now()).as_millis() as u64)
     }
 
+    /// Ids of the shared parts of the prompt, for log lines.
+    pub fn shared_part_ids(&self) -> Vec<String> {
+        self.shared_parts.iter().map(|part| part.id.clone()).collect()
+    }
+
     /// Records a possible execution by a back end. The token is consumed: each execution counts.
     pub(crate) fn record_possible_run(&mut self) {
         self.may_have_run += 1;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -198,7 +198,7 @@
     context: &mut RequestContext,
     after_event: u64,
 ) -> Result<BackendResponse, ForwardError> {
-    let affinity = affinity(shared, &context.parts.headers);
+    let affinity = affinity(&context.shared_parts);
     let mut last = "no back end takes work now".to_owned();
     if let Some(wait) = suspect::held_back(shared, context) {
         return Err(ForwardError::HeldBack(wait));
@@ -385,6 +385,7 @@
     context
         .log_line(EventName::AttemptFailed)
         .field("backend", backend)
+        .field("prompt_parts", context.shared_part_ids())
         .field("cause", cause)
         .write();
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -22,6 +22,7 @@
 use crate::context::RequestContext;
 use crate::forward::{forward, token_rejection};
 use crate::quota::{self, QuotaCheck, Token, TokenError};
+use crate::request::shared_parts;
 use crate::response::{plain, rejection, ClientResponse};
 use crate::shared::Shared;
 use crate::stream::{self, StreamState};
@@ -268,6 +269,7 @@
         None => StreamState::of_new_request(&route, &id),
     };
     let rank = caller.rank(route.priority);
+    let shared_parts = shared_parts(shared, &parts.headers);
     let context = RequestContext {
         residency,
         route,
@@ -277,6 +279,7 @@
         service,
         parts,
         body,
+        shared_parts,
         version: configuration.version,
         arrived,
         deadline,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -178,6 +178,7 @@
         log_line
             .field("last_event", self.last_event)
             .field("bytes", self.relayed_bytes)
+            .field("prompt_parts", self.context.shared_part_ids())
             .field("cause", cause)
             .write();
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,6 +5,7 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
+use yokefall_serving::PrefixPart;
 
 use crate::context::RequestContext;
 use crate::shared::Shared;
@@ -68,10 +69,16 @@
     request.body(Full::new(context.body.bytes.clone())).ok()
 }
 
+/// The parts of a prompt that other requests may share: all but the last.
+pub fn shared_parts(shared: &Shared, headers: &HeaderMap) -> Vec<PrefixPart> {
+    let Some(value) = headers.get(&shared.dialect.headers().prefix) else { return Vec::new() };
+    let mut parts = shared.dialect.parse_prefix(value);
+    parts.pop();
+    parts
+}
+
 /// Hash of the shared part of a prompt, if it is long enough to prefer a back end.
-pub fn affinity(shared: &Shared, headers: &HeaderMap) -> Option<u64> {
-    let parts = shared.dialect.parse_prefix(headers.get(&shared.dialect.headers().prefix)?);
-    let (_, shared_parts) = parts.split_last()?;
+pub fn affinity(shared_parts: &[PrefixPart]) -> Option<u64> {
     let tokens: u64 = shared_parts.iter().map(|part| part.tokens).sum();
     let last = shared_parts.last()?;
     (tokens >= MIN_AFFINITY_TOKENS).then(|| xxh3_64(last.id.as_bytes()))
