Suspects are also parts of prompts: a crash counts against what no other suspect explains

Cause: evidence was kept for each exact request, and no two of these were alike. 160 of 169 crash lines name a request seen at one crash only; a reproduction with a marked part gives 39 crashes.

Change: evidence is kept for each shared part of a prompt as well, for its service and tenant, under a digest of the same form, so that notices, exchanges, grants and files stay as they are. A part is evidence only while the back end begins to write; a whole, successful response that used it clears it. A crash counts against a key only if no other suspect explains it, so that a popular part beside the fatal one runs freely. A part holds clients back after three crashes; items with it run alone after two. Of many simultaneous crashes those that the series does not count are forgotten first: a wave of 16 had displaced all before it. An update is merged before the list of crashed back ends, which had made a request's own crashes look like a rack's.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,7 +8,7 @@
 use yokefall_serving::{
     Caller, Catalog, PrefixPart, Requirements, Residency, Route, RouteKind, SoftwareVersion,
 };
-use yokefall_suspects::{IsolatedRun, RequestDigest, RequestIdentity};
+use yokefall_suspects::{IsolatedRun, RequestIdentity, SuspectKeys};
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::body::BufferedBody;
@@ -49,8 +49,8 @@
     pub id: String,
     /// Whether the end of the request has been logged.
     pub end_logged: Cell<bool>,
-    /// Digest of the request, computed on first use: most requests never need it.
-    pub digest: OnceCell<RequestDigest>,
+    /// What the request may be suspected by, computed on first use: most requests never need it.
+    pub suspect_keys: OnceCell<SuspectKeys>,
     /// Held while the request runs exclusively, as granted by the leader of the job stores.
     pub isolated_run: Option<IsolatedRun>,
     /// The stream that it begins or continues; `None` if its answer cannot be continued.
@@ -83,8 +83,8 @@
         catalog.residency_at(&self.route.host, self.parts.uri.path(), tenant)
     }
 
-    /// Digest shared by all attempts of the same request.
-    pub fn digest(&self) -> RequestDigest {
+    /// What the request may be suspected by, the same for all of its attempts.
+    pub fn suspect_keys(&self) -> &SuspectKeys {
         let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
         let identity = RequestIdentity {
             method: self.parts.method.as_str(),
@@ -93,7 +93,8 @@
             tenant: self.caller.name(),
             body: &self.body.bytes,
         };
-        *self.digest.get_or_init(|| RequestDigest::of(&identity))
+        let parts = self.shared_parts.iter().map(|part| part.id.as_str());
+        self.suspect_keys.get_or_init(|| SuspectKeys::of(&identity, &self.service, parts))
     }
 
     /// A log line with the fields common to all events of this request.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderName, Response, StatusCode};
 use tokio::time::Instant;
 use yokefall_serving::{Ineligible, Outcome, Residency, RouteKind};
+use yokefall_suspects::ResponseProgress;
 use yokefall_telemetry::{EventName, LogLine};
 use yokefall_upstream::{
     exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody, SendFailure,
@@ -305,10 +306,8 @@
                 context.record_possible_run();
                 last = format!("{}: {cause}", backend.id);
                 log_failed_attempt(context, &backend.id, &last);
-                shared
-                    .suspects
-                    .record_disconnect(&backend, slot.acquired_at(), || context.digest())
-                    .await;
+                let progress = ResponseProgress::Beginning;
+                suspect::record_disconnect(shared, context, &slot, progress).await;
                 if may_retry(context) {
                     continue;
                 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -287,7 +287,7 @@
         may_have_run: 0,
         id,
         end_logged: Cell::new(false),
-        digest: OnceCell::new(),
+        suspect_keys: OnceCell::new(),
         isolated_run: None,
         stream,
     };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,12 +3,15 @@
 
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
+use http::response::Parts;
 use http::{header, HeaderMap, Response, StatusCode};
 use tokio::time::{Instant, Sleep};
 use yokefall_serving::{Outcome, RouteKind};
+use yokefall_suspects::ResponseProgress;
 use yokefall_telemetry::{EventName, LogLine};
 use yokefall_upstream::{BackendBody, BackendSlot, Connection, EventBoundaries, StreamPosition};
 
@@ -20,6 +23,9 @@
 use crate::stream::{self, requested_event};
 use crate::suspect;
 
+/// Maximum time from the first bytes of a body until a crash that writing them caused is seen here:
+/// some network delay and the processor time of a busy gateway.
+const MAX_CRASH_DELAY: Duration = Duration::from_millis(100);
 /// Maximum size of a response that is collected before it is relayed.
 const MAX_COLLECTED_BYTES: usize = 256 * 1024;
 
@@ -31,16 +37,14 @@
 ) -> Result<ClientResponse, (Box<RequestContext>, String)> {
     let streamed =
         context.route.kind == RouteKind::Stream && backend_response.response.status().is_success();
-    let BackendResponse { response, connection, slot } = backend_response;
-    let (head, body) = response.into_parts();
+    let (head, source) = Source::new(backend_response);
     let resumes = streamed && context.route.resumable;
     let last_event = if resumes { requested_event(shared, &context.parts) } else { 0 };
     let deadline = Box::pin(tokio::time::sleep_until(context.deadline));
-    let close = Connection::closes_after(&head.headers);
     let mut relay = Relay {
         shared: shared.clone(),
         context: Box::new(context),
-        source: Some(Source { body, connection, slot, close }),
+        source: Some(source),
         deadline,
         silence: Box::pin(tokio::time::sleep(SILENCE_TIMEOUT)),
         resumes,
@@ -89,6 +93,27 @@
     slot: BackendSlot,
     /// Whether the back end closes the connection after the response.
     close: bool,
+    /// Whether the response reports success.
+    is_success: bool,
+    /// When the first bytes of the body arrived.
+    first_data_at: Option<Instant>,
+}
+
+impl Source {
+    fn new(backend_response: BackendResponse) -> (Parts, Self) {
+        let BackendResponse { response, connection, slot } = backend_response;
+        let (head, body) = response.into_parts();
+        let close = Connection::closes_after(&head.headers);
+        let is_success = head.status.is_success();
+        (head, Self { body, connection, slot, close, is_success, first_data_at: None })
+    }
+
+    fn progress(&self) -> ResponseProgress {
+        match self.first_data_at {
+            Some(at) if at.elapsed() > MAX_CRASH_DELAY => ResponseProgress::Underway,
+            Some(_) | None => ResponseProgress::Beginning,
+        }
+    }
 }
 
 struct Relay {
@@ -170,8 +195,8 @@
     /// Determines whether the back end terminated during the request.
     async fn record_disconnect(&self) {
         let Some(source) = &self.source else { return };
-        let (backend, sent) = (&source.slot.backend, source.slot.acquired_at());
-        self.shared.suspects.record_disconnect(backend, sent, || self.context.digest()).await;
+        let progress = source.progress();
+        suspect::record_disconnect(&self.shared, &self.context, &source.slot, progress).await;
     }
 
     fn log(&self, log_line: LogLine, cause: &str) {
@@ -192,7 +217,7 @@
             .field("bytes", self.relayed_bytes)
             .write();
         source.slot.outcome = Outcome::Answered;
-        suspect::record_answer(&self.shared, &self.context);
+        suspect::record_answer(&self.shared, &self.context, source.is_success);
         if !source.close {
             self.shared.pool.put_back(source.connection);
         }
@@ -230,13 +255,13 @@
             return false;
         }
         let sent = send(&self.shared, &mut self.context, self.last_event).await;
-        let Ok(BackendResponse { response, connection, slot }) = sent else { return false };
-        if !response.status().is_success() {
+        let Ok(backend_response) = sent else { return false };
+        let (_, source) = Source::new(backend_response);
+        if !source.is_success {
             return false;
         }
         self.log(self.context.log_line(EventName::StreamResumed), "previous back end failed");
-        let close = Connection::closes_after(response.headers());
-        self.source = Some(Source { body: response.into_body(), connection, slot, close });
+        self.source = Some(source);
         true
     }
 
@@ -277,6 +302,7 @@
         return match chunk {
             Some(Ok(data)) => {
                 source.slot.record_activity();
+                source.first_data_at.get_or_insert_with(Instant::now);
                 NextChunk::Data(data)
             }
             Some(Err(error)) => NextChunk::Broken(error.to_string()),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -69,12 +69,10 @@
     request.body(Full::new(context.body.bytes.clone())).ok()
 }
 
-/// The parts of a prompt that other requests may share: all but the last.
+/// The parts of the prompt that other requests may share.
 pub fn shared_parts(shared: &Shared, headers: &HeaderMap) -> Vec<PrefixPart> {
-    let Some(value) = headers.get(&shared.dialect.headers().prefix) else { return Vec::new() };
-    let mut parts = shared.dialect.parse_prefix(value);
-    parts.pop();
-    parts
+    let value = headers.get(&shared.dialect.headers().prefix);
+    value.map(|value| shared.dialect.shared_parts(value)).unwrap_or_default()
 }
 
 /// Hash of the shared part of a prompt, if it is long enough to prefer a back end.
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -1,4 +1,5 @@
-//! Decides whether a request during which back ends terminated, at any gateway, may be sent.
+//! Decides whether a request may be sent, during which back ends terminated at any gateway, or
+//! during others with a part of its prompt.
 //!
 //! This is checked before each send, not once per request: a retry, a resumed stream and an attempt
 //! by another client put a back end at the same risk.
@@ -8,7 +9,8 @@
 use tokio::time::Instant;
 use yokefall_jobstore::client::CallOutcome;
 use yokefall_jobstore::{Reply, Request};
-use yokefall_suspects::{Grant, SuspectStatus};
+use yokefall_suspects::{Grant, RequestSource, ResponseProgress, Restriction, SuspectStatus};
+use yokefall_upstream::BackendSlot;
 
 use crate::context::RequestContext;
 use crate::shared::Shared;
@@ -32,24 +34,27 @@
 
 /// How long a request may not be sent anywhere; `None` if it may be sent, or if the leader decides.
 pub fn held_back(shared: &Shared, context: &RequestContext) -> Option<Duration> {
-    if shared.suspects.is_empty() {
-        return None;
-    }
-    match shared.suspects.status(&context.digest()) {
+    match restriction(shared, context)?.status {
         SuspectStatus::HeldBack { wait_ms } => Some(Duration::from_millis(wait_ms)),
         SuspectStatus::Free | SuspectStatus::Isolated => None,
     }
 }
 
+fn restriction(shared: &Shared, context: &RequestContext) -> Option<Restriction> {
+    if shared.suspects.is_empty() {
+        return None;
+    }
+    shared.suspects.restriction(context.suspect_keys(), RequestSource::Client)
+}
+
 /// Checks whether a request may be sent to a back end now. A request that must run exclusively
 /// needs a grant from the leader of the job stores. All gateways request it there, since only the
 /// leader knows where it is running.
 pub async fn clear(shared: &Shared, context: &mut RequestContext, backend: &str) -> Clearance {
-    if shared.suspects.is_empty() {
+    let Some(Restriction { digest, status }) = restriction(shared, context) else {
         return Clearance::Clear;
-    }
-    let digest = context.digest();
-    match shared.suspects.status(&digest) {
+    };
+    match status {
         SuspectStatus::Free => return Clearance::Clear,
         SuspectStatus::HeldBack { wait_ms } => {
             return Clearance::HeldBack(Duration::from_millis(wait_ms));
@@ -72,10 +77,25 @@
     }
 }
 
-/// Records that a back end completed a request: terminations that were attributed to the request
-/// had another cause.
-pub fn record_answer(shared: &Shared, context: &RequestContext) {
-    if !shared.suspects.is_empty() {
-        shared.suspects.record_answer(&context.digest());
+/// Records that the connection to a back end broke off during a request.
+pub async fn record_disconnect(
+    shared: &Shared,
+    context: &RequestContext,
+    slot: &BackendSlot,
+    progress: ResponseProgress,
+) {
+    let keys = || context.suspect_keys().clone();
+    shared.suspects.record_disconnect(&slot.backend, slot.acquired_at(), progress, keys).await;
+}
+
+/// Records that a back end completed a request: terminations that were attributed to the request,
+/// or on success to a part of its prompt, had another cause.
+pub fn record_answer(shared: &Shared, context: &RequestContext, is_success: bool) {
+    if shared.suspects.is_empty() {
+        return;
+    }
+    match is_success {
+        true => shared.suspects.record_success(context.suspect_keys()),
+        false => shared.suspects.record_answer(context.suspect_keys().request()),
     }
 }
--- a/crates/jobstore/src/held_items.rs
+++ b/crates/jobstore/src/held_items.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use yokefall_suspects::{Grant, Registry, RequestDigest, RequestSource};
+use yokefall_suspects::{Grant, Registry, RequestSource, Restriction, SuspectKeys, SuspectStatus};
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::running::ItemKey;
@@ -40,13 +40,23 @@
         suspects: &Registry,
         key: &ItemKey,
         backend: &str,
-        digest: impl FnOnce() -> Option<RequestDigest>,
+        keys: impl FnOnce() -> Option<SuspectKeys>,
     ) -> bool {
         if suspects.is_empty() {
             return true;
         }
-        let Some(digest) = digest() else { return true };
-        let wait = match suspects.grant(&digest, backend, RequestSource::Job) {
+        let Some(keys) = keys() else { return true };
+        let Some(Restriction { digest, status }) = suspects.restriction(&keys, RequestSource::Job)
+        else {
+            return true;
+        };
+        let grant = match status {
+            SuspectStatus::HeldBack { wait_ms } => Grant::Wait { ms: wait_ms },
+            SuspectStatus::Free | SuspectStatus::Isolated => {
+                suspects.grant(&digest, backend, RequestSource::Job)
+            }
+        };
+        let wait = match grant {
             Grant::Granted => return true,
             Grant::BackendBusy => OTHER_BACKEND_BACKOFF,
             Grant::Wait { ms } => Duration::from_millis(ms),
--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -16,7 +16,7 @@
 use crate::item_worker::ItemWorker;
 use crate::preemption::Phase;
 use crate::protocol::RunRequest;
-use crate::run::{item_digest, ItemSender, PermitDenied, Progress, RunEnd};
+use crate::run::{ItemSender, PermitDenied, Progress, RunEnd};
 use crate::runner::Runner;
 use crate::running::{CountedItem, ItemKey, Running};
 use crate::state::{Command, Run};
@@ -79,6 +79,7 @@
         };
         let incarnation = slot.backend.incarnation();
         let software_version = slot.backend.software_version.clone();
+        let service = slot.backend.service.clone();
         LogLine::new(EventName::ItemStarted)
             .id(&item.id)
             .text("job", &key.0)
@@ -118,14 +119,17 @@
         phase.set(Phase::Ended);
         let suspects = &self.worker.items.suspects;
         if !suspects.is_empty() {
-            let digest = item_digest(&sender, &item);
-            match end.is_whole_answer() {
-                true => suspects.record_answer(&digest),
-                false => {
+            let keys = self.worker.items.suspect_keys(&service, &sender, &item);
+            match &end {
+                RunEnd::Completed => suspects.record_success(&keys),
+                RunEnd::Unprocessable | RunEnd::ItemFailed => {
+                    suspects.record_answer(keys.request())
+                }
+                RunEnd::Retry { .. } => {
                     // Without any event it may have waited in the back end's queue.
                     let gave_events = progress.borrow().last_event > events_before;
                     let worked = if gave_events { began.elapsed() } else { Duration::ZERO };
-                    suspects.record_inconclusive_run(&digest, worked);
+                    suspects.record_inconclusive_run(&keys, worked);
                 }
             }
         }
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -12,8 +12,8 @@
 use http::{header, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use yokefall_serving::identity::set_tenant_header;
-use yokefall_serving::{Backend, Dialect, JobItem, Outcome, Permit, TenantName};
-use yokefall_suspects::{Registry, RequestDigest, RequestIdentity};
+use yokefall_serving::{Backend, Dialect, JobItem, Outcome, Permit, PrefixPart, TenantName};
+use yokefall_suspects::{Registry, RequestIdentity, ResponseProgress, SuspectKeys};
 use yokefall_upstream::{
     exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody, Pool, SendFailure,
 };
@@ -78,13 +78,6 @@
     },
 }
 
-impl RunEnd {
-    /// Whether the back end sent a complete answer of any kind, that is, it did not crash.
-    pub fn is_whole_answer(&self) -> bool {
-        !matches!(self, RunEnd::Retry { .. })
-    }
-}
-
 /// Why an item may not be sent to a back end now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PermitDenied {
@@ -118,17 +111,6 @@
     }
 }
 
-/// Digest of an item, the same for all attempts, whether sent in a job or as an online request.
-pub fn item_digest(sender: &ItemSender, item: &JobItem) -> RequestDigest {
-    RequestDigest::of(&RequestIdentity {
-        method: Method::POST.as_str(),
-        host: &sender.host,
-        path: &item.path,
-        tenant: sender.tenant.as_ref().map_or("", TenantName::as_str),
-        body: &item.body,
-    })
-}
-
 /// Runs items at back ends.
 pub struct ItemRunner {
     /// Connections to back ends.
@@ -144,6 +126,27 @@
         Self { pool: Pool::default(), suspects, dialect }
     }
 
+    /// What an item may be suspected by, the same for all attempts, whether sent in a job or as an
+    /// online request.
+    pub fn suspect_keys(&self, service: &str, sender: &ItemSender, item: &JobItem) -> SuspectKeys {
+        let identity = RequestIdentity {
+            method: Method::POST.as_str(),
+            host: &sender.host,
+            path: &item.path,
+            tenant: sender.tenant.as_ref().map_or("", TenantName::as_str),
+            body: &item.body,
+        };
+        let parts = self.shared_parts(item);
+        SuspectKeys::of(&identity, service, parts.iter().map(|part| part.id.as_str()))
+    }
+
+    fn shared_parts(&self, item: &JobItem) -> Vec<PrefixPart> {
+        let name = self.dialect.headers().prefix.as_str();
+        let header = item.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+        let value = header.and_then(|header| HeaderValue::try_from(header.value.as_str()).ok());
+        value.map(|value| self.dialect.shared_parts(&value)).unwrap_or_default()
+    }
+
     /// Runs an item at a back end, resuming after the output so far. Invariant: `permit` is
     /// requested right before the item is sent. Connecting may take long, more so without processor
     /// time; meanwhile the job may be cancelled, leadership lost, or the back end begin to drain.
@@ -193,10 +196,7 @@
                 };
                 if slot.outcome == Outcome::Failed {
                     slot.record_failure();
-                    let digest = || item_digest(sender, item);
-                    self.suspects
-                        .record_disconnect(&slot.backend, slot.acquired_at(), digest)
-                        .await;
+                    self.record_disconnect(slot, sender, item, ResponseProgress::Beginning).await;
                 }
                 return retry(error.to_string(), false);
             }
@@ -212,8 +212,7 @@
         let not_run = answer.headers().contains_key(&self.dialect.headers().not_run);
         match answer.status() {
             StatusCode::OK => {
-                let digest = || item_digest(sender, item);
-                self.read_events(slot, connection, answer, progress, digest).await
+                self.read_events(slot, connection, answer, progress, (sender, item)).await
             }
             StatusCode::UNPROCESSABLE_ENTITY => {
                 slot.outcome = Outcome::Answered;
@@ -234,6 +233,17 @@
         }
     }
 
+    async fn record_disconnect(
+        &self,
+        slot: &BackendSlot,
+        sender: &ItemSender,
+        item: &JobItem,
+        progress: ResponseProgress,
+    ) {
+        let keys = || self.suspect_keys(&slot.backend.service, sender, item);
+        self.suspects.record_disconnect(&slot.backend, slot.acquired_at(), progress, keys).await;
+    }
+
     /// Records the load and remaining warm-up time in a back end's response headers.
     fn record_backend_headers(&self, slot: &BackendSlot, headers: &http::HeaderMap) {
         let load = headers.get(&self.dialect.headers().load);
@@ -277,13 +287,14 @@
         connection: Connection,
         answer: http::Response<BackendBody>,
         progress: &Rc<RefCell<Progress>>,
-        digest: impl FnOnce() -> RequestDigest,
+        (sender, item): (&ItemSender, &JobItem),
     ) -> RunEnd {
         let retry = |cause: String| RunEnd::Retry { cause, backoff: false };
         let signature = &self.dialect.headers().signature;
         let signed = !self.dialect.signs_responses() || answer.headers().contains_key(signature);
         let closes = Connection::closes_after(answer.headers());
         let mut events = answer.into_body().eventsource();
+        let mut has_events = false;
         loop {
             let event = match tokio::time::timeout(SILENCE_TIMEOUT, events.next()).await {
                 Ok(Some(Ok(event))) => event,
@@ -291,9 +302,13 @@
                 Ok(Some(Err(error))) => {
                     slot.outcome = Outcome::Failed;
                     slot.record_failure();
-                    self.suspects
-                        .record_disconnect(&slot.backend, slot.acquired_at(), digest)
-                        .await;
+                    // Data of items arrives for seconds; what breaks off before its first event has
+                    // just begun.
+                    let progress = match has_events {
+                        true => ResponseProgress::Underway,
+                        false => ResponseProgress::Beginning,
+                    };
+                    self.record_disconnect(slot, sender, item, progress).await;
                     return retry(format!("read answer of {}: {error}", slot.backend.id));
                 }
                 Err(_) => {
@@ -309,6 +324,7 @@
                 let expected = progress.last_event + 1;
                 return retry(format!("event {:?} in the place of {expected}", event.id));
             }
+            has_events = true;
             let event_number = progress.last_event + 1;
             progress.push(event_number, &event.data);
         }
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 use yokefall_serving::{Backend, BackendIncarnation, FleetCell, InFlight, Policy};
-use yokefall_suspects::RequestDigest;
+use yokefall_suspects::SuspectKeys;
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::backlog::{Backlog, PassStats};
@@ -19,7 +19,7 @@
 use crate::held_items::HeldItems;
 use crate::interrupted_output::InterruptedOutputs;
 use crate::preemption::Phase;
-use crate::run::{item_digest, ItemSender};
+use crate::run::ItemSender;
 use crate::running::{ItemKey, Running};
 use crate::state::{Command, OpenItem};
 use crate::store::Store;
@@ -259,7 +259,9 @@
                 }
             };
             let suspects = &self.worker.items.suspects;
-            if !self.held.may_start(suspects, &key, &backend.id, || self.digest_of(&key)) {
+            if !self.held.may_start(suspects, &key, &backend.id, || {
+                self.suspect_keys(&key, &backend.service)
+            }) {
                 continue;
             }
             if let Some(worker) = self.item_workers().choose(&backend, &pool.residency) {
@@ -290,11 +292,11 @@
         })
     }
 
-    fn digest_of(&self, (job, index): &ItemKey) -> Option<RequestDigest> {
+    fn suspect_keys(&self, (job, index): &ItemKey, service: &str) -> Option<SuspectKeys> {
         self.store.with_job(job, |job| {
             let item = job.open.get(index)?.item.clone();
             let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
-            Some(item_digest(&sender, &item))
+            Some(self.worker.items.suspect_keys(service, &sender, &item))
         })?
     }
 
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -150,6 +150,13 @@
         };
         value.to_str().unwrap_or_default().split(',').filter_map(part).collect()
     }
+    /// The parts of a prompt that other prompts may share: all but the last, which belongs to the
+    /// request or its session.
+    fn shared_parts(&self, value: &HeaderValue) -> Vec<PrefixPart> {
+        let mut parts = self.parse_prefix(value);
+        parts.pop();
+        parts
+    }
 }
 
 /// Returns the value of a query parameter.
--- a/crates/suspects/src/digest.rs
+++ b/crates/suspects/src/digest.rs
@@ -1,12 +1,16 @@
-//! The identity of a request across all of its attempts.
+//! The identity of a request across all of its attempts, and of a part of prompts.
 
 use std::fmt;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use sha2::{Digest, Sha256};
 
+use crate::keys::PartIdentity;
+
 /// Length of a digest: 128 bits of SHA-256, so that nobody can have another's request held back.
 const DIGEST_BYTES: usize = 16;
+/// First field of the digest of a part; no HTTP method contains a space.
+const PART_KIND: &str = "prompt part";
 /// Number of bytes that log lines show.
 const DISPLAYED_BYTES: usize = 6;
 
@@ -25,7 +29,8 @@
     pub body: &'a [u8],
 }
 
-/// Digest of a `RequestIdentity`, without attempt ids, deadlines and stream positions.
+/// Digest of a `RequestIdentity`, without attempt ids, deadlines and stream positions, or of a
+/// `PartIdentity`. Messages and files do not distinguish the two.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
 )]
@@ -35,8 +40,28 @@
     /// Computes the digest of a request in one pass over its body.
     pub fn of(identity: &RequestIdentity) -> Self {
         let RequestIdentity { method, host, path, tenant, body } = *identity;
+        Self::of_fields(&[
+            method.as_bytes(),
+            host.as_bytes(),
+            path.as_bytes(),
+            tenant.as_bytes(),
+            body,
+        ])
+    }
+
+    /// Computes the digest of a part of prompts.
+    pub fn of_part(identity: &PartIdentity) -> Self {
+        let PartIdentity { service, tenant, part } = *identity;
+        Self::of_fields(&[
+            PART_KIND.as_bytes(),
+            service.as_bytes(),
+            tenant.as_bytes(),
+            part.as_bytes(),
+        ])
+    }
+
+    fn of_fields(fields: &[&[u8]]) -> Self {
         let mut hash = Sha256::new();
-        let fields = [method.as_bytes(), host.as_bytes(), path.as_bytes(), tenant.as_bytes(), body];
         for field in fields {
             // The length prefix keeps the end of a field from passing for the start of the next.
             hash.update((field.len() as u64).to_le_bytes());
--- a/crates/suspects/src/entry.rs
+++ b/crates/suspects/src/entry.rs
@@ -100,8 +100,8 @@
     pub(crate) changed_at: Timestamp,
 }
 
-/// What may be done with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What may be done with a request, from the least strict to the strictest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspectStatus {
     /// It may be sent.
     Free,
@@ -144,6 +144,41 @@
         series
     }
 
+    /// This entry without the crashes that `is_explained` accepts.
+    pub(crate) fn without(&self, is_explained: impl Fn(&Crash) -> bool) -> Self {
+        let mut entry = self.clone();
+        entry.crashes.retain(|crash| !is_explained(crash));
+        entry
+    }
+
+    /// Whether this entry's series is evidence strong enough to explain crashes of `other`.
+    pub(crate) fn may_explain(&self, other: &Self) -> bool {
+        let series = self.series();
+        series.is_held_back() || (series.needs_isolation() && series.count >= other.series().count)
+    }
+
+    /// Number of crashes that this entry has in common with another.
+    pub(crate) fn count_shared(&self, other: &Self) -> usize {
+        other.crashes.iter().filter(|crash| self.has_crash(crash)).count()
+    }
+
+    /// Whether this entry has the same crash.
+    pub(crate) fn has_crash(&self, other: &Crash) -> bool {
+        self.crashes.iter().any(|crash| {
+            is_same_crash((&crash.backend, crash.crashed_at), (&other.backend, other.crashed_at))
+        })
+    }
+
+    /// Whether the series restricts what many requests share: those of clients would be rejected,
+    /// which takes a longer series, items only wait.
+    pub(crate) fn restricts_shared(&self, source: RequestSource) -> bool {
+        let series = self.series();
+        match source {
+            RequestSource::Client => series.count >= CRASHES_TO_HOLD_BACK,
+            RequestSource::Job => series.needs_isolation(),
+        }
+    }
+
     pub(crate) fn last_crash(&self) -> Option<Timestamp> {
         self.crashes.last().map(|crash| crash.crashed_at)
     }
@@ -209,11 +244,26 @@
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.crashed_at);
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
+            self.crashes.remove(self.least_telling_crash());
         }
         true
     }
 
+    /// Position of the oldest crash that the series does not count, otherwise of the oldest: many
+    /// back ends that crash at once must not displace the crashes before them.
+    fn least_telling_crash(&self) -> usize {
+        let mut last: Option<Timestamp> = None;
+        let is_counted = |crash: &Crash| {
+            let is_counted = last.is_none_or(|last| crash.sent_at >= last);
+            if is_counted {
+                last = Some(crash.crashed_at);
+            }
+            is_counted
+        };
+        let counted: Vec<bool> = self.crashes.iter().map(is_counted).collect();
+        counted.iter().position(|is_counted| !is_counted).unwrap_or(0)
+    }
+
     /// Crashes at about the time of crashes that this request was not present at prove nothing.
     pub(crate) fn discount_simultaneous(&mut self, background: &Background, at: Timestamp) {
         let own: Vec<BackendIncarnation> =
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -3,6 +3,8 @@
 //! When a back end crashes, all of its requests in flight fail with it, and clients, gateways or
 //! the job runner send them again. If one of them is the cause, each retry costs another back end.
 //! No single attempt or process can detect that: the evidence accumulates across the fleet.
+//! The cause may be the request itself, or a part of its prompt that otherwise different requests
+//! share; `keys` names both, and evidence is kept for each.
 //!
 //! `digest` identifies a request independently of its sender and of the number of attempts. `table`
 //! records which back ends crashed under which request, each in an `entry`, and decides what may
@@ -15,6 +17,7 @@
 pub mod digest;
 pub mod entry;
 pub mod exit_check;
+pub mod keys;
 pub mod message;
 pub mod notices;
 pub mod registry;
@@ -22,6 +25,7 @@
 
 pub use digest::{RequestDigest, RequestIdentity};
 pub use entry::{RequestSource, SuspectStatus};
+pub use keys::{PartIdentity, ResponseProgress, SuspectKeys};
 pub use message::{CrashInfo, CrashedBackend, Grant, SuspectReport, SuspectUpdate};
 pub use registry::{DisconnectCause, IsolatedRun, Registry};
-pub use table::Table;
+pub use table::{Restriction, Table};
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -15,15 +15,18 @@
 use crate::digest::RequestDigest;
 use crate::entry::{RequestSource, SuspectStatus};
 use crate::exit_check::ExitChecks;
+use crate::keys::{ResponseProgress, SuspectKeys};
 use crate::message::{Grant, SuspectReport, SuspectUpdate};
-use crate::table::Table;
+use crate::table::{Restriction, Table};
 
 /// Clock value at the start, in milliseconds: a day, longer than anything is kept.
 const INITIAL_TIME_MS: u64 = 86_400_000;
 /// Number of crashes remembered so that each is logged once.
 const MAX_LOGGED_CRASHES: usize = 64;
-/// Number of crashes from which an answer is broadcast: below it nothing was held back.
-const MIN_CRASHES_TO_PUBLISH: usize = 2;
+/// Number of crashes from which the answer to a request is broadcast: below it nothing was held
+/// back. For a part of prompts, crashes that different processes know add up.
+const MIN_REQUEST_CRASHES_TO_PUBLISH: usize = 2;
+const MIN_PART_CRASHES_TO_PUBLISH: usize = 1;
 
 /// Why a connection to a back end broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,7 +48,7 @@
 impl Drop for IsolatedRun {
     fn drop(&mut self) {
         // It is not known here whether the back end had started it.
-        self.registry.record_inconclusive_run(&self.digest, Duration::ZERO);
+        self.registry.end_run(&self.digest, Duration::ZERO);
     }
 }
 
@@ -93,7 +96,12 @@
         self.table.borrow().is_empty()
     }
 
-    /// What may be done with a request.
+    /// The strictest restriction of a request; `None` if it may run freely.
+    pub fn restriction(&self, keys: &SuspectKeys, source: RequestSource) -> Option<Restriction> {
+        self.table.borrow().restriction(self.now(), keys, source)
+    }
+
+    /// What may be done with whatever has one key.
     pub fn status(&self, digest: &RequestDigest) -> SuspectStatus {
         self.table.borrow().status(self.now(), digest)
     }
@@ -104,38 +112,58 @@
     }
 
     /// Records that a connection broke off during a request sent at `sent`, after determining
-    /// whether the back end crashed. The exit of a back end that is leaving is no evidence, nor
+    /// whether the back end crashed. `progress` tells whether a part of the prompt may be the cause.
+    /// The exit of a back end that is leaving is no evidence, nor
     /// that of an earlier incarnation, which may have drained and left its address to another.
     pub async fn record_disconnect(
         &self,
         backend: &Backend,
         sent: Instant,
-        digest: impl FnOnce() -> RequestDigest,
+        progress: ResponseProgress,
+        keys: impl FnOnce() -> SuspectKeys,
     ) -> DisconnectCause {
         let incarnation = backend.incarnation();
         let is_leaving = !self.catalog.load().is_ready_incarnation(&incarnation);
         if is_leaving || !self.checks.has_exited(&incarnation, backend.address).await {
             return DisconnectCause::Unknown;
         }
-        let digest = digest();
-        let before = self.is_held_back(&digest);
+        let keys = keys();
+        let parts = match progress {
+            ResponseProgress::Beginning => keys.parts(),
+            ResponseProgress::Underway => &[],
+        };
+        self.log_crash(backend);
+        for digest in parts.iter().chain([keys.request()]) {
+            self.record_crash(backend, sent, digest, digest != keys.request());
+        }
+        DisconnectCause::BackendCrashed
+    }
+
+    /// Records the crash of a back end as evidence against a request or a part of prompts.
+    fn record_crash(
+        &self,
+        backend: &Backend,
+        sent: Instant,
+        digest: &RequestDigest,
+        is_part: bool,
+    ) {
+        let incarnation = backend.incarnation();
+        let before = self.is_held_back(digest);
         let population =
             self.catalog.load().ready_table(&backend.service).map_or(0, |table| table.len());
         let crashed = (&incarnation, population);
         let sent_at = self.clock.at(sent).plus_millis(INITIAL_TIME_MS);
-        self.table.borrow_mut().record_crash(self.now(), digest, crashed, sent_at);
-        let crash_count = self.crash_count(&digest);
-        self.log_crash(backend);
+        self.table.borrow_mut().record_crash(self.now(), *digest, crashed, sent_at);
         LogLine::new(EventName::BackendEndedUnder)
             .id(digest)
             .text("backend", &backend.id)
             .field("started_ms", backend.started_ms)
             .field("ran_ms", sent.elapsed().as_millis() as u64)
-            .field("ends", crash_count)
+            .field("ends", self.crash_count(digest))
+            .field("is_prompt_part", is_part)
             .write();
-        self.log_held_back(&digest, before);
-        self.publish_soon(digest);
-        DisconnectCause::BackendCrashed
+        self.log_held_back(digest, before);
+        self.publish_soon(*digest);
     }
 
     /// Logs the crash of a back end once, for the first request that detects it.
@@ -173,6 +201,7 @@
             .id(digest)
             .field("ends", self.crash_count(digest))
             .field("wait_ms", wait_ms)
+            .field("is_explained", self.table.borrow().is_explained(digest))
             .write();
     }
 
@@ -184,11 +213,27 @@
         metrics::gauge!("suspects_held_back").set(self.table.borrow().held_back() as f64);
     }
 
-    /// Records that a back end answered a request completely.
-    pub fn record_answer(&self, digest: &RequestDigest) {
-        let was_held_back = self.is_held_back(digest);
+    /// Records that a back end answered a request completely, with any status.
+    pub fn record_answer(&self, request: &RequestDigest) {
+        self.clear(request, MIN_REQUEST_CRASHES_TO_PUBLISH);
+    }
+
+    /// Records that a back end answered a request completely and successfully, which also proves
+    /// that no part of its prompt is the cause of earlier crashes.
+    pub fn record_success(&self, keys: &SuspectKeys) {
+        self.record_answer(keys.request());
+        for part in keys.parts() {
+            self.clear(part, MIN_PART_CRASHES_TO_PUBLISH);
+        }
+    }
+
+    fn clear(&self, digest: &RequestDigest, min_crashes_to_publish: usize) {
+        let table = self.table.borrow();
+        // Of keys that are always present together, one is the cause and only that one restricts.
+        let was_held_back = table.is_held_back(digest) && !table.is_explained(digest);
+        drop(table);
         let cleared = self.table.borrow_mut().record_answer(self.now(), digest);
-        if cleared < MIN_CRASHES_TO_PUBLISH {
+        if cleared < min_crashes_to_publish {
             return;
         }
         if was_held_back {
@@ -228,7 +273,15 @@
 
     /// Records that a run finished without an answer and without a crash after the back end had
     /// worked on it for `worked`. If it was isolated, the next run may follow.
-    pub fn record_inconclusive_run(&self, digest: &RequestDigest, worked: Duration) {
+    pub fn record_inconclusive_run(&self, keys: &SuspectKeys, worked: Duration) {
+        for part in keys.parts() {
+            // How long a run lasts says nothing of a part that crashes back ends at its start.
+            self.end_run(part, Duration::ZERO);
+        }
+        self.end_run(keys.request(), worked);
+    }
+
+    fn end_run(&self, digest: &RequestDigest, worked: Duration) {
         let survived_ms = worked.as_millis() as u64;
         if self.table.borrow_mut().record_inconclusive_run(self.now(), digest, survived_ms) {
             self.publish_soon(*digest);
@@ -268,13 +321,14 @@
     pub fn take(&self, report: SuspectReport) {
         let now = self.now();
         let mut is_new = false;
-        self.table.borrow_mut().merge_crashed_backends(now, &report.crashed_backends);
         for update in report.suspects {
             let digest = update.digest;
             let before = self.is_held_back(&digest);
             is_new |= self.table.borrow_mut().merge(now, update);
             self.log_held_back(&digest, before);
         }
+        // After the updates, so that a request's own crashes are not taken for those of others.
+        self.table.borrow_mut().merge_crashed_backends(now, &report.crashed_backends);
         if is_new {
             self.update_gauge();
             self.changed.notify_one();
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -11,6 +11,11 @@
 //!
 //! A remaining suspect runs isolated, once at a time, and is held back after the next crash.
 //!
+//! Evidence is kept for requests and for parts of prompts alike (`keys`). A part is present at the
+//! crashes that another part or one request causes, so a crash counts against a key of a request
+//! only if no other suspect explains it. Only the broader keys of the same request cannot: of parts
+//! that always occur together, the narrowest is restricted.
+//!
 //! The tables of several processes converge to the same content when merged in any order and any
 //! number of times, except for times, which shift by the delay of the messages.
 
@@ -24,6 +29,7 @@
 use crate::entry::{
     Crash, Entry, RequestSource, SuspectStatus, CRASHES_TO_ISOLATE, RETRY_AFTER_MS,
 };
+use crate::keys::SuspectKeys;
 use crate::message::{CrashInfo, CrashedBackend, Grant, SuspectUpdate};
 
 /// Maximum number of requests, about 250 bytes each; those with the fewest crashes go first.
@@ -31,6 +37,15 @@
 /// Maximum number of requests in one message, about 5 KB; those with the most crashes go first.
 pub const MAX_UPDATES: usize = 64;
 
+/// Why a request may not run freely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restriction {
+    /// The key that is suspected: the request or a part of its prompt.
+    pub digest: RequestDigest,
+    /// What may be done with it; not `Free`.
+    pub status: SuspectStatus,
+}
+
 /// What is known about suspects. Invariant: an entry's crashes follow its last complete answer.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -61,6 +76,16 @@
         self.entries.get(digest).is_some_and(|entry| entry.series().is_held_back())
     }
 
+    /// Whether one other suspect explains all crashes under a key.
+    pub fn is_explained(&self, digest: &RequestDigest) -> bool {
+        let Some(entry) = self.entries.get(digest) else { return false };
+        self.entries.iter().any(|(other_digest, other)| {
+            other_digest != digest
+                && other.may_explain(entry)
+                && entry.crashes.iter().all(|crash| other.has_crash(crash))
+        })
+    }
+
     /// What may be done with a request.
     pub fn status(&self, now: Timestamp, digest: &RequestDigest) -> SuspectStatus {
         self.entries
@@ -68,6 +93,58 @@
             .map_or(SuspectStatus::Free, |entry| entry.status(now, RequestSource::Client))
     }
 
+    /// The strictest restriction of a request by any of its keys; `None` if it may run freely.
+    pub fn restriction(
+        &self,
+        now: Timestamp,
+        keys: &SuspectKeys,
+        source: RequestSource,
+    ) -> Option<Restriction> {
+        let mut strictest: Option<Restriction> = None;
+        let all: Vec<&RequestDigest> = keys.iter().collect();
+        for (position, digest) in all.iter().enumerate() {
+            let Some(entry) = self.entries.get(digest) else { continue };
+            let is_shared = *digest != keys.request();
+            let restricts = match is_shared {
+                true => entry.restricts_shared(source),
+                false => entry.series().needs_isolation(),
+            };
+            if !restricts {
+                continue;
+            }
+            let unexplained = self.without_explained(entry, &all[..=position]);
+            if is_shared && !unexplained.restricts_shared(source) {
+                continue;
+            }
+            let status = unexplained.status(now, source);
+            if status > strictest.map_or(SuspectStatus::Free, |found| found.status) {
+                strictest = Some(Restriction { digest: **digest, status });
+            }
+        }
+        strictest
+    }
+
+    /// An entry without the crashes that suspects other than `not_by` explain. Each must explain at
+    /// least half of those left: one cause of all is likelier than many that share them.
+    fn without_explained(&self, entry: &Entry, not_by: &[&RequestDigest]) -> Entry {
+        let suspects: Vec<&Entry> = self
+            .entries
+            .iter()
+            .filter(|(digest, other)| !not_by.contains(digest) && other.may_explain(entry))
+            .map(|(_, other)| other)
+            .collect();
+        let mut unexplained = entry.clone();
+        loop {
+            let best = suspects.iter().max_by_key(|suspect| suspect.count_shared(&unexplained));
+            let Some(best) = best else { return unexplained };
+            let shared = best.count_shared(&unexplained);
+            if shared == 0 || 2 * shared < unexplained.crashes.len() {
+                return unexplained;
+            }
+            unexplained = unexplained.without(|crash| best.has_crash(crash));
+        }
+    }
+
     /// Number of consecutive crashes under a request since it was last answered.
     pub fn crash_count(&self, digest: &RequestDigest) -> usize {
         self.entries.get(digest).map_or(0, |entry| entry.series().count)
--- a/crates/suspects/tests/registry.rs
+++ b/crates/suspects/tests/registry.rs
@@ -10,14 +10,20 @@
     empty_catalog, Backend, BackendIncarnation, BackendState, Catalog, CatalogCell,
 };
 use yokefall_suspects::{
-    CrashInfo, DisconnectCause, Registry, RequestDigest, RequestIdentity, SuspectReport,
-    SuspectStatus, SuspectUpdate,
+    CrashInfo, DisconnectCause, Registry, RequestDigest, RequestIdentity, ResponseProgress,
+    SuspectKeys, SuspectReport, SuspectStatus, SuspectUpdate,
 };
 
 fn digest() -> RequestDigest {
     digest_of("/")
 }
 
+fn keys() -> SuspectKeys {
+    let (method, host) = ("GET", "maps.example");
+    let identity = RequestIdentity { method, host, path: "/", tenant: "", body: b"" };
+    SuspectKeys::of(&identity, "models", std::iter::empty())
+}
+
 fn digest_of(path: &str) -> RequestDigest {
     let (method, host) = ("GET", "maps.example");
     RequestDigest::of(&RequestIdentity { method, host, path, tenant: "", body: b"" })
@@ -53,13 +59,17 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let running = backend("running", listener.local_addr().expect("an address"));
     let registry = registry(catalog_of(std::slice::from_ref(&running)));
-    let cause = registry.record_disconnect(&running, Instant::now(), digest).await;
+    let cause = registry
+        .record_disconnect(&running, Instant::now(), ResponseProgress::Beginning, keys)
+        .await;
     assert_eq!(cause, DisconnectCause::Unknown);
     assert!(registry.is_empty());
     // It crashes later, and is checked again.
     drop(listener);
     assert_eq!(
-        registry.record_disconnect(&running, Instant::now(), digest).await,
+        registry
+            .record_disconnect(&running, Instant::now(), ResponseProgress::Beginning, keys)
+            .await,
         DisconnectCause::BackendCrashed
     );
     assert!(!registry.is_empty());
@@ -73,7 +83,7 @@
     drop(listener);
     let registry = registry(catalog_of(&[]));
     assert_eq!(
-        registry.record_disconnect(&left, Instant::now(), digest).await,
+        registry.record_disconnect(&left, Instant::now(), ResponseProgress::Beginning, keys).await,
         DisconnectCause::Unknown
     );
     assert!(registry.is_empty());
@@ -122,7 +132,9 @@
     let after = Backend { started_ms: 2, ..before.clone() };
     let registry = registry(catalog_of(&[after]));
     assert_eq!(
-        registry.record_disconnect(&before, Instant::now(), digest).await,
+        registry
+            .record_disconnect(&before, Instant::now(), ResponseProgress::Beginning, keys)
+            .await,
         DisconnectCause::Unknown
     );
     assert!(registry.is_empty());
