Items with a part of many simultaneous crashes run one at a time

20 items with a fatal part that start together crash 16 back ends at once. After three simultaneous crashes items with that part now run isolated until one is answered; clients' requests run freely as before. The leader's grant asked for the restriction of a client's request and let all items pass. Of equal restrictions the narrowest key is granted.

--- a/crates/suspects/src/entry.rs
+++ b/crates/suspects/src/entry.rs
@@ -11,6 +11,9 @@
 /// Number of consecutive crashes from which a request runs isolated: a single one may be chance.
 pub(crate) const CRASHES_TO_ISOLATE: usize = 2;
 const CRASHES_TO_HOLD_BACK: usize = 3;
+/// Number of crashes, simultaneous ones included, from which an item runs isolated: items with the
+/// same part that start together crash their back ends together, and again once these are back.
+const WAVE_CRASHES: usize = 3;
 /// Surprisal in nats, by length of the series of crashes, from which a request runs isolated or is
 /// held back: one series by chance in 100, or in 10,000, exceeds it. The sum grows with the length;
 /// by chance it has the distribution Gamma(length, 1).
@@ -175,10 +178,16 @@
         let series = self.series();
         match source {
             RequestSource::Client => series.count >= CRASHES_TO_HOLD_BACK,
-            RequestSource::Job => series.needs_isolation(),
+            RequestSource::Job => series.needs_isolation() || self.is_wave(source),
         }
     }
 
+    /// Whether simultaneous crashes are reason enough to run isolated. A rack that fails causes them
+    /// too, so this restricts items only, which wait, until one of them is answered.
+    fn is_wave(&self, source: RequestSource) -> bool {
+        source == RequestSource::Job && self.crashes.len() >= WAVE_CRASHES
+    }
+
     pub(crate) fn last_crash(&self) -> Option<Timestamp> {
         self.crashes.last().map(|crash| crash.crashed_at)
     }
@@ -205,7 +214,7 @@
 
     pub(crate) fn status(&self, now: Timestamp, source: RequestSource) -> SuspectStatus {
         let series = self.series();
-        if !series.needs_isolation() {
+        if !series.needs_isolation() && !self.is_wave(source) {
             return SuspectStatus::Free;
         }
         let due = match series.is_held_back() {
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -251,7 +251,7 @@
 
     /// Whether a request may run at a back end now; only the leader of the job stores decides this.
     pub fn grant(&self, digest: &RequestDigest, backend: &str, source: RequestSource) -> Grant {
-        if self.status(digest) == SuspectStatus::Free {
+        if self.table.borrow().status_of(self.now(), digest, source) == SuspectStatus::Free {
             return Grant::Granted;
         }
         let grant = self.table.borrow_mut().grant(self.now(), digest, backend, source);
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -88,9 +88,17 @@
 
     /// What may be done with a request.
     pub fn status(&self, now: Timestamp, digest: &RequestDigest) -> SuspectStatus {
-        self.entries
-            .get(digest)
-            .map_or(SuspectStatus::Free, |entry| entry.status(now, RequestSource::Client))
+        self.status_of(now, digest, RequestSource::Client)
+    }
+
+    /// What may be done with a request of a source.
+    pub(crate) fn status_of(
+        &self,
+        now: Timestamp,
+        digest: &RequestDigest,
+        source: RequestSource,
+    ) -> SuspectStatus {
+        self.entries.get(digest).map_or(SuspectStatus::Free, |entry| entry.status(now, source))
     }
 
     /// The strictest restriction of a request by any of its keys; `None` if it may run freely.
@@ -117,7 +125,9 @@
                 continue;
             }
             let status = unexplained.status(now, source);
-            if status > strictest.map_or(SuspectStatus::Free, |found| found.status) {
+            // Of equal ones the narrowest, which restricts the fewest others.
+            let is_strictest = strictest.is_none_or(|found| status >= found.status);
+            if status != SuspectStatus::Free && is_strictest {
                 strictest = Some(Restriction { digest: **digest, status });
             }
         }
--- a/crates/suspects/tests/parts.rs
+++ b/crates/suspects/tests/parts.rs
@@ -5,7 +5,7 @@
 use yokefall_core::Timestamp;
 use yokefall_serving::BackendIncarnation;
 use yokefall_suspects::{
-    PartIdentity, RequestDigest, RequestIdentity, RequestSource, Restriction, SuspectKeys,
+    Grant, PartIdentity, RequestDigest, RequestIdentity, RequestSource, Restriction, SuspectKeys,
     SuspectStatus, Table,
 };
 
@@ -163,6 +163,27 @@
     assert!(history.is_free(1_530, &["sound", "b4"]));
 }
 
+#[test]
+fn items_with_a_part_of_many_simultaneous_crashes_run_one_at_a_time_until_one_is_answered() {
+    let mut history = History::default();
+    for number in 0..6 {
+        history.crash(500 + number, &[&["popular", "fatal"]]);
+    }
+    let item = prompt(&["popular", "fatal"], u64::MAX);
+    let of_items = |table: &Table, ms| table.restriction(at(ms), &item, RequestSource::Job);
+    // Clients' requests may run: a rack may have failed.
+    assert!(history.is_free(1_100, &["popular", "fatal"]));
+    let held = of_items(&history.table, 1_100).expect("a restriction");
+    assert_eq!(held, Restriction { digest: part("fatal"), status: SuspectStatus::Isolated });
+    let first = history.table.grant(at(1_100), &held.digest, "backend-1", RequestSource::Job);
+    let second = history.table.grant(at(1_110), &held.digest, "backend-2", RequestSource::Job);
+    assert_eq!(first, Grant::Granted);
+    assert!(matches!(second, Grant::Wait { .. }), "{second:?}");
+    history.table.record_answer(at(1_500), &part("popular"));
+    history.table.record_answer(at(1_500), &part("fatal"));
+    assert_eq!(of_items(&history.table, 1_510), None);
+}
+
 #[test]
 fn a_part_is_suspected_for_one_service_and_one_tenant() {
     let identity = PartIdentity { service: SERVICE, tenant: "guides", part: "p" };
