An exact request is restricted by its own crashes alone

Read again: a fatal request that is repeated could run on while a part of other prompts had been at the same crashes, since each explained the other's. Its restriction concerns no other request, so nothing is gained by explaining it. Shown by a table test, red before. One copy of which crashes a series counts.

--- a/crates/suspects/src/entry.rs
+++ b/crates/suspects/src/entry.rs
@@ -136,17 +136,28 @@
         let median = runs.get(runs.len() / 2).copied().unwrap_or(0);
         let run_ms = median.max(self.survived_ms);
         let mut series = Series::default();
-        let mut last: Option<Timestamp> = None;
-        for crash in &self.crashes {
-            if last.is_none_or(|last| crash.sent_at >= last) {
+        for (crash, is_counted) in self.crashes.iter().zip(self.counted()) {
+            if is_counted {
                 series.count += 1;
                 series.surprisal += surprisal(crash.rate, run_ms);
-                last = Some(crash.crashed_at);
             }
         }
         series
     }
 
+    /// Which crashes the series counts: those whose run began after the one counted before.
+    fn counted(&self) -> Vec<bool> {
+        let mut last: Option<Timestamp> = None;
+        let is_counted = |crash: &Crash| {
+            let is_counted = last.is_none_or(|last| crash.sent_at >= last);
+            if is_counted {
+                last = Some(crash.crashed_at);
+            }
+            is_counted
+        };
+        self.crashes.iter().map(is_counted).collect()
+    }
+
     /// This entry without the crashes that `is_explained` accepts.
     pub(crate) fn without(&self, is_explained: impl Fn(&Crash) -> bool) -> Self {
         let mut entry = self.clone();
@@ -261,16 +272,7 @@
     /// Position of the oldest crash that the series does not count, otherwise of the oldest: many
     /// back ends that crash at once must not displace the crashes before them.
     fn least_telling_crash(&self) -> usize {
-        let mut last: Option<Timestamp> = None;
-        let is_counted = |crash: &Crash| {
-            let is_counted = last.is_none_or(|last| crash.sent_at >= last);
-            if is_counted {
-                last = Some(crash.crashed_at);
-            }
-            is_counted
-        };
-        let counted: Vec<bool> = self.crashes.iter().map(is_counted).collect();
-        counted.iter().position(|is_counted| !is_counted).unwrap_or(0)
+        self.counted().iter().position(|is_counted| !is_counted).unwrap_or(0)
     }
 
     /// Crashes at about the time of crashes that this request was not present at prove nothing.
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -112,19 +112,11 @@
         let all: Vec<&RequestDigest> = keys.iter().collect();
         for (position, digest) in all.iter().enumerate() {
             let Some(entry) = self.entries.get(digest) else { continue };
-            let is_shared = *digest != keys.request();
-            let restricts = match is_shared {
-                true => entry.restricts_shared(source),
-                false => entry.series().needs_isolation(),
+            let status = match *digest == keys.request() {
+                // Its restriction concerns no other request.
+                true => entry.status(now, source),
+                false => self.shared_status(now, entry, &all[..=position], source),
             };
-            if !restricts {
-                continue;
-            }
-            let unexplained = self.without_explained(entry, &all[..=position]);
-            if is_shared && !unexplained.restricts_shared(source) {
-                continue;
-            }
-            let status = unexplained.status(now, source);
             // Of equal ones the narrowest, which restricts the fewest others.
             let is_strictest = strictest.is_none_or(|found| status >= found.status);
             if status != SuspectStatus::Free && is_strictest {
@@ -134,6 +126,25 @@
         strictest
     }
 
+    /// What may be done with requests that share a part of their prompts, as far as crashes under
+    /// it are not explained by suspects other than `not_by`.
+    fn shared_status(
+        &self,
+        now: Timestamp,
+        entry: &Entry,
+        not_by: &[&RequestDigest],
+        source: RequestSource,
+    ) -> SuspectStatus {
+        if !entry.restricts_shared(source) {
+            return SuspectStatus::Free;
+        }
+        let unexplained = self.without_explained(entry, not_by);
+        match unexplained.restricts_shared(source) {
+            true => unexplained.status(now, source),
+            false => SuspectStatus::Free,
+        }
+    }
+
     /// An entry without the crashes that suspects other than `not_by` explain. Each must explain at
     /// least half of those left: one cause of all is likelier than many that share them.
     fn without_explained(&self, entry: &Entry, not_by: &[&RequestDigest]) -> Entry {
--- a/crates/suspects/tests/parts.rs
+++ b/crates/suspects/tests/parts.rs
@@ -152,6 +152,21 @@
     assert!(history.is_free(1_510, &["popular", "other"]));
 }
 
+#[test]
+fn an_exact_request_is_held_back_although_a_part_of_others_was_at_all_of_its_crashes() {
+    let mut history = History::default();
+    let repeated = prompt(&[], 7);
+    for ms in [500, 1_000, 1_500] {
+        history.crash(ms, &[&["beside"]]);
+        let backend = BackendIncarnation { id: format!("backend-{ms}"), started_ms: 0 };
+        let population = (&backend, POPULATION);
+        history.table.record_crash(at(ms), *repeated.request(), population, at(ms - 100));
+    }
+    let held = history.table.restriction(at(1_510), &repeated, RequestSource::Client);
+    assert!(matches!(held.map(|held| held.status), Some(SuspectStatus::HeldBack { .. })));
+    assert!(history.is_free(1_510, &["beside"]));
+}
+
 #[test]
 fn an_answer_clears_a_part() {
     let mut history = History::default();
