--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -302,13 +302,12 @@
                 Ok(Some(Err(error))) => {
                     slot.outcome = Outcome::Failed;
                     slot.record_failure();
-                    // Data of items arrives for seconds; what breaks off before its first event has
-                    // just begun.
-                    let progress = match has_events {
+                    // The output of an item takes seconds, so that one with events has not just begun.
+                    let reached = match has_events {
                         true => ResponseProgress::Underway,
                         false => ResponseProgress::Beginning,
                     };
-                    self.record_disconnect(slot, sender, item, progress).await;
+                    self.record_disconnect(slot, sender, item, reached).await;
                     return retry(format!("read answer of {}: {error}", slot.backend.id));
                 }
                 Err(_) => {
