--- a/crates/bench/src/soak/back_end.rs
+++ b/crates/bench/src/soak/back_end.rs
@@ -74,7 +74,8 @@
         self.links.lock().unwrap_or_else(PoisonError::into_inner).get(&number).cloned()
     }
 
-    /// Crashes a back end because of a call or a part of its prompt, and restarts it after `RESTART_DELAY`.
+    /// Crashes a back end because of a call or a part of its prompt, and restarts it after
+    /// `RESTART_DELAY`.
     async fn crash_under(&self, link: &Link, cause: &str) {
         if link.is_down() {
             return;
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -11,9 +11,9 @@
 /// Time after an acknowledged cancellation in which its items may still reach a back end.
 const CANCEL_GRACE: Duration = Duration::from_millis(3_000);
 
-/// Maximum back-end crashes under one call that is sent 40 times: five, and as many again since
+/// Maximum back-end crashes by one cause, a call or a part of prompts, that is sent 40 times: five, and as many again since
 /// processes may be killed, suspended or lose their disks in the meantime.
-const MAX_CRASHES_PER_CALL: usize = 10;
+const MAX_CRASHES_PER_CAUSE: usize = 10;
 
 /// How a call ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,10 +184,10 @@
         for back_end in ledger.idle_back_ends().1 {
             violations.push(format!("{back_end} restarted under its id and received no request"));
         }
-        for (path, crashes) in
-            ledger.crashes().into_iter().filter(|(_, crashes)| *crashes > MAX_CRASHES_PER_CALL)
+        for (cause, crashes) in
+            ledger.crashes().into_iter().filter(|(_, crashes)| *crashes > MAX_CRASHES_PER_CAUSE)
         {
-            violations.push(format!("{crashes} back ends crashed under {path}"));
+            violations.push(format!("{crashes} back ends crashed under {cause}"));
         }
         violations
     }
