--- a/crates/bench/src/soak/back_end.rs
+++ b/crates/bench/src/soak/back_end.rs
@@ -23,8 +23,10 @@
 /// Delays from a fatal call to the crash of its back end, and from the crash to the restart.
 const CRASH_DELAY: Duration = Duration::from_millis(80);
 const RESTART_DELAY: Duration = Duration::from_millis(2_000);
-/// Path prefix of calls that crash the back end that runs them.
+/// Path prefix of calls that crash the back end that runs them, and prefix of the parts of prompts
+/// that do.
 pub const FATAL_PATH: &str = "/call/fatal-";
+pub const FATAL_PART: &str = "fatal-part-";
 pub const ITEM_PATH: &str = "/work/run/";
 pub const STREAM_PATH: &str = "/stream/";
 /// Of the responses with events, one in so many ends with its connection, and of those one in so many
@@ -40,7 +42,7 @@
     runs: Mutex<HashMap<String, Vec<Instant>>>,
     /// Links to the back ends, by number.
     links: Mutex<HashMap<usize, Link>>,
-    /// Number of crashes caused by each fatal call, by path.
+    /// Number of crashes caused by each fatal call, by path, and by each fatal part.
     crashes: Mutex<HashMap<String, usize>>,
     arrivals: Mutex<HashMap<String, Vec<Instant>>>,
     /// Back ends that must get a request in an interval, in which no other fault affects them.
@@ -63,21 +65,21 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn record_crash(&self, path: &str) {
+    fn record_crash(&self, cause: &str) {
         let mut crashes = self.crashes.lock().unwrap_or_else(PoisonError::into_inner);
-        *crashes.entry(path.to_owned()).or_default() += 1;
+        *crashes.entry(cause.to_owned()).or_default() += 1;
     }
 
     fn link_of(&self, number: usize) -> Option<Link> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner).get(&number).cloned()
     }
 
-    /// Crashes a back end because of a call, and restarts it after `RESTART_DELAY`.
-    async fn crash_under(&self, link: &Link, path: &str) {
+    /// Crashes a back end because of a call or a part of its prompt, and restarts it after `RESTART_DELAY`.
+    async fn crash_under(&self, link: &Link, cause: &str) {
         if link.is_down() {
             return;
         }
-        self.record_crash(path);
+        self.record_crash(cause);
         tokio::time::sleep(CRASH_DELAY).await;
         let link = link.clone();
         tokio::spawn(async move { link.stop_for(RESTART_DELAY).await });
@@ -194,8 +196,8 @@
         return full_response(StatusCode::BAD_REQUEST, "incomplete request body");
     }
     ledger.record_run(&own_id, &id);
-    if path.starts_with(FATAL_PATH) {
-        ledger.crash_under(&link, &path).await;
+    if let Some(cause) = fatal_cause(&path, &headers) {
+        ledger.crash_under(&link, &cause).await;
         // The back end has crashed: no answer is sent.
         return std::future::pending().await;
     }
@@ -209,6 +211,17 @@
     full_response(StatusCode::OK, expected_answer(&id))
 }
 
+/// What crashes the back end that runs a call, if anything does: its path, or a part of its prompt
+/// that is not the last.
+fn fatal_cause(path: &str, headers: &HeaderMap) -> Option<String> {
+    if path.starts_with(FATAL_PATH) {
+        return Some(path.to_owned());
+    }
+    let (shared_parts, _) = header_text(headers, "yokefall-prefix")?.rsplit_once(',')?;
+    let mut ids = shared_parts.split(',').filter_map(|part| part.split_once(':'));
+    ids.find(|(id, _)| id.starts_with(FATAL_PART)).map(|(id, _)| id.to_owned())
+}
+
 /// Streams the events of an item or a stream that follow event `after`.
 fn stream(item: String, after: u64, version: &'static str) -> Response<Body> {
     let events: Vec<String> = (after + 1..=events_of(&item))
