--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -25,6 +25,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 REPOSITORY = Path(__file__).resolve().parents[2]
+# A case that is not over by then could not run.
+TIME_LIMIT_S = 115
 
 # Bounds of the small deployments (fleetbench wire SITE).
 BOUNDS = {
@@ -740,7 +742,13 @@
 def run_case(case_folder, play):
     """Plays a case and exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     run, code = None, 2
+
+    def out_of_time(*_):
+        raise CannotRun(f"it is not over after {TIME_LIMIT_S} s")
+
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGALRM, out_of_time)
+    signal.alarm(TIME_LIMIT_S)
     try:
         run = Run(case_folder)
         broken = play(run)
@@ -752,6 +760,7 @@
         if run:
             run.record("verdict", f"could not run: {cause}")
     finally:
+        signal.alarm(0)
         if run:
             run.close()
     sys.exit(code)
