Consensus: changes of the membership in a module of their own

Cause: replication.rs held replication, commitment, the lease and the membership changes. Change: can_change_members, change_members, voter_change, follow_members and members_durably_committed move to membership.rs; Progress has a constructor. No logic differs.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -10,6 +10,7 @@
 mod election;
 mod follower;
 pub mod log;
+pub mod membership;
 pub mod message;
 pub mod node;
 pub mod policy;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,5 +1,6 @@
 //! One member: its term, its role, what must be on disk and what is committed. `follower` handles a
-//! leader's messages, `replication` implements the leader, `election` the votes.
+//! leader's messages, `replication` implements the leader, `election` the votes, `membership` changes
+//! of the members and `transfer` those of the leader.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -1,8 +1,8 @@
 //! Membership policy of the leader: reacts to members that join, do not respond or are drained.
 
+use crate::membership::VoterChange;
 use crate::message::{MemberId, Members};
 use crate::node::{Consensus, Millis, Role};
-use crate::replication::VoterChange;
 use crate::zones::Zones;
 
 /// Time without a response before a voter may be replaced by a waiting member, in milliseconds.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -1,11 +1,11 @@
-//! The leader: replication, commitment, lease, and membership changes.
+//! The leader: replication, commitment and lease.
 
 use std::collections::VecDeque;
 
 use bytes::Bytes;
 
 use crate::log::{Entry, Index, Payload, Snapshot};
-use crate::message::{Body, MemberId, Members};
+use crate::message::{Body, MemberId};
 use crate::node::{
     Consensus, Millis, Role, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_INTERVAL_MS, LEASE_MS,
 };
@@ -18,19 +18,6 @@
 const MAX_SILENCE_FOR_SNAPSHOT_MS: Millis = 1_000;
 const SNAPSHOT_TIMEOUT_MS: Millis = 3_000;
 
-/// Difference between two sets of voters.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VoterChange {
-    /// The same voters.
-    None,
-    /// One voter added or removed.
-    One,
-    /// A voter is replaced by a member of the same name with another disk.
-    Successor,
-    /// Any other difference.
-    Many,
-}
-
 /// Replication state of another member.
 #[derive(Clone, Debug)]
 pub struct Progress {
@@ -48,10 +35,24 @@
     acknowledged_at: Option<Millis>,
     last_contact: Millis,
     /// Index of the newest membership entry that it has recorded on disk as committed.
-    committed_members_index: Index,
+    pub(crate) committed_members_index: Index,
 }
 
 impl Progress {
+    pub(crate) fn new(now: Millis, next: Index) -> Self {
+        Self {
+            matched: 0,
+            next,
+            probing: true,
+            in_flight: VecDeque::new(),
+            installing: false,
+            sent_at: now,
+            acknowledged_at: None,
+            last_contact: now,
+            committed_members_index: 0,
+        }
+    }
+
     fn accept(&mut self, matched: Index) {
         self.matched = self.matched.max(matched);
         while self.in_flight.front().is_some_and(|last| *last <= self.matched) {
@@ -118,80 +119,13 @@
         Some(self.append_as_leader(now, Payload::Command(command.into())))
     }
 
-    fn append_as_leader(&mut self, now: Millis, payload: Payload) -> Index {
+    pub(crate) fn append_as_leader(&mut self, now: Millis, payload: Payload) -> Index {
         let index = self.log.last_index() + 1;
         self.append_own(vec![Entry { index, term: self.term, payload }]);
         self.replicate(now);
         index
     }
 
-    /// Whether the membership may change now: one change at a time, and none before an entry of the
-    /// leader's term is committed, or two majorities could have no common member.
-    pub fn can_change_members(&self) -> bool {
-        let (index, _) = self.log.members();
-        self.role == Role::Leader
-            && !self.transfers.has_started()
-            && index <= self.commit
-            && self.commit >= self.term_start
-    }
-
-    /// Proposes a membership that differs from the current one in at most one voter, or that
-    /// replaces a voter with a lost disk by the member that now has its name.
-    /// The latter is as safe: the lost disk is in no further quorum, and with n voters, quorums of
-    /// the remaining old and of the new voters, each of more than n / 2 members, share a member.
-    pub fn change_members(&mut self, now: Millis, mut members: Members) -> bool {
-        let voter_change = self.voter_change(&members);
-        let changes_voters = voter_change != VoterChange::None;
-        members.epoch = self.members().epoch + u64::from(changes_voters);
-        let allowed = match voter_change {
-            VoterChange::None | VoterChange::One | VoterChange::Successor => true,
-            VoterChange::Many => false,
-        };
-        if !self.can_change_members() || !allowed || members.voters.is_empty() {
-            return false;
-        }
-        self.append_as_leader(now, Payload::Members(members));
-        self.follow_members(now);
-        self.replicate(now);
-        self.advance_commit(now);
-        true
-    }
-
-    /// Compares the voters of a new membership with the current ones.
-    pub fn voter_change(&self, members: &Members) -> VoterChange {
-        let present = &self.members().voters;
-        let added: Vec<&MemberId> =
-            members.voters.iter().filter(|voter| !present.contains(voter)).collect();
-        let removed: Vec<&MemberId> =
-            present.iter().filter(|voter| !members.voters.contains(voter)).collect();
-        match (added.as_slice(), removed.as_slice()) {
-            ([], []) => VoterChange::None,
-            ([_], []) | ([], [_]) => VoterChange::One,
-            ([new], [old]) if new.name == old.name => VoterChange::Successor,
-            _ => VoterChange::Many,
-        }
-    }
-
-    pub(crate) fn follow_members(&mut self, now: Millis) {
-        let members = self.members().clone();
-        let next = self.log.last_index() + 1;
-        self.progress.retain(|member, _| members.contains(member));
-        self.transfers.retain_members(&members);
-        for member in members.all().filter(|member| **member != self.me) {
-            self.progress.entry(member.clone()).or_insert(Progress {
-                matched: 0,
-                next,
-                probing: true,
-                in_flight: VecDeque::new(),
-                installing: false,
-                sent_at: now,
-                acknowledged_at: None,
-                last_contact: now,
-                committed_members_index: 0,
-            });
-        }
-    }
-
     /// Index of the last entry that a member is known to have on disk.
     pub fn matched(&self, member: &MemberId) -> Index {
         if *member == self.me {
@@ -232,7 +166,7 @@
         self.advance_commit(now);
     }
 
-    fn replicate(&mut self, now: Millis) {
+    pub(crate) fn replicate(&mut self, now: Millis) {
         let members: Vec<MemberId> = self.progress.keys().cloned().collect();
         for member in members {
             self.send_entries(now, &member);
@@ -352,17 +286,6 @@
         }
     }
 
-    /// Whether every voter has recorded on disk that the current membership is committed. Until
-    /// then, a voter that is left alone could not tell whether it ever was.
-    pub fn members_durably_committed(&self) -> bool {
-        let (members_index, members) = self.log.members();
-        let has_recorded = |voter: &MemberId| match self.progress.get(voter) {
-            Some(progress) => progress.committed_members_index >= members_index,
-            None => *voter == self.me && self.durable_members_index >= members_index,
-        };
-        self.role == Role::Leader && members.voters.iter().all(has_recorded)
-    }
-
     /// Whether no other leader can exist now.
     pub fn has_lease(&self, now: Millis) -> bool {
         if self.role != Role::Leader || self.transfers.has_started() {
