--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -17,6 +17,9 @@
 /// Maximum time since the last message of a member for it to be sent a snapshot, in milliseconds.
 const MAX_SILENCE_FOR_SNAPSHOT_MS: Millis = 1_000;
 const SNAPSHOT_TIMEOUT_MS: Millis = 3_000;
+/// Time after a snapshot was sent from which a rejected message shows that it is lost, in
+/// milliseconds. Members receive in order; a message on a new connection may be faster.
+const SNAPSHOT_OVERTAKING_MS: Millis = 1_000;
 
 /// Replication state of another member.
 #[derive(Clone, Debug)]
@@ -28,7 +31,8 @@
     probing: bool,
     /// Index of the last entry of each unacknowledged message.
     in_flight: VecDeque<Index>,
-    installing: bool,
+    /// When the snapshot was sent that the member has not acknowledged.
+    installing: Option<Millis>,
     /// When the newest entries or the newest snapshot was sent.
     sent_at: Millis,
     /// Time on the leader's clock when it sent the newest acknowledged message.
@@ -45,7 +49,7 @@
             next,
             probing: true,
             in_flight: VecDeque::new(),
-            installing: false,
+            installing: None,
             sent_at: now,
             acknowledged_at: None,
             last_contact: now,
@@ -59,7 +63,7 @@
             self.in_flight.pop_front();
         }
         if self.probing && self.matched + 1 >= self.next {
-            self.installing = false;
+            self.installing = None;
             self.probing = false;
         }
         self.next = self.next.max(self.matched + 1);
@@ -67,9 +71,10 @@
 
     /// Goes back to the index that the member proposes. Invariant: a rejection counts once, for its
     /// own message; others in flight are rejected too, and would resend the window.
-    fn reject(&mut self, rejected_index: Index, hint: Index) {
-        if self.installing {
-            // Response to a heartbeat; the snapshot that the member needs is already in flight.
+    fn reject(&mut self, rejected_index: Index, hint: Index, sent_at: Millis) {
+        let is_in_flight = |snapshot_at: Millis| sent_at < snapshot_at + SNAPSHOT_OVERTAKING_MS;
+        if self.installing.is_some_and(is_in_flight) {
+            // The snapshot that the member needs may still arrive.
             return;
         }
         let stale = if self.probing {
@@ -81,19 +86,22 @@
             return;
         }
         self.probing = true;
-        self.installing = false;
+        self.installing = None;
         self.in_flight.clear();
         self.next = (hint + 1).max(self.matched + 1);
     }
 
     /// Gives up on a message that has been unacknowledged for so long that it must be lost.
     fn expire_lost(&mut self, now: Millis) {
-        let timeout = if self.installing { SNAPSHOT_TIMEOUT_MS } else { PROBE_TIMEOUT_MS };
-        let awaits_reply = self.probing || self.installing;
-        if awaits_reply && !self.in_flight.is_empty() && now >= self.sent_at + timeout {
+        let expires_at = match self.installing {
+            Some(snapshot_at) => snapshot_at + SNAPSHOT_TIMEOUT_MS,
+            None => self.sent_at + PROBE_TIMEOUT_MS,
+        };
+        let awaits_reply = self.probing || self.installing.is_some();
+        if awaits_reply && !self.in_flight.is_empty() && now >= expires_at {
             self.probing = true;
             self.in_flight.clear();
-            self.installing = false;
+            self.installing = None;
             self.next = self.matched + 1;
         }
     }
@@ -211,7 +219,9 @@
     }
 
     fn is_installing(&self) -> bool {
-        self.progress.values().any(|progress| progress.installing && !progress.in_flight.is_empty())
+        self.progress
+            .values()
+            .any(|progress| progress.installing.is_some() && !progress.in_flight.is_empty())
     }
 
     /// Sends `state`, as of the last applied entry, to a member that lacks compacted entries.
@@ -222,7 +232,7 @@
         progress.sent_at = now;
         progress.next = index + 1;
         progress.in_flight.push_back(index);
-        progress.installing = true;
+        progress.installing = Some(now);
         let (members_index, members) = self.members_with_index_at(index);
         let snapshot = Snapshot { index, term, members, members_index, state };
         self.send(member.clone(), self.term, Body::Install { snapshot, sent_at: now });
@@ -251,7 +261,7 @@
         if accepted {
             progress.accept(matched);
         } else {
-            progress.reject(rejected_index, matched);
+            progress.reject(rejected_index, matched, sent_at);
         }
         self.advance_commit(now);
         self.continue_transfer(now, from, sent_at);
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -92,6 +92,8 @@
     applied: BTreeMap<String, u64>,
     snapshots_in_flight: VecDeque<(Millis, Message)>,
     snapshots_sent: usize,
+    /// Number of snapshots that are lost next.
+    snapshots_to_lose: usize,
 }
 
 const SNAPSHOT_LATENCY_MS: Millis = 700;
@@ -106,6 +108,7 @@
             applied: BTreeMap::new(),
             snapshots_in_flight: VecDeque::new(),
             snapshots_sent: 0,
+            snapshots_to_lose: 0,
         }
     }
 
@@ -149,6 +152,10 @@
                 if matches!(message.body, Body::Install { sent_at, .. } if now < sent_at + SNAPSHOT_LATENCY_MS)
                 {
                     self.snapshots_sent += 1;
+                    if self.snapshots_to_lose > 0 {
+                        self.snapshots_to_lose -= 1;
+                        continue;
+                    }
                     self.snapshots_in_flight.push_back((now + SNAPSHOT_LATENCY_MS, message));
                     continue;
                 }
@@ -163,6 +170,8 @@
 }
 
 const STATE: &[u8] = b"the state";
+/// Time in which a learner must have a snapshot, of which one is lost, in milliseconds.
+const MAX_REFILL_MS: Millis = 3_000;
 
 /// Guards against starving a learner. Snapshots are sent one at a time, and a voter that was lost
 /// for good got one after the other, so that the member that was to replace it never received any.
@@ -201,3 +210,25 @@
     assert_eq!(group.applied.get("d"), Some(&1), "the learner got no snapshot");
     assert_eq!(group.snapshots_sent, 1, "the snapshot was sent again while it was in flight");
 }
+
+/// A member whose snapshot was lost with its connection waited for three seconds, in which its
+/// answers were ignored, although each of them showed that it had nothing.
+#[test]
+fn a_lost_snapshot_is_sent_again_soon() {
+    let mut group = Group::of(&["a", "b"]);
+    group.at("a").bootstrap(0);
+    group.run(10);
+    for _ in 0..50 {
+        let now = group.now;
+        group.at("a").propose(now, vec![0; 100]).expect("the leader");
+        group.run(10);
+    }
+    group.at("a").compact(STATE.into());
+    group.snapshots_to_lose = 1;
+    let members = Members { voters: vec![member("a")], learners: vec![member("b")], epoch: 1 };
+    let now = group.now;
+    assert!(group.at("a").change_members(now, members));
+    group.run(MAX_REFILL_MS);
+    assert_eq!(group.applied.get("b"), Some(&1), "the learner got no snapshot");
+    assert_eq!(group.snapshots_sent, 2);
+}
