A change of voters that can't commit is withdrawn

What callers saw: a job store is retired, and in the moment in which the leader removes it another one of three loses its disk. Nobody serves batch jobs again, although the retired machine still runs and holds everything.

Cause: the removal was in the leader's log and needed the lost disk to commit. Nothing took it back; the leader stepped down, its log was longer than that of the retired machine, so that neither could elect the other, and the pair that was to be was never committed, so that none could claim it.

Change: a leader whose change of voters has not committed after 500 ms, because no quorum of the new voters responds while one of the previous voters does, proposes the previous voters again. It stays in contact with a voter that it removes until the removal has committed.

Why it is safe: the previous voters are committed, and the leader has committed an entry of its term with them; each quorum of theirs shares a member with each quorum of the change, and no third set of voters is possible before the withdrawal has committed.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -121,6 +121,7 @@
         self.leader = Some(self.me.clone());
         self.finish_transfer(now, None);
         self.requested_change = None;
+        self.proposed_change = None;
         self.progress.clear();
         self.term_start = self.log.last_index() + 1;
         let entry = Entry { index: self.term_start, term: self.term, payload: Payload::Empty };
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -1,7 +1,8 @@
 //! Changes of the membership: one voter at a time, through the log.
 //!
 //! From its proposal on, a change needs a quorum of the new voters. It is therefore proposed only
-//! once a quorum of them has answered a message that was sent after the change was requested.
+//! once a quorum of them has answered a message that was sent after the change was requested, and
+//! withdrawn by another change if it cannot commit all the same.
 
 use crate::log::Payload;
 use crate::message::{MemberId, Members};
@@ -11,6 +12,10 @@
 /// Time for the new voters to prove that they are up, in milliseconds.
 const CONFIRMATION_TIMEOUT_MS: Millis = 500;
 
+/// Time after which a proposed change is withdrawn if no quorum of the new voters responds, in
+/// milliseconds: before the leader would step down for want of that quorum.
+const COMMIT_TIMEOUT_MS: Millis = 500;
+
 /// A change of the membership that made progress, for logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ChangeEvent {
@@ -18,6 +23,9 @@
     Proposed(Members),
     /// No quorum of the new voters proved to be up; nothing was proposed.
     Unconfirmed(Members),
+    /// No quorum of the new voters responded after the proposal; the leader proposed the previous
+    /// members again.
+    Withdrawn(Members),
 }
 
 /// A change of voters that waits for the new voters to prove that they are up.
@@ -27,6 +35,14 @@
     requested_at: Millis,
 }
 
+/// A change of voters that the leader proposed in its term and that is not committed yet.
+#[derive(Clone, Debug)]
+pub(crate) struct ProposedChange {
+    /// The members before, which are committed.
+    previous: Members,
+    proposed_at: Millis,
+}
+
 /// Difference between two sets of voters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VoterChange {
@@ -82,13 +98,48 @@
     fn propose_members(&mut self, now: Millis, mut members: Members) {
         let changes_voters = self.voter_change(&members) != VoterChange::None;
         members.epoch = self.members().epoch + u64::from(changes_voters);
+        if changes_voters {
+            let previous = self.members().clone();
+            self.proposed_change = Some(ProposedChange { previous, proposed_at: now });
+        }
         self.effects.changes.push(ChangeEvent::Proposed(members.clone()));
+        self.append_members(now, members);
+    }
+
+    fn append_members(&mut self, now: Millis, members: Members) {
         self.append_as_leader(now, Payload::Members(members));
         self.follow_members(now);
         self.replicate(now);
         self.advance_commit(now);
     }
 
+    /// Proposes the previous members again if a quorum of them responds but none of the new ones.
+    ///
+    /// Safe although the change is not committed: the previous members are committed, this leader
+    /// has committed an entry of its term with them, and any quorum of theirs shares a member with
+    /// any quorum of the change. No third set of voters is possible before this entry is committed.
+    pub(crate) fn withdraw_stalled_change(&mut self, now: Millis) {
+        let Some(ProposedChange { previous, proposed_at }) = &self.proposed_change else { return };
+        let is_stalled = now >= proposed_at + COMMIT_TIMEOUT_MS
+            && !self.quorum_responds(now, self.members())
+            && self.quorum_responds(now, previous);
+        if !is_stalled {
+            return;
+        }
+        let epoch = self.members().epoch + 1;
+        let members = Members { epoch, ..previous.clone() };
+        self.proposed_change = None;
+        self.effects.changes.push(ChangeEvent::Withdrawn(members.clone()));
+        self.append_members(now, members);
+    }
+
+    /// Ends contact with members that a committed change has removed.
+    pub(crate) fn complete_change(&mut self, now: Millis) {
+        if self.proposed_change.take().is_some() {
+            self.follow_members(now);
+        }
+    }
+
     /// Proposes the requested change if a quorum of the new voters has proved to be up.
     pub(crate) fn continue_change(&mut self, now: Millis) {
         let Some(RequestedChange { members, requested_at }) = &self.requested_change else {
@@ -147,7 +198,11 @@
     pub(crate) fn follow_members(&mut self, now: Millis) {
         let members = self.members().clone();
         let next = self.log.last_index() + 1;
-        self.progress.retain(|member, _| members.contains(member));
+        // Voters that an uncommitted change removes are needed if it is withdrawn.
+        let previous = self.proposed_change.as_ref().map(|change| &change.previous);
+        self.progress.retain(|member, _| {
+            members.contains(member) || previous.is_some_and(|previous| previous.contains(member))
+        });
         self.transfers.retain_members(&members);
         for member in members.all().filter(|member| **member != self.me) {
             self.progress.entry(member.clone()).or_insert_with(|| Progress::new(now, next));
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -10,7 +10,7 @@
 
 use crate::election::Candidacy;
 use crate::log::{Entry, Index, Log, Payload, Snapshot, Term};
-use crate::membership::{ChangeEvent, RequestedChange};
+use crate::membership::{ChangeEvent, ProposedChange, RequestedChange};
 use crate::message::{Body, MemberId, Members, Message};
 use crate::replication::{Progress, Reply};
 use crate::transfer::{TransferEvent, Transfers};
@@ -150,6 +150,7 @@
     pub(crate) term_start: Index,
     pub(crate) transfers: Transfers,
     pub(crate) requested_change: Option<RequestedChange>,
+    pub(crate) proposed_change: Option<ProposedChange>,
     pub(crate) effects: Effects,
 }
 
@@ -181,6 +182,7 @@
             term_start: 0,
             transfers: Transfers::default(),
             requested_change: None,
+            proposed_change: None,
             effects: Effects::default(),
         };
         node.schedule_election(now);
@@ -352,6 +354,7 @@
         self.progress.clear();
         self.withdraw_transfer_request();
         self.requested_change = None;
+        self.proposed_change = None;
         self.schedule_election(now);
     }
 
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -160,6 +160,7 @@
             return;
         }
         self.expire_requested_change(now);
+        self.withdraw_stalled_change(now);
         let quorum_contact = self.quorum_value(|progress| Some(progress.last_contact), now);
         if quorum_contact.is_none_or(|contact| now > contact + 4 * ELECTION_TIMEOUT_MIN_MS) {
             self.become_follower(now, self.term);
@@ -297,6 +298,8 @@
         if members_index > index {
             return;
         }
+        let members = members.clone();
+        self.complete_change(now);
         if !members.voters.contains(&self.me) {
             self.become_follower(now, self.term);
         } else if !self.members_durably_committed() {
--- a/crates/consensus/tests/simulation/membership_changes.rs
+++ b/crates/consensus/tests/simulation/membership_changes.rs
@@ -1,6 +1,6 @@
 //! Changes of voters beside the loss of a machine that the change needs.
 
-use crate::support::{Mutation, Simulation, TransferDelivery, Violation, CATCH_UP_MS};
+use crate::support::{Mutation, Simulation, TransferDelivery, Violation, CATCH_UP_MS, RECOVERY_MS};
 
 /// Start of a run, after which three machines vote, in milliseconds.
 const START_MS: u64 = 4_000;
@@ -47,3 +47,35 @@
             .unwrap_or_else(|violation| panic!("seed {seed}: {violation}"));
     }
 }
+
+/// Loses the disk of one follower in the moment in which the leader removes the other one.
+fn lose_a_disk_beside_a_removal(seed: u64, delay: u64) -> Result<(), Violation> {
+    let (mut simulation, _, [retired, lost]) = group(seed)?;
+    simulation.retire(retired);
+    simulation.run_until_removal(retired)?;
+    simulation.run(delay)?;
+    simulation.wipe(lost);
+    simulation.run(1_000)?;
+    simulation.start(lost);
+    simulation.run(RECOVERY_MS)?;
+    if !simulation.is_served() {
+        return Err(simulation.violation("nobody serves"));
+    }
+    simulation.run(CATCH_UP_MS)?;
+    match simulation.is_drained(retired) {
+        true => Ok(()),
+        false => Err(simulation.violation("the machine is not retired")),
+    }
+}
+
+/// A machine was retired while another one lost its disk: the removal needed the lost disk to
+/// commit, nobody took it back, and the group never served again.
+#[test]
+fn a_removal_that_cannot_commit_is_withdrawn() {
+    for seed in 0..SEEDS {
+        for delay in 0..4 {
+            lose_a_disk_beside_a_removal(seed, delay)
+                .unwrap_or_else(|violation| panic!("seed {seed}, {delay} ms: {violation}"));
+        }
+    }
+}
--- a/crates/consensus/tests/simulation/support/faults.rs
+++ b/crates/consensus/tests/simulation/support/faults.rs
@@ -145,7 +145,8 @@
         }
     }
 
-    pub(super) fn wipe(&mut self, at: usize) {
+    /// Loses the disk of a machine, which stops.
+    pub fn wipe(&mut self, at: usize) {
         self.record_event(format!("wipe {at}"));
         self.stop(at, true);
         let incarnation = self.nodes[at].disk.incarnation;
--- a/crates/consensus/tests/simulation/support/mod.rs
+++ b/crates/consensus/tests/simulation/support/mod.rs
@@ -18,11 +18,11 @@
 };
 use yokefall_consensus::Zones;
 use yokefall_consensus::{
-    Body, Consensus, Effects, Entry, Index, MemberId, Message, Millis, Pair, Payload,
+    Body, ChangeEvent, Consensus, Effects, Entry, Index, MemberId, Message, Millis, Pair, Payload,
 };
 
 use self::availability::Availability;
-pub use self::availability::CATCH_UP_MS;
+pub use self::availability::{CATCH_UP_MS, RECOVERY_MS};
 use self::disk::Batch;
 pub use self::disk::Disk;
 pub use self::faults::ALL_FAULTS;
@@ -255,6 +255,20 @@
         self.transfer_target
     }
 
+    /// Runs until the leader's newest membership, committed or not, lacks a machine.
+    pub fn run_until_removal(&mut self, at: usize) -> Result<(), Violation> {
+        let name = self.nodes[at].name.clone();
+        let end = self.now + CATCH_UP_MS;
+        while self.now < end {
+            self.run(1)?;
+            let leader = self.leader().and_then(|leader| self.nodes[leader].core.as_ref());
+            if leader.is_some_and(|core| !core.members().all().any(|member| member.name == name)) {
+                return Ok(());
+            }
+        }
+        Err(self.violation("the machine is not removed"))
+    }
+
     /// Runs until a machine is asked to take over leadership.
     pub fn run_until_transfer(&mut self) -> Result<(), Violation> {
         let end = self.now + MAX_TRANSFER_DELAY_MS;
@@ -288,7 +302,7 @@
             committed,
             snapshot_targets,
             transfers,
-            changes: _,
+            changes,
         } = effects;
         let has_writes = !writes.is_empty();
         if has_writes {
@@ -297,6 +311,9 @@
         for event in transfers {
             self.record_event(format!("{at}: {event:?}"));
         }
+        for event in changes.iter().filter(|event| !matches!(event, ChangeEvent::Proposed(_))) {
+            self.record_event(format!("{at}: {event:?}"));
+        }
         for message in messages {
             self.post(at, message);
         }
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -371,6 +371,7 @@
         let (decision, members) = match event {
             ChangeEvent::Proposed(members) => ("change members", members),
             ChangeEvent::Unconfirmed(members) => ("too few new voters respond", members),
+            ChangeEvent::Withdrawn(members) => ("withdraw a change that cannot commit", members),
         };
         let line = LogLine::new(EventName::GroupDecision).id(format_args!("{members:?}"));
         line.field("decision", decision).write();
