Pairs of job stores renew their epoch, so that an unused claim binds nobody

Cause: a claim binds an epoch of the pair to one member's disk for good, also if the claimant never used it, and the epoch stayed the same. It was made too early besides: a leader that had just stepped down counted the time without a leader from the last time it had followed another one. Evidence: the other member asks for the same claim twice a second and is told that it is another's.

Change: a leader of a pair moves it to a new epoch, with the same voters, when it takes over and after a claim of its own that it did not use. A member leaves the term of its leader before it claims, so that the next leader is one of a later term. Going alone needs the claims on all epochs from the last one known to be committed to the newest. The time runs from the last contact with the other member.

Why it works: claims on earlier epochs are void once the renewal is on both disks; the epochs that two members need always have a committed one in common. No form or key has changed.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,8 +1,8 @@
-//! Elections: pre-votes, votes, and becoming the sole voter once a pair's other member is lost.
+//! Elections: pre-votes and votes.
 
 use crate::log::{Entry, Index, Payload, Term};
-use crate::message::{Body, MemberId, Members};
-use crate::node::{Consensus, Millis, Pair, Role, ELECTION_TIMEOUT_MIN_MS};
+use crate::message::{Body, MemberId};
+use crate::node::{Consensus, Millis, Role, ELECTION_TIMEOUT_MIN_MS};
 
 /// The parameters of a vote request.
 #[derive(Clone, Copy, Debug)]
@@ -15,49 +15,6 @@
 }
 
 impl Consensus {
-    /// The pair that this member belongs to if the group has exactly two voters.
-    /// Neither member has a quorum alone. Both hold everything committed, so either may continue
-    /// alone if the other never does: a claim recorded outside decides (`become_sole_voter`).
-    pub fn pair(&self) -> Option<Pair> {
-        let members = self.members();
-        let is_pair = members.voters.len() == 2 && members.voters.contains(&self.me);
-        // Newer entries may change the learners; a membership that was never committed is no pair.
-        let is_committed = self.members_at(self.committed_members_index).epoch == members.epoch;
-        (is_pair && is_committed).then_some(Pair { epoch: members.epoch })
-    }
-
-    /// Continues as the sole voter after the loss of the other member. The caller must hold the
-    /// claim on the pair, without which the membership of a pair must not be changed.
-    pub fn become_sole_voter(&mut self, now: Millis, pair: Pair) -> bool {
-        if self.pair() != Some(pair) {
-            return false;
-        }
-        self.become_follower(now, self.term + 1);
-        self.role = Role::Candidate;
-        self.voted_for = Some(self.me.clone());
-        self.save_state();
-        self.pending_takeover = Some(pair);
-        true
-    }
-
-    fn lead_as_sole_voter(&mut self, now: Millis, pair: Pair) {
-        if self.pair() != Some(pair) {
-            return;
-        }
-        let learners = self.members().learners.clone();
-        let epoch = pair.epoch + 1;
-        self.become_leader(now);
-        let voters = vec![self.me.clone()];
-        let entry = Entry {
-            index: self.log.last_index() + 1,
-            term: self.term,
-            payload: Payload::Members(Members { voters, learners, epoch }),
-        };
-        self.append_own(vec![entry]);
-        self.follow_members(now);
-        self.heartbeat(now);
-    }
-
     /// Counts this member's own vote, which is valid once it is on disk: after a power loss a
     /// leader whose vote was not stored could lead in the same term again, with other entries.
     pub(crate) fn vote_is_durable(&mut self, now: Millis) {
@@ -122,6 +79,7 @@
         self.finish_transfer(now, None);
         self.requested_change = None;
         self.proposed_change = None;
+        self.pair_renewal_due = true;
         self.progress.clear();
         self.term_start = self.log.last_index() + 1;
         let entry = Entry { index: self.term_start, term: self.term, payload: Payload::Empty };
--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -24,6 +24,8 @@
         self.finish_transfer(now, Some(from));
         self.leader = Some(from.clone());
         self.last_contact = now;
+        self.quorum_contact = now;
+        self.quorum_contact_term = term;
         self.schedule_election(now);
         true
     }
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -102,6 +102,14 @@
             let previous = self.members().clone();
             self.proposed_change = Some(ProposedChange { previous, proposed_at: now });
         }
+        self.propose_epoch(now, members);
+    }
+
+    /// Proposes members whose epoch is set.
+    pub(crate) fn propose_epoch(&mut self, now: Millis, members: Members) {
+        if members.epoch != self.members().epoch {
+            self.pair_renewal_due = false;
+        }
         self.effects.changes.push(ChangeEvent::Proposed(members.clone()));
         self.append_members(now, members);
     }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -12,6 +12,7 @@
 use crate::log::{Entry, Index, Log, Payload, Snapshot, Term};
 use crate::membership::{ChangeEvent, ProposedChange, RequestedChange};
 use crate::message::{Body, MemberId, Members, Message};
+use crate::pair::Pair;
 use crate::replication::{Progress, Reply};
 use crate::transfer::{TransferEvent, Transfers};
 
@@ -87,13 +88,6 @@
     pub entries: Vec<Entry>,
 }
 
-/// A group of exactly two voters, identified by the epoch of the membership.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Pair {
-    /// The epoch.
-    pub epoch: u64,
-}
-
 impl Recovered {
     /// Last index on the disk.
     pub fn last_index(&self) -> Index {
@@ -143,12 +137,21 @@
     pub(crate) pending_takeover: Option<Pair>,
     /// When the last message of a valid leader arrived, or this member started.
     pub(crate) last_contact: Millis,
+    /// When this member last was in a group with a quorum: it heard a leader, or led with a quorum
+    /// that responded.
+    pub(crate) quorum_contact: Millis,
+    /// Term in which that was.
+    pub(crate) quorum_contact_term: Term,
+    /// The newest term that is on disk.
+    durable_term: Term,
     election_at: Millis,
     generator: SmallRng,
     pub(crate) progress: BTreeMap<MemberId, Progress>,
     pub(crate) heartbeat_at: Millis,
     pub(crate) term_start: Index,
     pub(crate) transfers: Transfers,
+    /// Whether a claim on the pair may exist that nobody has used.
+    pub(crate) pair_renewal_due: bool,
     pub(crate) requested_change: Option<RequestedChange>,
     pub(crate) proposed_change: Option<ProposedChange>,
     pub(crate) effects: Effects,
@@ -175,12 +178,16 @@
             votes: BTreeSet::new(),
             pending_takeover: None,
             last_contact: now,
+            quorum_contact: now,
+            quorum_contact_term: recovered.term,
+            durable_term: recovered.term,
             election_at: 0,
             generator: SmallRng::seed_from_u64(seed),
             progress: BTreeMap::new(),
             heartbeat_at: 0,
             term_start: 0,
             transfers: Transfers::default(),
+            pair_renewal_due: false,
             requested_change: None,
             proposed_change: None,
             effects: Effects::default(),
@@ -240,9 +247,9 @@
         self.members_at(self.commit).voters.len()
     }
 
-    /// Time since the last message of a leader.
-    pub fn leaderless_ms(&self, now: Millis) -> Millis {
-        now.saturating_sub(self.last_contact)
+    /// Time since this member heard a leader, or a quorum while it was the leader.
+    pub fn isolated_ms(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.quorum_contact)
     }
 
     /// Index of the last entry that is known to be committed.
@@ -308,6 +315,7 @@
         };
         self.durable_index = self.durable_index.max(last_index.min(self.log.last_index()));
         self.durable_members_index = self.durable_members_index.max(committed_members_index);
+        self.durable_term = self.durable_term.max(term);
         if self.role == Role::Leader {
             self.advance_commit(now);
         }
@@ -323,6 +331,11 @@
         self.unsynced.push_back(Unsynced { last_index, committed_members_index, term });
     }
 
+    /// Whether the current term is on disk.
+    pub(crate) fn term_is_durable(&self) -> bool {
+        self.durable_term >= self.term
+    }
+
     pub(crate) fn schedule_election(&mut self, now: Millis) {
         self.election_at =
             now + self.generator.random_range(ELECTION_TIMEOUT_MIN_MS..ELECTION_TIMEOUT_MAX_MS);
--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -36,6 +36,8 @@
     Idle,
     /// Propose this membership.
     Change(Members),
+    /// Move the pair to a new epoch.
+    RenewPair,
     /// Transfer leadership to one of these voters.
     TransferLeadership(Vec<MemberId>),
 }
@@ -53,7 +55,8 @@
 type Rule = fn(&Consensus, Millis, &Members, &DesiredMembership) -> Option<Step>;
 
 /// The rules in order of precedence.
-const RULES: [Rule; 7] = [
+const RULES: [Rule; 8] = [
+    renew_pair,
     admit,
     replace_lost_disk,
     promote,
@@ -70,10 +73,21 @@
         Step::Change(members) if node.voter_change(members) != VoterChange::None => {
             node.quorum_responds(now, members)
         }
-        Step::Idle | Step::Change(_) | Step::TransferLeadership(_) => true,
+        Step::Idle | Step::Change(_) | Step::RenewPair | Step::TransferLeadership(_) => true,
     }
 }
 
+/// Voids claims on the pair that nobody has used, while both members respond.
+fn renew_pair(
+    node: &Consensus,
+    now: Millis,
+    members: &Members,
+    _: &DesiredMembership,
+) -> Option<Step> {
+    let all_respond = members.voters.iter().all(|voter| node.is_responsive(now, voter));
+    (node.should_renew_pair() && all_respond).then_some(Step::RenewPair)
+}
+
 /// Whether a change of members needs the claim on a pair: it changes the voters of the pair other
 /// than by replacing a lost disk, and the other member may have continued alone, or may try to.
 pub fn needs_claim(node: &Consensus, members: &Members) -> bool {
@@ -93,7 +107,7 @@
     let other_disk_lost =
         node.members().voters.iter().any(|voter| voter != node.id() && is_lost(voter));
     let timeout = if other_disk_lost { LOST_DISK_TIMEOUT_MS } else { PAIR_TIMEOUT_MS };
-    node.leaderless_ms(now) >= timeout
+    node.isolated_ms(now) >= timeout
 }
 
 fn is_caught_up(node: &Consensus, now: Millis, member: &MemberId) -> bool {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -162,6 +162,8 @@
         self.expire_requested_change(now);
         self.withdraw_stalled_change(now);
         let quorum_contact = self.quorum_value(|progress| Some(progress.last_contact), now);
+        self.quorum_contact = self.quorum_contact.max(quorum_contact.unwrap_or(0));
+        self.quorum_contact_term = self.term;
         if quorum_contact.is_none_or(|contact| now > contact + 4 * ELECTION_TIMEOUT_MIN_MS) {
             self.become_follower(now, self.term);
             return;
--- a/crates/consensus/tests/simulation/main.rs
+++ b/crates/consensus/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 
 mod leadership_transfer;
 mod membership_changes;
+mod pairs;
 mod support;
 mod transfer_model;
 
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -199,13 +199,19 @@
         let step = next_step(core, now, &desired);
         let pair = core.pair().filter(|_| match &step {
             Step::Change(members) => needs_claim(core, members),
-            Step::Idle | Step::TransferLeadership(_) => false,
+            Step::Idle | Step::RenewPair | Step::TransferLeadership(_) => false,
         });
         (step, pair)
     });
     match step {
         Step::Idle => {}
+        Step::RenewPair => {
+            store.with_core(|core, now| core.renew_pair(now));
+        }
         Step::Change(members) => {
+            if pair.is_some() {
+                store.with_core(|core, _| core.record_claim_attempt());
+            }
             if claim_pair(platform, store, pair).await {
                 store.with_core(|core, now| core.change_members(now, members));
             } else {
@@ -242,12 +248,17 @@
 
 /// Claims the exclusive right to act for a two-member group; without a pair no claim is needed.
 async fn claim_pair<P: Platform>(platform: &P, store: &Store, pair: Option<Pair>) -> bool {
-    let Some(Pair { epoch }) = pair else { return true };
+    let Some(pair) = pair else { return true };
     let me = store.with_core(|core, _| core.id().to_string());
-    let key = format!("pair-{epoch}");
     let mut registry = platform.registry();
-    let claimed = tokio::time::timeout(CLAIM_TIMEOUT, registry.claim(&key, &me)).await;
-    matches!(claimed, Ok(Ok(Claim::Mine)))
+    for epoch in pair.epochs() {
+        let key = format!("pair-{epoch}");
+        let claimed = tokio::time::timeout(CLAIM_TIMEOUT, registry.claim(&key, &me)).await;
+        if !matches!(claimed, Ok(Ok(Claim::Mine))) {
+            return false;
+        }
+    }
+    true
 }
 
 /// In a two-member group whose other member is unresponsive, continues alone if this member's claim
@@ -257,7 +268,8 @@
         tokio::time::sleep(PAIR_CHECK_INTERVAL).await;
         let joining = store.joining(JOIN_LIFETIME);
         let pair = store.with_core(|core, now| {
-            core.pair().filter(|_| should_become_sole_voter(core, now, &joining))
+            let pair = core.pair().filter(|_| should_become_sole_voter(core, now, &joining));
+            pair.filter(|_| core.leave_term(now))
         });
         if pair.is_none() || !claim_pair(&platform, &store, pair).await {
             continue;
