--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -95,10 +95,17 @@
     node.members().voters.len() == 2 && voter_change == VoterChange::One
 }
 
+/// Whether a member of a pair has missed the other one for so long that it may soon try to continue
+/// alone, for which it has to leave the term of its leader.
+pub fn may_become_sole_voter(node: &Consensus, now: Millis) -> bool {
+    let is_isolated = node.isolated_ms(now) >= LOST_DISK_TIMEOUT_MS;
+    node.role() != Role::Leader && is_isolated && node.pair().is_some()
+}
+
 /// Whether a member of a pair should try to continue alone: soon if the other one asks to join with
 /// an empty disk, and after a time that exceeds most network partitions if it does not respond.
 pub fn should_become_sole_voter(node: &Consensus, now: Millis, joining: &[MemberId]) -> bool {
-    if node.role() == Role::Leader || node.pair().is_none() {
+    if !may_become_sole_voter(node, now) {
         return false;
     }
     let is_lost = |voter: &MemberId| {
--- a/crates/consensus/tests/simulation/support/mod.rs
+++ b/crates/consensus/tests/simulation/support/mod.rs
@@ -14,7 +14,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use yokefall_consensus::policy::{
-    needs_claim, next_step, should_become_sole_voter, DesiredMembership, Step,
+    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, DesiredMembership,
+    Step,
 };
 use yokefall_consensus::Zones;
 use yokefall_consensus::{
@@ -684,15 +685,19 @@
                 continue;
             }
             let Some(core) = self.nodes[at].core.as_ref() else { continue };
+            if !may_become_sole_voter(core, self.now) {
+                continue;
+            }
+            let Some(core) = self.nodes[at].core.as_mut() else { continue };
+            let has_left = core.leave_term(self.now);
+            self.carry_out(at)?;
+            let Some(core) = self.nodes[at].core.as_ref().filter(|_| has_left) else { continue };
             let remaining_pair =
                 core.pair().filter(|_| should_become_sole_voter(core, self.now, &joining));
             let Some(pair) = remaining_pair else {
                 continue;
             };
-            let Some(core) = self.nodes[at].core.as_mut() else { continue };
-            let has_left = core.leave_term(self.now);
-            self.carry_out(at)?;
-            if !has_left || !self.claim(at, Some(pair)) {
+            if !self.claim(at, Some(pair)) {
                 continue;
             }
             if let Some(core) = self.nodes[at].core.as_mut() {
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use yokefall_consensus::policy::{
-    needs_claim, next_step, should_become_sole_voter, DesiredMembership, Step,
+    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, DesiredMembership,
+    Step,
 };
 use yokefall_consensus::{MemberId, Pair, Role, Zones};
 use yokefall_serving::source::Revision;
@@ -36,7 +37,7 @@
 /// Key of the claim that elects the founder of the group.
 const FOUNDER_KEY: &str = "jobs";
 /// Interval at which a member of a two-member group checks whether the other one is gone.
-const PAIR_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const PAIR_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Machines being retired according to the platform's store, and whether that is completed.
@@ -268,8 +269,10 @@
         tokio::time::sleep(PAIR_CHECK_INTERVAL).await;
         let joining = store.joining(JOIN_LIFETIME);
         let pair = store.with_core(|core, now| {
-            let pair = core.pair().filter(|_| should_become_sole_voter(core, now, &joining));
-            pair.filter(|_| core.leave_term(now))
+            if !may_become_sole_voter(core, now) || !core.leave_term(now) {
+                return None;
+            }
+            core.pair().filter(|_| should_become_sole_voter(core, now, &joining))
         });
         if pair.is_none() || !claim_pair(&platform, &store, pair).await {
             continue;
