A voter that is gone for good is removed also where nobody takes its place

Cause: a voter that does not respond was dropped only while there were more voters than desired. The replaced machine stayed one of three voters for good; the group tolerated no loss, in calm, and nothing said so. Nothing woke the leader's policy either when a member stopped to respond.

Change: a voter that has not responded for 3 s is removed if two others remain and respond, and no learner is about to take its place; one that was only cut off joins again. The leader evaluates its policy once a second where nothing is pending. group-tolerance and job_store_tolerated_losses tell how many further losses the group survives.

Why it works: two that remain can claim their pair, of three with a dead one none can go on.

--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -7,6 +7,11 @@
 
 /// Time without a response before a voter may be replaced by a waiting member, in milliseconds.
 const VOTER_TIMEOUT_MS: Millis = 2_500;
+/// The same if no machine waits, in milliseconds: the voter counts as gone for good, and the group
+/// survives one loss more without it.
+const DEPARTURE_TIMEOUT_MS: Millis = 3_000;
+/// Number of voters below which none is removed for lack of responses: two disks hold everything.
+const MIN_VOTERS: usize = 2;
 /// Time without the other member of a pair after which one continues alone, in milliseconds.
 const PAIR_TIMEOUT_MS: Millis = 6_000;
 /// The same if the disk of the other member is known to be lost, in milliseconds.
@@ -88,6 +93,19 @@
     (node.should_renew_pair() && all_respond).then_some(Step::RenewPair)
 }
 
+/// Number of further voters that the group can lose and still serve, as its leader sees it. A pair
+/// survives a loss while claims can be made.
+pub fn tolerated_losses(node: &Consensus, now: Millis) -> usize {
+    let members = node.members();
+    let responsive = members.voters.iter().filter(|voter| node.is_responsive(now, voter)).count();
+    let is_whole_pair = members.voters.len() == 2 && responsive == 2;
+    if is_whole_pair {
+        1
+    } else {
+        responsive.saturating_sub(members.quorum())
+    }
+}
+
 /// Whether a change of members needs the claim on a pair: it changes the voters of the pair other
 /// than by replacing a lost disk, and the other member may have continued alone, or may try to.
 pub fn needs_claim(node: &Consensus, members: &Members) -> bool {
@@ -254,16 +272,25 @@
     Some(Step::Change(changed))
 }
 
-/// Removes a voter that does not respond if others have taken its place.
+/// Removes a voter that does not respond: soon if others have taken its place, and later if nobody
+/// is about to. One that returns joins again.
 fn drop_unresponsive_voter(
     node: &Consensus,
     now: Millis,
     members: &Members,
     desired: &DesiredMembership,
 ) -> Option<Step> {
-    let is_unresponsive = |voter: &&MemberId| node.silent_ms(now, voter) >= VOTER_TIMEOUT_MS;
-    let removed = members.voters.iter().find(is_unresponsive)?;
-    (members.voters.len() > desired.voters).then(|| Step::Change(without(members, removed)))
+    let removed = members.voters.iter().max_by_key(|voter| node.silent_ms(now, voter))?;
+    let is_replaced = members.voters.len() > desired.voters;
+    let responds = |learner: &MemberId| node.silent_ms(now, learner) < VOTER_TIMEOUT_MS;
+    let will_be_replaced = members.learners.iter().any(responds);
+    let timeout = match is_replaced {
+        true => VOTER_TIMEOUT_MS,
+        false => DEPARTURE_TIMEOUT_MS,
+    };
+    let may_remove = is_replaced || !will_be_replaced && members.voters.len() > MIN_VOTERS;
+    let is_silent = node.silent_ms(now, removed) >= timeout;
+    (may_remove && is_silent).then(|| Step::Change(without(members, removed)))
 }
 
 /// Removes an unresponsive learner: each attempt to reach it may cost a copy of the state.
--- a/crates/consensus/tests/simulation/membership_changes.rs
+++ b/crates/consensus/tests/simulation/membership_changes.rs
@@ -48,6 +48,34 @@
     }
 }
 
+/// Stops a follower for good; later another machine loses its disk and returns.
+fn lose_a_disk_after_a_departure(seed: u64, loses_leader: bool) -> Result<(), Violation> {
+    let (mut simulation, leader, [departed, other]) = group(seed)?;
+    simulation.remove(departed);
+    simulation.run(CATCH_UP_MS)?;
+    let lost = if loses_leader { leader } else { other };
+    simulation.wipe(lost);
+    simulation.run(1_000)?;
+    simulation.start(lost);
+    simulation.run(CATCH_UP_MS + RECOVERY_MS)?;
+    match simulation.is_served() {
+        true => Ok(()),
+        false => Err(simulation.violation("nobody serves")),
+    }
+}
+
+/// A machine was stopped for good, and nothing took its place. It remained one of three voters, and
+/// the group never served again once one of the two others had lost its disk.
+#[test]
+fn a_voter_that_is_gone_for_good_is_removed() {
+    for seed in 0..SEEDS {
+        for loses_leader in [false, true] {
+            lose_a_disk_after_a_departure(seed, loses_leader)
+                .unwrap_or_else(|violation| panic!("seed {seed}, {loses_leader}: {violation}"));
+        }
+    }
+}
+
 /// Loses the disk of one follower in the moment in which the leader removes the other one.
 fn lose_a_disk_beside_a_removal(seed: u64, delay: u64) -> Result<(), Violation> {
     let (mut simulation, _, [retired, lost]) = group(seed)?;
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use yokefall_consensus::policy::{
-    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, DesiredMembership,
-    Step,
+    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, tolerated_losses,
+    DesiredMembership, Step,
 };
 use yokefall_consensus::{MemberId, Pair, Role, Zones};
 use yokefall_serving::source::Revision;
@@ -33,6 +33,8 @@
 const JOIN_LIFETIME: Duration = Duration::from_millis(2_300);
 /// Interval at which the leader evaluates the membership policy while a change is pending.
 const POLICY_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which it does so otherwise: nothing tells when a member stops to respond.
+const IDLE_POLICY_INTERVAL: Duration = Duration::from_millis(1_000);
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
 /// Key of the claim that elects the founder of the group.
 const FOUNDER_KEY: &str = "jobs";
@@ -147,8 +149,10 @@
 ) {
     let retiring = RetiringMachines::default();
     let mut watch: Option<tokio::task::JoinHandle<()>> = None;
+    let mut tolerance = None;
     loop {
         if !store.leads() {
+            tolerance = None;
             if let Some(watch) = watch.take() {
                 watch.abort();
             }
@@ -173,16 +177,30 @@
             let watching = run_watch(platform.retirements(), sink, following);
             watch = Some(tokio::task::spawn_local(watching));
         }
+        report_tolerance(&store, &mut tolerance);
         let busy = change_members(&platform, &store, &locations, &retiring, voters).await;
         report_retired(&platform, &store, &retiring).await;
         if busy {
             tokio::time::sleep(POLICY_INTERVAL).await;
         } else {
-            store.group_changed.notified().await;
+            let changed = store.group_changed.notified();
+            // The policy is evaluated in either case.
+            let _ = tokio::time::timeout(IDLE_POLICY_INTERVAL, changed).await;
         }
     }
 }
 
+/// Reports how many further losses the group tolerates, if that has changed.
+fn report_tolerance(store: &Store, reported: &mut Option<usize>) {
+    let (tolerated, voters) =
+        store.with_core(|core, now| (tolerated_losses(core, now), core.members().voters.len()));
+    metrics::gauge!("job_store_tolerated_losses").set(tolerated as f64);
+    if reported.replace(tolerated) != Some(tolerated) {
+        let line = LogLine::new(EventName::GroupTolerance);
+        line.field("tolerated_losses", tolerated).field("voters", voters).write();
+    }
+}
+
 /// Executes one step of the membership policy. Returns whether it should be evaluated again soon.
 async fn change_members<P: Platform>(
     platform: &P,
@@ -223,8 +241,12 @@
             store.with_core(|core, now| core.transfer_leadership(now, &candidates));
         }
     }
-    let learners = store.with_core(|core, _| !core.members().learners.is_empty());
-    !desired.joining.is_empty() || !retiring.open().is_empty() || learners
+    let is_incomplete = store.with_core(|core, now| {
+        let members = core.members();
+        let mut voters = members.voters.iter();
+        !members.learners.is_empty() || voters.any(|voter| !core.is_responsive(now, voter))
+    });
+    !desired.joining.is_empty() || !retiring.open().is_empty() || is_incomplete
 }
 
 fn zones_of(fleet: &FleetCell) -> Zones {
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -184,6 +184,8 @@
     StateTaken = "state-taken", Info, FAILURE_LINES_PER_SECOND;
     /// A decision about the group was made outside of its log.
     GroupDecision = "group-decision", Info, FAILURE_LINES_PER_SECOND;
+    /// The number of further losses that the group tolerates has changed.
+    GroupTolerance = "group-tolerance", Info, FAILURE_LINES_PER_SECOND;
     /// A disk operation failed and is retried.
     DiskFailed = "disk-failed", Error, FAILURE_LINES_PER_SECOND;
     /// Log lines were omitted.
