--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -162,12 +162,15 @@
     pub fn new(me: MemberId, recovered: Recovered, now: Millis, seed: u64) -> Self {
         let log = Log::new(recovered.snapshot, recovered.entries);
         let applied = log.snapshot().index;
+        // A snapshot has only committed entries.
+        let committed_members_index =
+            recovered.committed_members_index.max(log.snapshot().members_index);
         let mut node = Self {
             me,
             term: recovered.term,
             voted_for: recovered.voted_for,
-            committed_members_index: recovered.committed_members_index,
-            durable_members_index: recovered.committed_members_index,
+            committed_members_index,
+            durable_members_index: committed_members_index,
             role: Role::Follower,
             leader: None,
             commit: applied,
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use yokefall_consensus::{Body, Consensus, MemberId, Members, Message, Millis, Recovered};
+use yokefall_consensus::{
+    Body, Consensus, MemberId, Members, Message, Millis, Recovered, Snapshot,
+};
 
 /// One-way latency between the members, in milliseconds: a link with a full queue.
 const LATENCY_MS: Millis = 30;
@@ -232,3 +234,14 @@
     assert_eq!(group.applied.get("b"), Some(&1), "the learner got no snapshot");
     assert_eq!(group.snapshots_sent, 2);
 }
+
+/// A member that got the state from its leader and was restarted told its leader for good that it
+/// did not know the members to be committed, and no machine could be reported as retired any more.
+#[test]
+fn a_member_that_restarts_from_a_snapshot_knows_its_members_to_be_committed() {
+    let members = Members { voters: vec![member("a")], learners: Vec::new(), epoch: 1 };
+    let snapshot = Snapshot { index: 9, term: 1, members, members_index: 5, state: STATE.into() };
+    let recovered = Recovered { term: 1, snapshot, ..Recovered::default() };
+    let core = Consensus::new(member("a"), recovered, 0, 1);
+    assert_eq!(core.committed_members_index(), 5);
+}
