A removal outlives the leader that proposed it

What callers saw: three job stores, one is being retired; the leader loses its disk just after it has proposed the removal. Nobody serves batch jobs again, although both other machines run.

Cause: the member that is to remain has the removal and does not know whether it is committed. As one of a pair it needs the lost disk to be elected; it may not claim the pair, since the voters before may have elected a leader; and the machine that is being removed could be ahead of it and denied its vote.

Change: with the claim on the pair that the removal would leave, the member stands for election among the voters before it, and proposes them again as its first entry. A voter that is being removed gets heartbeats and no entries until the removal commits, so that it is never ahead of those that remain.

Why it is safe: whatever may follow the removal needs that claim; before it, quorums of the pair and of the voters before have a member in common, so that Raft's argument holds (crates/consensus/src/pair.rs).

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,6 +1,6 @@
 //! Elections: pre-votes and votes.
 
-use crate::log::{Entry, Index, Payload, Term};
+use crate::log::{Entry, Index, Term};
 use crate::message::{Body, MemberId};
 use crate::node::{Consensus, Millis, Role, ELECTION_TIMEOUT_MIN_MS};
 
@@ -56,12 +56,12 @@
     }
 
     pub(crate) fn other_voters(&self) -> Vec<MemberId> {
-        self.members().voters.iter().filter(|voter| **voter != self.me).cloned().collect()
+        self.electorate().voters.iter().filter(|voter| **voter != self.me).cloned().collect()
     }
 
     /// Counts only voters of the newest membership: a member with an empty disk elects no leader.
     fn count_votes(&mut self, now: Millis) {
-        let members = self.members();
+        let members = self.electorate();
         let granted = members.voters.iter().filter(|voter| self.votes.contains(voter)).count();
         if granted < members.quorum() {
             return;
@@ -82,7 +82,8 @@
         self.pair_renewal_due = true;
         self.progress.clear();
         self.term_start = self.log.last_index() + 1;
-        let entry = Entry { index: self.term_start, term: self.term, payload: Payload::Empty };
+        let payload = self.first_payload();
+        let entry = Entry { index: self.term_start, term: self.term, payload };
         self.append_own(vec![entry]);
         self.follow_members(now);
         self.heartbeat(now);
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -206,7 +206,8 @@
     pub(crate) fn follow_members(&mut self, now: Millis) {
         let members = self.members().clone();
         let next = self.log.last_index() + 1;
-        // Voters that an uncommitted change removes are needed if it is withdrawn.
+        // Voters that an uncommitted change removes are needed if it is withdrawn: they get
+        // heartbeats, and no entries.
         let previous = self.proposed_change.as_ref().map(|change| &change.previous);
         self.progress.retain(|member, _| {
             members.contains(member) || previous.is_some_and(|previous| previous.contains(member))
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -12,7 +12,7 @@
 use crate::log::{Entry, Index, Log, Payload, Snapshot, Term};
 use crate::membership::{ChangeEvent, ProposedChange, RequestedChange};
 use crate::message::{Body, MemberId, Members, Message};
-use crate::pair::Pair;
+use crate::pair::{Pair, Withdrawal};
 use crate::replication::{Progress, Reply};
 use crate::transfer::{TransferEvent, Transfers};
 
@@ -152,6 +152,7 @@
     pub(crate) transfers: Transfers,
     /// Whether a claim on the pair may exist that nobody has used.
     pub(crate) pair_renewal_due: bool,
+    pub(crate) withdrawal: Option<Withdrawal>,
     pub(crate) requested_change: Option<RequestedChange>,
     pub(crate) proposed_change: Option<ProposedChange>,
     pub(crate) effects: Effects,
@@ -191,6 +192,7 @@
             term_start: 0,
             transfers: Transfers::default(),
             pair_renewal_due: false,
+            withdrawal: None,
             requested_change: None,
             proposed_change: None,
             effects: Effects::default(),
--- a/crates/consensus/src/pair.rs
+++ b/crates/consensus/src/pair.rs
@@ -10,13 +10,19 @@
 //! leader takes over, and after a leader has made a claim that it did not use. A member leaves the
 //! term of its leader before it claims, so that it follows none before that has happened.
 //!
+//! A pair that remains after the removal of a third voter may not be committed when its leader is
+//! lost. The other member can't continue alone then, since the voters before may elect a leader. With
+//! the claim it stands for election among those voters, and proposes them again: nothing follows the
+//! removal without the claim, and any quorum of the pair shares a member with any of theirs.
+//!
 //! Invariant: a member that continues alone holds the claims on all epochs from the last one that it
 //! knows to be committed to its newest one. A committed epoch is on both disks, so that the epochs
 //! that the two members need always have one in common.
 
 use std::ops::RangeInclusive;
 
-use crate::log::{Entry, Payload};
+use crate::log::{Entry, Index, Payload};
+use crate::membership::ChangeEvent;
 use crate::message::Members;
 use crate::node::{Consensus, Millis, Role};
 
@@ -36,6 +42,14 @@
     }
 }
 
+/// Permission to withdraw the removal of a voter by an election among the voters before.
+#[derive(Clone, Debug)]
+pub(crate) struct Withdrawal {
+    /// Index of the removal.
+    members_index: Index,
+    previous: Members,
+}
+
 impl Consensus {
     /// The pair that this member belongs to if the group has exactly two voters, and had the same
     /// ones since its last membership that is known to be committed.
@@ -52,7 +66,7 @@
         is_same.then_some(Pair { committed_epoch: committed.epoch, newest_epoch: newest.epoch })
     }
 
-    fn memberships_after(&self, index: u64) -> impl Iterator<Item = &Members> {
+    fn memberships_after(&self, index: Index) -> impl Iterator<Item = &Members> {
         let indices = index.max(self.log.snapshot().index) + 1..=self.log.last_index();
         indices.filter_map(|index| match self.log.get(index) {
             Some(Entry { payload: Payload::Members(members), .. }) => Some(members),
@@ -60,6 +74,58 @@
         })
     }
 
+    /// The pair that remains after a removal that this member does not know to be committed.
+    pub fn uncommitted_pair(&self) -> Option<Pair> {
+        let newest = self.members();
+        let committed = self.members_at(self.committed_members_index);
+        let is_removal = newest.voters.len() == 2
+            && committed.voters.len() == 3
+            && newest.voters.contains(&self.me)
+            && newest.voters.iter().all(|voter| committed.voters.contains(voter));
+        let voter_changes = self
+            .memberships_after(self.committed_members_index)
+            .filter(|members| members.voters != committed.voters);
+        let epoch = newest.epoch;
+        (is_removal && voter_changes.count() == 1)
+            .then_some(Pair { committed_epoch: epoch, newest_epoch: epoch })
+    }
+
+    /// Withdraws the removal that led to a pair; this member stands for election among the voters
+    /// before. The caller must hold the claim on the pair.
+    pub fn withdraw_uncommitted_pair(&mut self, pair: Pair) -> bool {
+        if self.uncommitted_pair() != Some(pair) {
+            return false;
+        }
+        let (members_index, _) = self.log.members();
+        let previous = self.members_at(self.committed_members_index);
+        self.withdrawal = Some(Withdrawal { members_index, previous });
+        true
+    }
+
+    /// The voters before a removal that this member may withdraw.
+    fn withdrawn_members(&self) -> Option<&Members> {
+        let Withdrawal { members_index, previous } = self.withdrawal.as_ref()?;
+        let (newest_index, _) = self.log.members();
+        let is_valid =
+            newest_index == *members_index && self.committed_members_index < newest_index;
+        is_valid.then_some(previous)
+    }
+
+    /// The members that elect this member.
+    pub(crate) fn electorate(&self) -> &Members {
+        self.withdrawn_members().unwrap_or_else(|| self.members())
+    }
+
+    /// The first entry of a new leader.
+    pub(crate) fn first_payload(&mut self) -> Payload {
+        let Some(previous) = self.withdrawn_members().cloned() else { return Payload::Empty };
+        self.withdrawal = None;
+        let epoch = self.members().epoch + 1;
+        let members = Members { epoch, ..previous };
+        self.effects.changes.push(ChangeEvent::Withdrawn(members.clone()));
+        Payload::Members(members)
+    }
+
     /// Leaves the term in which this member last was in contact with the other one, so that it
     /// follows a leader again only in a later term. Returns whether it has, on disk.
     pub fn leave_term(&mut self, now: Millis) -> bool {
--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -120,6 +120,13 @@
     node.role() != Role::Leader && is_isolated && node.pair().is_some()
 }
 
+/// Whether a member should try to withdraw the removal of a third voter, whose outcome it does not
+/// know: the other voter that remains does not respond.
+pub fn should_withdraw_pair(node: &Consensus, now: Millis) -> bool {
+    let is_isolated = node.isolated_ms(now) >= LOST_DISK_TIMEOUT_MS;
+    node.role() != Role::Leader && is_isolated && node.uncommitted_pair().is_some()
+}
+
 /// Whether a member of a pair should try to continue alone: soon if the other one asks to join with
 /// an empty disk, and after a time that exceeds most network partitions if it does not respond.
 pub fn should_become_sole_voter(node: &Consensus, now: Millis, joining: &[MemberId]) -> bool {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -195,6 +195,11 @@
 
     /// Sends entries that a member lacks, within the window; returns whether anything was sent.
     fn send_entries(&mut self, now: Millis, member: &MemberId) -> bool {
+        if !self.members().contains(member) {
+            // A voter that is being removed must not get ahead of those that remain: it could not
+            // be elected, and would not vote for them.
+            return false;
+        }
         let mut sent = false;
         while let Some(progress) = self.progress.get_mut(member) {
             let window = if progress.probing { 1 } else { MAX_IN_FLIGHT_APPENDS };
--- a/crates/consensus/tests/simulation/membership_changes.rs
+++ b/crates/consensus/tests/simulation/membership_changes.rs
@@ -48,6 +48,39 @@
     }
 }
 
+/// Loses the disk of the leader in the moment in which it removes a follower.
+fn lose_the_leader_beside_its_removal(seed: u64, delay: u64) -> Result<(), Violation> {
+    let (mut simulation, leader, [retired, _]) = group(seed)?;
+    simulation.retire(retired);
+    simulation.run_until_removal(retired)?;
+    simulation.run(delay)?;
+    simulation.wipe(leader);
+    simulation.run(1_000)?;
+    simulation.start(leader);
+    simulation.run(CATCH_UP_MS + RECOVERY_MS)?;
+    if !simulation.is_served() {
+        return Err(simulation.violation("nobody serves"));
+    }
+    simulation.run(CATCH_UP_MS)?;
+    match simulation.is_drained(retired) {
+        true => Ok(()),
+        false => Err(simulation.violation("the machine is not retired")),
+    }
+}
+
+/// The leader lost its disk just after it had proposed to remove one of three voters. Of the two that
+/// were to remain the other one had the removal, did not know whether it was committed, and could
+/// neither be elected nor claim the pair.
+#[test]
+fn a_removal_outlives_the_leader_that_proposed_it() {
+    for seed in 0..SEEDS {
+        for delay in 0..8 {
+            lose_the_leader_beside_its_removal(seed, delay)
+                .unwrap_or_else(|violation| panic!("seed {seed}, {delay} ms: {violation}"));
+        }
+    }
+}
+
 /// Stops a follower for good; later another machine loses its disk and returns.
 fn lose_a_disk_after_a_departure(seed: u64, loses_leader: bool) -> Result<(), Violation> {
     let (mut simulation, leader, [departed, other]) = group(seed)?;
--- a/crates/consensus/tests/simulation/support/availability.rs
+++ b/crates/consensus/tests/simulation/support/availability.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use yokefall_consensus::Millis;
+use yokefall_consensus::{Consensus, Millis};
 
 use super::{Simulation, Violation};
 
@@ -29,10 +29,11 @@
 impl Simulation {
     /// Machines that belong to the fleet: not those that are removed or hold nothing any more.
     fn present(&self) -> Vec<usize> {
-        let is_voter = |name: &str| {
-            let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
-            cores.flat_map(|core| &core.members().voters).any(|voter| voter.name == name)
-        };
+        let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        let newest = cores.map(Consensus::members).max_by_key(|members| members.epoch);
+        let voters = newest.map(|members| &members.voters);
+        let is_voter =
+            |name: &str| voters.is_some_and(|voters| voters.iter().any(|voter| voter.name == name));
         let is_present = |at: &usize| {
             let node = &self.nodes[*at];
             !self.is_removed(node) && (!self.leaving.contains(&node.name) || is_voter(&node.name))
--- a/crates/consensus/tests/simulation/support/mod.rs
+++ b/crates/consensus/tests/simulation/support/mod.rs
@@ -14,8 +14,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use yokefall_consensus::policy::{
-    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, DesiredMembership,
-    Step,
+    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, should_withdraw_pair,
+    DesiredMembership, Step,
 };
 use yokefall_consensus::Zones;
 use yokefall_consensus::{
@@ -651,9 +651,27 @@
             }
             self.carry_out(at)?;
         }
+        self.withdraw_removals()?;
         self.become_sole_voter()
     }
 
+    fn withdraw_removals(&mut self) -> Result<(), Violation> {
+        for at in 0..self.nodes.len() {
+            if self.nodes[at].frozen_until > self.now {
+                continue;
+            }
+            let Some(core) = self.nodes[at].core.as_mut() else { continue };
+            let has_left = should_withdraw_pair(core, self.now) && core.leave_term(self.now);
+            let pair = core.uncommitted_pair().filter(|_| has_left);
+            self.carry_out(at)?;
+            let Some(pair) = pair.filter(|pair| self.claim(at, Some(*pair))) else { continue };
+            if let Some(core) = self.nodes[at].core.as_mut() {
+                core.withdraw_uncommitted_pair(pair);
+            }
+        }
+        Ok(())
+    }
+
     /// Whether a member has the claim on a pair; without a pair no claim is needed.
     fn claim(&mut self, at: usize, pair: Option<Pair>) -> bool {
         let Some(pair) = pair else { return true };
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use yokefall_consensus::policy::{
-    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, tolerated_losses,
-    DesiredMembership, Step,
+    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, should_withdraw_pair,
+    tolerated_losses, DesiredMembership, Step,
 };
 use yokefall_consensus::{MemberId, Pair, Role, Zones};
 use yokefall_serving::source::Revision;
@@ -289,6 +289,7 @@
 pub async fn continue_alone<P: Platform>(platform: P, store: Rc<Store>) {
     loop {
         tokio::time::sleep(PAIR_CHECK_INTERVAL).await;
+        withdraw_removal(&platform, &store).await;
         let joining = store.joining(JOIN_LIFETIME);
         let pair = store.with_core(|core, now| {
             if !may_become_sole_voter(core, now) || !core.leave_term(now) {
@@ -313,6 +314,21 @@
     }
 }
 
+/// Withdraws the removal of a third voter if the other one that remains was lost before this member
+/// knew it to be committed.
+async fn withdraw_removal<P: Platform>(platform: &P, store: &Store) {
+    let pair = store.with_core(|core, now| {
+        let may_claim = should_withdraw_pair(core, now) && core.leave_term(now);
+        core.uncommitted_pair().filter(|_| may_claim)
+    });
+    let Some(pair) = pair else { return };
+    if !claim_pair(platform, store, Some(pair)).await {
+        log_decision("wait for the claim of a two-member group", format!("{pair:?}"));
+        return;
+    }
+    store.with_core(|core, _| core.withdraw_uncommitted_pair(pair));
+}
+
 /// Reports retired machines that no longer hold any data of the group.
 async fn report_retired<P: Platform>(platform: &P, store: &Store, retiring: &RetiringMachines) {
     for name in retiring.open() {
