A replaced member of a pair has a successor before the next loss is allowed

What callers saw: of two job stores one is replaced by a new machine without notice; 4.7 s after the new one's start the other one loses its disk, as it may by then, and every accepted job is lost.

Cause: a member of a pair waits for 6 s before it goes on alone, longer than most partitions last, and the new machine gets nothing before that.

--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -128,7 +128,8 @@
 }
 
 /// Whether a member of a pair should try to continue alone: soon if the other one asks to join with
-/// an empty disk, and after a time that exceeds most network partitions if it does not respond.
+/// an empty disk; sooner than most network partitions end if a new machine asks to join, or is a
+/// learner, and can hold the second copy; otherwise only after that time.
 pub fn should_become_sole_voter(node: &Consensus, now: Millis, joining: &[MemberId]) -> bool {
     if !may_become_sole_voter(node, now) {
         return false;
@@ -138,7 +139,13 @@
     };
     let other_disk_lost =
         node.members().voters.iter().any(|voter| voter != node.id() && is_lost(voter));
-    let timeout = if other_disk_lost { LOST_DISK_TIMEOUT_MS } else { PAIR_TIMEOUT_MS };
+    let is_new = |member: &MemberId| node.members().all().all(|known| known.name != member.name);
+    let has_successor = !node.members().learners.is_empty() || joining.iter().any(is_new);
+    let timeout = match (other_disk_lost, has_successor) {
+        (true, _) => LOST_DISK_TIMEOUT_MS,
+        (false, true) => DEPARTURE_TIMEOUT_MS,
+        (false, false) => PAIR_TIMEOUT_MS,
+    };
     node.isolated_ms(now) >= timeout
 }
 
--- a/crates/consensus/tests/simulation/pairs.rs
+++ b/crates/consensus/tests/simulation/pairs.rs
@@ -1,6 +1,6 @@
 //! Groups of two voters, of which either may be lost while the other one can claim the pair.
 
-use crate::support::{Mutation, Simulation, TransferDelivery, Violation};
+use crate::support::{Mutation, Simulation, TransferDelivery, Violation, CATCH_UP_MS};
 
 /// Start of a run, after which three machines vote, in milliseconds.
 const START_MS: u64 = 4_000;
@@ -42,6 +42,31 @@
     }
 }
 
+/// One of two members is gone for good and a new machine asks to join. The other one went on alone
+/// only after 6 s: a disk that was lost once the new machine had had its time to catch up took the
+/// only copy.
+#[test]
+fn a_replaced_member_of_a_pair_has_a_successor_in_time() {
+    for seed in 0..SEEDS {
+        for pause in [0, 1_000] {
+            let outcome = (|| {
+                let (mut simulation, _, follower) = pair(seed)?;
+                simulation.remove(follower);
+                simulation.run(pause)?;
+                simulation.add_machine();
+                simulation.run(CATCH_UP_MS)?;
+                match simulation.is_served() {
+                    true => Ok(()),
+                    false => Err(simulation.violation("there is no second copy")),
+                }
+            })();
+            outcome.unwrap_or_else(|violation: Violation| {
+                panic!("seed {seed}, {pause} ms: {violation}")
+            });
+        }
+    }
+}
+
 /// One of two members claimed the pair, heard the other one again and did not use the claim. Much
 /// later the claimant lost its disk, and the other one, which held everything, could never go on.
 #[test]
--- a/crates/consensus/tests/simulation/support/mod.rs
+++ b/crates/consensus/tests/simulation/support/mod.rs
@@ -272,6 +272,12 @@
         Ok(())
     }
 
+    /// Adds a machine with an empty disk.
+    pub fn add_machine(&mut self) {
+        self.record_event("add a machine".into());
+        self.add_node(false);
+    }
+
     /// Removes a machine for good.
     pub fn remove(&mut self, at: usize) {
         self.record_event(format!("remove {at}"));
