Job store: the observer that writes lines and metrics in a file of its own

Cause: daemon.rs held the start of the process and its observer, which grew by leadership transfers and membership changes. Change: moved to log_observer.rs; no logic differs. Result: the crate's lints and tests pass.

--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `protocol` defines the frames, `server` answers them, and `client` is the gateways' side.
 //! - `runner` decides on the leader which item runs at which back end. `delegation` hands items to
 //!   other job stores, whose `worker` executes them; `run` is one run at a back end.
+//! - `log_observer` writes what happens to the group as lines and metrics.
 //! - `preemption` returns slots to online requests, and `backlog` reports waiting items.
 //! - `loads` sums load reports, and `aggregators` exchanges the sums.
 
@@ -26,6 +27,7 @@
 mod item_run;
 pub mod item_worker;
 pub mod loads;
+mod log_observer;
 pub mod packed;
 pub mod pool_slots;
 pub mod preemption;
