--- a/crates/consensus/tests/simulation/support/mod.rs
+++ b/crates/consensus/tests/simulation/support/mod.rs
@@ -5,7 +5,10 @@
 mod disk;
 mod faults;
 mod histories;
+mod network;
+mod operations;
 mod planned_work;
+mod policy;
 mod standby;
 
 use std::cmp::Reverse;
@@ -13,13 +16,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use yokefall_consensus::policy::{
-    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, should_withdraw_pair,
-    DesiredMembership, Step,
-};
-use yokefall_consensus::Zones;
 use yokefall_consensus::{
-    Body, ChangeEvent, Consensus, Effects, Entry, Index, MemberId, Message, Millis, Pair, Payload,
+    ChangeEvent, Consensus, Effects, Entry, Index, MemberId, Message, Millis, Payload,
 };
 
 use self::availability::Availability;
@@ -28,6 +26,7 @@
 pub use self::disk::Disk;
 pub use self::faults::ALL_FAULTS;
 pub use self::histories::{run_history, run_pair_history};
+pub use self::network::TransferDelivery;
 pub use self::planned_work::run_planned_work_history;
 pub use self::standby::run_standby_history;
 
@@ -66,22 +65,6 @@
     SoleVoterWithoutClaim,
 }
 
-/// What becomes of requests to take over leadership.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TransferDelivery {
-    /// They arrive like any other message.
-    Prompt,
-    /// They are lost.
-    Lost,
-    /// They arrive after this time, in milliseconds.
-    Late(Millis),
-    /// Any of these, drawn for each.
-    Random,
-}
-
-/// Maximum delay of a request to take over that is late, in milliseconds: longer than any election.
-const MAX_TRANSFER_DELAY_MS: Millis = 3_000;
-
 pub struct Simulation {
     now: Millis,
     random: SmallRng,
@@ -218,109 +201,6 @@
         node.disk.synced = node.disk.writes.len();
     }
 
-    /// Kills a process; its disk keeps everything.
-    pub fn kill(&mut self, at: usize) {
-        self.record_event(format!("kill {at}"));
-        self.stop(at, false);
-    }
-
-    /// Requests the retirement of a machine.
-    pub fn retire(&mut self, at: usize) {
-        self.record_event(format!("retire {at}"));
-        self.leaving.push(self.nodes[at].name.clone());
-    }
-
-    /// The machine that leads, if any.
-    pub fn leader(&self) -> Option<usize> {
-        self.leaders().into_iter().max_by_key(|&at| self.nodes[at].core.as_ref().map(|c| c.term()))
-    }
-
-    /// Whether a member may answer requests and accept commands.
-    pub fn is_served(&self) -> bool {
-        let serves =
-            |core: &Consensus| core.can_read(self.now) && core.committed_voters() > self.voters / 2;
-        self.leaders().iter().any(|&at| self.nodes[at].core.as_ref().is_some_and(serves))
-    }
-
-    /// Whether a retired machine holds no data of the group any more.
-    pub fn is_drained(&self, at: usize) -> bool {
-        let name = &self.nodes[at].name;
-        self.leaders().iter().any(|&leader| {
-            self.nodes[leader].core.as_ref().is_some_and(|core| {
-                core.can_read(self.now)
-                    && core.can_change_members()
-                    && core.members_durably_committed()
-                    && !core.members().all().any(|member| member.name == *name)
-            })
-        })
-    }
-
-    /// The machine that was last asked to take over leadership.
-    pub fn transfer_target(&self) -> Option<usize> {
-        self.transfer_target
-    }
-
-    /// Runs until a retired machine holds no data of the group any more.
-    pub fn run_until_drained(&mut self, at: usize) -> Result<(), Violation> {
-        let end = self.now + CATCH_UP_MS;
-        while !self.is_drained(at) {
-            if self.now >= end {
-                return Err(self.violation("the machine is not drained"));
-            }
-            self.run(1)?;
-        }
-        Ok(())
-    }
-
-    /// Adds a machine with an empty disk.
-    pub fn add_machine(&mut self) {
-        self.record_event("add a machine".into());
-        self.add_node(false);
-    }
-
-    /// Removes a machine for good.
-    pub fn remove(&mut self, at: usize) {
-        self.record_event(format!("remove {at}"));
-        self.stop(at, true);
-        self.removed.push(self.nodes[at].name.clone());
-    }
-
-    /// Freezes a process for a time in milliseconds.
-    pub fn freeze(&mut self, at: usize, length: Millis) {
-        self.record_event(format!("freeze {at} for {length}"));
-        self.nodes[at].frozen_until = self.now + length;
-    }
-
-    /// Runs until the leader's newest membership, committed or not, lacks a machine.
-    pub fn run_until_removal(&mut self, at: usize) -> Result<(), Violation> {
-        let name = self.nodes[at].name.clone();
-        let end = self.now + CATCH_UP_MS;
-        while self.now < end {
-            self.run(1)?;
-            let leader = self.leader().and_then(|leader| self.nodes[leader].core.as_ref());
-            if leader.is_some_and(|core| !core.members().all().any(|member| member.name == name)) {
-                return Ok(());
-            }
-        }
-        Err(self.violation("the machine is not removed"))
-    }
-
-    /// Runs until a machine is asked to take over leadership.
-    pub fn run_until_transfer(&mut self) -> Result<(), Violation> {
-        let end = self.now + MAX_TRANSFER_DELAY_MS;
-        while self.transfer_target.is_none() && self.now < end {
-            self.run(1)?;
-        }
-        Ok(())
-    }
-
-    /// Starts a process unless it runs or its machine was removed.
-    pub fn start_if_down(&mut self, at: usize) {
-        if self.nodes[at].core.is_none() && !self.is_removed(&self.nodes[at]) {
-            self.start(at);
-        }
-    }
-
     /// Describes a violation with the members and the events so far.
     pub fn violation(&mut self, text: &str) -> Violation {
         self.record_nodes();
@@ -432,49 +312,6 @@
         self.nodes.iter().position(|node| node.name == member.name)
     }
 
-    fn post(&mut self, from: usize, message: Message) {
-        let Some(to) = self.position_of(&message.to) else { return };
-        let is_transfer = matches!(message.body, Body::TransferLeadership);
-        if is_transfer {
-            self.transfer_target = Some(to);
-        }
-        if self.partitions.contains(&(from, to)) || self.random.random_bool(self.loss) {
-            return;
-        }
-        let copies = if self.random.random_bool(0.01) { 2 } else { 1 };
-        for _ in 0..copies {
-            let delay = if is_transfer { self.transfer_delay() } else { Some(self.delay()) };
-            let Some(delay) = delay else { continue };
-            self.next_number += 1;
-            self.in_flight.insert(self.next_number, message.clone());
-            let delivery = Delivery { at: self.now + delay, number: self.next_number };
-            self.queue.push(Reverse(delivery));
-        }
-    }
-
-    fn delay(&mut self) -> Millis {
-        let slow = self.random.random_bool(0.01);
-        let limit = if slow { 400 } else { 4 };
-        self.random.random_range(1..limit)
-    }
-
-    /// Delay of a request to take over; `None` if it is lost.
-    fn transfer_delay(&mut self) -> Option<Millis> {
-        let delivery = match self.transfer_delivery {
-            TransferDelivery::Random => match self.random.random_range(0..8) {
-                0 => TransferDelivery::Lost,
-                1 => TransferDelivery::Late(self.random.random_range(1..MAX_TRANSFER_DELAY_MS)),
-                _ => TransferDelivery::Prompt,
-            },
-            delivery => delivery,
-        };
-        match delivery {
-            TransferDelivery::Lost => None,
-            TransferDelivery::Late(delay) => Some(delay),
-            TransferDelivery::Prompt | TransferDelivery::Random => Some(self.delay()),
-        }
-    }
-
     /// Runs one millisecond on every node.
     fn step(&mut self) -> Result<(), Violation> {
         self.now += 1;
@@ -607,132 +444,6 @@
         }
     }
 
-    fn change_members(&mut self) -> Result<(), Violation> {
-        let now = self.now;
-        let reachable = |node: &Node| node.core.is_some() && node.frozen_until <= now;
-        for at in self.leaders() {
-            let Some(core) = self.nodes[at].core.as_ref() else { continue };
-            // As in the job store: a leader without a lease changes nothing.
-            if !core.can_read(now) {
-                continue;
-            }
-            let mut joining = Vec::new();
-            for (other, node) in self.nodes.iter().enumerate() {
-                let Some(id) = node.core.as_ref().map(|core| core.id().clone()) else { continue };
-                let is_received = reachable(node) && !self.partitions.contains(&(other, at));
-                if is_received && !core.members().contains(&id) && !self.leaving.contains(&id.name)
-                {
-                    joining.push(id);
-                }
-            }
-            let zones = Zones::new(
-                self.nodes.iter().enumerate().map(|(n, node)| (node.name.clone(), zone(n))),
-            );
-            let leaving = self.leaving.clone();
-            let desired = DesiredMembership { joining, leaving, voters: self.voters, zones };
-            let step = next_step(core, self.now, &desired);
-            let pair = core.pair().filter(|_| match &step {
-                Step::Change(members) => needs_claim(core, members),
-                Step::Idle | Step::RenewPair | Step::TransferLeadership(_) => false,
-            });
-            let Some(core) = self.nodes[at].core.as_mut() else { continue };
-            if pair.is_some() {
-                core.record_claim_attempt();
-            }
-            if !self.claim(at, pair) {
-                continue;
-            }
-            let Some(core) = self.nodes[at].core.as_mut() else { continue };
-            match step {
-                Step::Idle => {}
-                Step::RenewPair => {
-                    core.renew_pair(self.now);
-                }
-                Step::Change(members) => {
-                    core.change_members(self.now, members);
-                }
-                Step::TransferLeadership(candidates) => {
-                    core.transfer_leadership(self.now, &candidates);
-                }
-            }
-            self.carry_out(at)?;
-        }
-        self.withdraw_removals()?;
-        self.become_sole_voter()
-    }
-
-    fn withdraw_removals(&mut self) -> Result<(), Violation> {
-        for at in 0..self.nodes.len() {
-            if self.nodes[at].frozen_until > self.now {
-                continue;
-            }
-            let Some(core) = self.nodes[at].core.as_mut() else { continue };
-            let has_left = should_withdraw_pair(core, self.now) && core.leave_term(self.now);
-            let pair = core.uncommitted_pair().filter(|_| has_left);
-            self.carry_out(at)?;
-            let Some(pair) = pair.filter(|pair| self.claim(at, Some(*pair))) else { continue };
-            if let Some(core) = self.nodes[at].core.as_mut() {
-                core.withdraw_uncommitted_pair(pair);
-            }
-        }
-        Ok(())
-    }
-
-    /// Whether a member has the claim on a pair; without a pair no claim is needed.
-    fn claim(&mut self, at: usize, pair: Option<Pair>) -> bool {
-        let Some(pair) = pair else { return true };
-        if self.mutation == Mutation::SoleVoterWithoutClaim {
-            return true;
-        }
-        let Some(me) = self.nodes[at].core.as_ref().map(|core| core.id().to_string()) else {
-            return false;
-        };
-        if !self.claims_available {
-            return false;
-        }
-        pair.epochs().all(|epoch| {
-            let is_mine = *self.claims.entry(epoch).or_insert(me.clone()) == me;
-            is_mine && !self.claim_answers_lost
-        })
-    }
-
-    fn become_sole_voter(&mut self) -> Result<(), Violation> {
-        let joining: Vec<MemberId> = self
-            .nodes
-            .iter()
-            .filter_map(|node| node.core.as_ref())
-            .filter(|core| !core.members().contains(core.id()))
-            .map(|core| core.id().clone())
-            .collect();
-        for at in 0..self.nodes.len() {
-            if self.nodes[at].frozen_until > self.now {
-                continue;
-            }
-            let Some(core) = self.nodes[at].core.as_ref() else { continue };
-            if !may_become_sole_voter(core, self.now) {
-                continue;
-            }
-            let Some(core) = self.nodes[at].core.as_mut() else { continue };
-            let has_left = core.leave_term(self.now);
-            self.carry_out(at)?;
-            let Some(core) = self.nodes[at].core.as_ref().filter(|_| has_left) else { continue };
-            let remaining_pair =
-                core.pair().filter(|_| should_become_sole_voter(core, self.now, &joining));
-            let Some(pair) = remaining_pair else {
-                continue;
-            };
-            if !self.claim(at, Some(pair)) {
-                continue;
-            }
-            if let Some(core) = self.nodes[at].core.as_mut() {
-                core.become_sole_voter(self.now, pair);
-            }
-            self.record_event(format!("{at} becomes the sole voter"));
-            self.carry_out(at)?;
-        }
-        Ok(())
-    }
-
     fn random_machine(&mut self) -> usize {
         loop {
             let at = self.random.random_range(0..self.nodes.len());
