Job store: what members of a pair do in a file of its own; fewer calls for claims

Cause: group.rs held the membership policy, retirements and pairs. A member that waited for a claim of another one asked for it at each check, five times a second since the last change; one that may withdraw a removal asked again until it was elected. Result: the tests of the crate and of platform/tests/jobs.rs pass.

--- a/crates/consensus/src/pair.rs
+++ b/crates/consensus/src/pair.rs
@@ -111,6 +111,11 @@
         is_valid.then_some(previous)
     }
 
+    /// Whether this member may withdraw a removal by its election.
+    pub fn is_withdrawing(&self) -> bool {
+        self.withdrawn_members().is_some()
+    }
+
     /// The members that elect this member.
     pub(crate) fn electorate(&self) -> &Members {
         self.withdrawn_members().unwrap_or_else(|| self.members())
--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -124,7 +124,8 @@
 /// know: the other voter that remains does not respond.
 pub fn should_withdraw_pair(node: &Consensus, now: Millis) -> bool {
     let is_isolated = node.isolated_ms(now) >= LOST_DISK_TIMEOUT_MS;
-    node.role() != Role::Leader && is_isolated && node.uncommitted_pair().is_some()
+    let may_try = node.role() != Role::Leader && is_isolated && !node.is_withdrawing();
+    may_try && node.uncommitted_pair().is_some()
 }
 
 /// Whether a member of a pair should try to continue alone: soon if the other one asks to join with
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -38,7 +38,7 @@
 use crate::store::{Store, StoreLimits};
 use crate::wal::Wal;
 use crate::worker::Worker;
-use crate::{addresses, aggregators, group, server, suspects};
+use crate::{addresses, aggregators, group, pair, server, suspects};
 
 /// Maximum time that a planned stop waits for another leader.
 const STOP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -213,7 +213,7 @@
             tokio::task::spawn_local(group::bootstrap(platform.clone(), store.clone(), me.clone()));
         }
         tokio::task::spawn_local(group::join(store.clone(), fleet.clone(), me));
-        tokio::task::spawn_local(group::continue_alone(platform.clone(), store.clone()));
+        tokio::task::spawn_local(pair::continue_alone(platform.clone(), store.clone()));
         tokio::task::spawn_local(aggregators::exchange(
             store.clone(),
             fleet.clone(),
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use yokefall_consensus::policy::{
-    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, should_withdraw_pair,
-    tolerated_losses, DesiredMembership, Step,
+    needs_claim, next_step, tolerated_losses, DesiredMembership, Step,
 };
-use yokefall_consensus::{MemberId, Pair, Role, Zones};
+use yokefall_consensus::{MemberId, Role, Zones};
 use yokefall_serving::source::Revision;
 use yokefall_serving::watch::{run_watch, Sink, WatchOptions, WatchWaits};
 use yokefall_serving::watch_role::WatchRole;
@@ -19,6 +18,7 @@
 };
 use yokefall_telemetry::{EventName, LogLine};
 
+use crate::pair::claim_pair;
 use crate::protocol::Frame;
 use crate::residency::KnownZones;
 use crate::store::Store;
@@ -30,7 +30,7 @@
 /// Number of join requests at the initial interval.
 const FAST_JOIN_ATTEMPTS: u32 = 20;
 /// Time for which a join request is valid.
-const JOIN_LIFETIME: Duration = Duration::from_millis(2_300);
+pub(crate) const JOIN_LIFETIME: Duration = Duration::from_millis(2_300);
 /// Interval at which the leader evaluates the membership policy while a change is pending.
 const POLICY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which it does so otherwise: nothing tells when a member stops to respond.
@@ -38,9 +38,8 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
 /// Key of the claim that elects the founder of the group.
 const FOUNDER_KEY: &str = "jobs";
-/// Interval at which a member of a two-member group checks whether the other one is gone.
-const PAIR_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time limit for a call about a claim.
+pub(crate) const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Machines being retired according to the platform's store, and whether that is completed.
 #[derive(Clone, Default)]
@@ -89,7 +88,7 @@
     fn ended(&self, _error: Option<&SourceError>) {}
 }
 
-fn log_decision(decision: &'static str, subject: impl std::fmt::Display) {
+pub(crate) fn log_decision(decision: &'static str, subject: impl std::fmt::Display) {
     LogLine::new(EventName::GroupDecision).id(subject).field("decision", decision).write();
 }
 
@@ -269,66 +268,6 @@
     joining
 }
 
-/// Claims the exclusive right to act for a two-member group; without a pair no claim is needed.
-async fn claim_pair<P: Platform>(platform: &P, store: &Store, pair: Option<Pair>) -> bool {
-    let Some(pair) = pair else { return true };
-    let me = store.with_core(|core, _| core.id().to_string());
-    let mut registry = platform.registry();
-    for epoch in pair.epochs() {
-        let key = format!("pair-{epoch}");
-        let claimed = tokio::time::timeout(CLAIM_TIMEOUT, registry.claim(&key, &me)).await;
-        if !matches!(claimed, Ok(Ok(Claim::Mine))) {
-            return false;
-        }
-    }
-    true
-}
-
-/// In a two-member group whose other member is unresponsive, continues alone if this member's claim
-/// is the first. Never returns.
-pub async fn continue_alone<P: Platform>(platform: P, store: Rc<Store>) {
-    loop {
-        tokio::time::sleep(PAIR_CHECK_INTERVAL).await;
-        withdraw_removal(&platform, &store).await;
-        let joining = store.joining(JOIN_LIFETIME);
-        let pair = store.with_core(|core, now| {
-            if !may_become_sole_voter(core, now) || !core.leave_term(now) {
-                return None;
-            }
-            core.pair().filter(|_| should_become_sole_voter(core, now, &joining))
-        });
-        if pair.is_none() || !claim_pair(&platform, &store, pair).await {
-            continue;
-        }
-        let alone = store.with_core(|core, now| {
-            let silent = should_become_sole_voter(core, now, &joining);
-            silent && pair.is_some_and(|pair| core.become_sole_voter(now, pair))
-        });
-        if alone {
-            log_decision(
-                "continue alone in a two-member group",
-                store.with_core(|c, _| c.id().clone()),
-            );
-            store.deadline_changed.notify_one();
-        }
-    }
-}
-
-/// Withdraws the removal of a third voter if the other one that remains was lost before this member
-/// knew it to be committed.
-async fn withdraw_removal<P: Platform>(platform: &P, store: &Store) {
-    let pair = store.with_core(|core, now| {
-        let may_claim = should_withdraw_pair(core, now) && core.leave_term(now);
-        core.uncommitted_pair().filter(|_| may_claim)
-    });
-    let Some(pair) = pair else { return };
-    if !claim_pair(platform, store, Some(pair)).await {
-        log_decision("wait for the claim of a two-member group", format!("{pair:?}"));
-        return;
-    }
-    store.with_core(|core, _| core.withdraw_uncommitted_pair(pair));
-}
-
 /// Reports retired machines that no longer hold any data of the group.
 async fn report_retired<P: Platform>(platform: &P, store: &Store, retiring: &RetiringMachines) {
     for name in retiring.open() {
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - `state` is the replicated state machine and `wal` the log on disk; `store` combines consensus,
 //!   disk and state, with its queries in `reads` and the abandoning of items in `abandon`.
+//! - `group` changes the members, and `pair` the groups of two whose other member is lost.
 //! - `protocol` defines the frames, `server` answers them, and `client` is the gateways' side.
 //! - `runner` decides on the leader which item runs at which back end. `delegation` hands items to
 //!   other job stores, whose `worker` executes them; `run` is one run at a back end.
@@ -29,6 +30,7 @@
 pub mod loads;
 mod log_observer;
 pub mod packed;
+pub mod pair;
 pub mod pool_slots;
 pub mod preemption;
 pub mod protocol;
