A change of voters is confirmed on links slower than the policy's interval

Cause: the leader requests a change each time it evaluates its policy, every 100 ms, and each request asked for answers to messages sent after it. Where a round trip takes longer, no answer ever counted, and no voter could be added or removed. Change: a request for the same members goes on. A planned stop ends at once if nobody can take over.

--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -81,6 +81,11 @@
             self.propose_members(now, members);
             return true;
         }
+        let is_same = |change: &RequestedChange| change.members == members;
+        if self.requested_change.as_ref().is_some_and(is_same) {
+            // Answers to the first request may still be under way.
+            return true;
+        }
         self.requested_change = Some(RequestedChange { members, requested_at: now });
         self.heartbeat(now);
         self.continue_change(now);
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -70,7 +70,7 @@
     Vote {
         /// Whether this is a pre-vote: the term has not started and nothing is recorded.
         pre_vote: bool,
-        /// Whether the leader requested this election.
+        /// Whether the leader requested this election, or stands itself after a failed transfer.
         leadership_transfer: bool,
         /// Last entry of the candidate.
         last_index: Index,
--- a/crates/consensus/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -38,7 +38,8 @@
         /// Time since it was asked, in milliseconds.
         elapsed_ms: Millis,
     },
-    /// The voter did not take over in time; the leader stands for election itself.
+    /// The voter did not take over in time, or another one did. Without a leader, this member stands
+    /// for election itself.
     Failed {
         /// The voter.
         target: MemberId,
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -245,3 +245,41 @@
     let core = Consensus::new(member("a"), recovered, 0, 1);
     assert_eq!(core.committed_members_index(), 5);
 }
+
+/// One-way latency of a link on which a round trip takes longer than the interval at which the leader
+/// evaluates its policy, in milliseconds.
+const SLOW_LATENCY_MS: Millis = 60;
+const POLICY_INTERVAL_MS: Millis = 100;
+
+/// A change of voters that is requested again and again, before the answers to the first request
+/// arrive, must be confirmed by them all the same.
+#[test]
+fn a_change_is_confirmed_on_a_slow_link() {
+    let (mut leader, mut learner) = (core("a"), core("b"));
+    leader.bootstrap(0);
+    leader.tick(0);
+    drain(&mut leader, 0);
+    leader.tick(1);
+    drain(&mut leader, 1);
+    let learners = Members { voters: vec![member("a")], learners: vec![member("b")], epoch: 1 };
+    assert!(leader.change_members(1, learners));
+    let voters = Members { voters: vec![member("a"), member("b")], learners: Vec::new(), epoch: 1 };
+    let mut links: VecDeque<(Millis, Message)> = VecDeque::new();
+    for now in 2..2_000 {
+        if now >= leader.next_deadline() {
+            leader.tick(now);
+        }
+        if now > 1_000 && now % POLICY_INTERVAL_MS == 0 && leader.members().voters.len() == 1 {
+            leader.change_members(now, voters.clone());
+        }
+        while links.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, message)) = links.pop_front() else { break };
+            let to = if message.to == member("a") { &mut leader } else { &mut learner };
+            to.receive(now, message);
+        }
+        for message in drain(&mut leader, now).into_iter().chain(drain(&mut learner, now)) {
+            links.push_back((now + SLOW_LATENCY_MS, message));
+        }
+    }
+    assert_eq!(leader.members().voters.len(), 2, "the change is never proposed");
+}
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 use yokefall_clock::{ElapsedClock, SuspensionSource};
-use yokefall_consensus::{Consensus, MemberId};
+use yokefall_consensus::{Consensus, MemberId, Role};
 use yokefall_quota::QuotaBounds;
 use yokefall_serving::direct_messages::DirectMessages;
 use yokefall_serving::discovery::{self, DiscoveryOptions, PeerPorts};
@@ -330,10 +330,13 @@
     }
     let deadline = Instant::now() + STOP_TRANSFER_TIMEOUT;
     while !store.follows() && Instant::now() < deadline {
-        store.with_core(|core, now| {
+        let has_no_successor = store.with_core(|core, now| {
             let voters = core.members().voters.clone();
-            core.transfer_leadership(now, &voters)
+            core.role() == Role::Leader && !core.transfer_leadership(now, &voters)
         });
+        if has_no_successor {
+            return;
+        }
         tokio::time::sleep(STOP_TRANSFER_POLL_INTERVAL).await;
     }
 }
