Three voters become two only while the platform's store answers

What callers would have seen: the platform's store is away, a job store of three is down for over 3 s and comes back; another one is then lost, and nobody serves until one is back, although two of three are up. Before the removal of voters that are gone for good the group went on.

Cause: the voter that was down was removed, and a group of two can't admit a third voter without a claim. Found by reading the change again.

Change: the leader asks the platform's store for a claim that exists before it proposes two voters instead of three, and waits while there is no answer. One call for each such change.

--- a/crates/consensus/src/policy.rs
+++ b/crates/consensus/src/policy.rs
@@ -113,6 +113,12 @@
     node.members().voters.len() == 2 && voter_change == VoterChange::One
 }
 
+/// Whether a change of members leaves a pair, which can neither survive a loss nor admit a voter
+/// unless claims can be made.
+pub fn leaves_pair(node: &Consensus, members: &Members) -> bool {
+    node.members().voters.len() > 2 && members.voters.len() == 2
+}
+
 /// Whether a member of a pair has missed the other one for so long that it may soon try to continue
 /// alone, for which it has to leave the term of its leader.
 pub fn may_become_sole_voter(node: &Consensus, now: Millis) -> bool {
--- a/crates/consensus/tests/simulation/support/policy.rs
+++ b/crates/consensus/tests/simulation/support/policy.rs
@@ -1,8 +1,8 @@
 //! Evaluates the membership policy as the job store does.
 
 use yokefall_consensus::policy::{
-    may_become_sole_voter, needs_claim, next_step, should_become_sole_voter, should_withdraw_pair,
-    DesiredMembership, Step,
+    leaves_pair, may_become_sole_voter, needs_claim, next_step, should_become_sole_voter,
+    should_withdraw_pair, DesiredMembership, Step,
 };
 use yokefall_consensus::{MemberId, Pair, Zones};
 
@@ -37,6 +37,10 @@
                 Step::Change(members) => needs_claim(core, members),
                 Step::Idle | Step::RenewPair | Step::TransferLeadership(_) => false,
             });
+            let leaves_pair = matches!(&step, Step::Change(members) if leaves_pair(core, members));
+            if leaves_pair && !self.claims_available {
+                continue;
+            }
             let Some(core) = self.nodes[at].core.as_mut() else { continue };
             if pair.is_some() {
                 core.record_claim_attempt();
--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use yokefall_consensus::policy::{
-    needs_claim, next_step, tolerated_losses, DesiredMembership, Step,
+    leaves_pair, needs_claim, next_step, tolerated_losses, DesiredMembership, Step,
 };
 use yokefall_consensus::{MemberId, Role, Zones};
 use yokefall_serving::source::Revision;
@@ -226,6 +226,13 @@
         Step::RenewPair => {
             store.with_core(|core, now| core.renew_pair(now));
         }
+        Step::Change(members) if store.with_core(|core, _| leaves_pair(core, &members)) => {
+            if store_answers(platform, store).await {
+                store.with_core(|core, now| core.change_members(now, members));
+            } else {
+                log_decision("wait for the platform's store to leave two voters", "");
+            }
+        }
         Step::Change(members) => {
             if pair.is_some() {
                 store.with_core(|core, _| core.record_claim_attempt());
@@ -248,6 +255,14 @@
     !desired.joining.is_empty() || !retiring.open().is_empty() || is_incomplete
 }
 
+/// Whether the platform's store answers now. Asks for a claim that was made when the group began.
+async fn store_answers<P: Platform>(platform: &P, store: &Store) -> bool {
+    let me = store.with_core(|core, _| core.id().to_string());
+    let mut registry = platform.registry();
+    let answer = tokio::time::timeout(CLAIM_TIMEOUT, registry.claim(FOUNDER_KEY, &me)).await;
+    matches!(answer, Ok(Ok(_)))
+}
+
 fn zones_of(fleet: &FleetCell) -> Zones {
     let fleet = fleet.load();
     Zones::new(fleet.job_stores().map(|member| (member.name.clone(), member.zone.clone())))
