--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -3,13 +3,15 @@
 //! clients and back ends observe.
 //!
 //! `fleet` runs the processes, `back_end` simulates back ends, `proxy` the links to them, `clients`
-//! and `streams` generate the load and `faults` injects faults on a schedule that follows from the seed.
+//! and `streams` generate the load, `faults` injects faults on a schedule that follows from the seed,
+//! and `planned_work` retires, replaces and adds job stores beside them.
 
 mod back_end;
 mod clients;
 mod faults;
 mod fleet;
 mod oracle;
+mod planned_work;
 mod proxy;
 mod streams;
 
@@ -70,9 +72,11 @@
     clients.wait_until_served(Instant::now() + START_TIMEOUT).await?;
     let until = Instant::now() + options.duration;
     let load = clients.start(until);
-    let faults = faults::inject(&mut fleet, &oracle, &ledger, options, until).await?;
+    let (faults, planned_work) =
+        faults::inject(&mut fleet, &oracle, &ledger, options, until).await?;
     // End the faults first: a reader that waits for a paused process would never finish.
     fleet.heal().await?;
+    planned_work.finish(&mut fleet, &oracle).await?;
     for task in load {
         task.await.map_err(|error| format!("a client failed: {error}"))?;
     }
