Job store: how long items wait and why, as lines and metrics

Cause: of items that are never finished no line told whether they were held back by a suspect, waited for a slot, a software version or a worker, or were in nobody's list: an item that waits was logged only where a suspect held it back, under a name that `explain` can't find by the item's id.

Change: the leader records for each item that it wanted to start why it could not. The start of one item is a function of its own. No decision has changed.

--- a/crates/jobstore/src/held_items.rs
+++ b/crates/jobstore/src/held_items.rs
@@ -41,6 +41,7 @@
         key: &ItemKey,
         backend: &str,
         keys: impl FnOnce() -> Option<SuspectKeys>,
+        item_id: impl FnOnce() -> String,
     ) -> bool {
         if suspects.is_empty() {
             return true;
@@ -63,7 +64,7 @@
         };
         if wait >= MIN_LOGGED_WAIT {
             LogLine::new(EventName::ItemHeldBack)
-                .id(format_args!("{} item {}", key.0, key.1))
+                .id(item_id())
                 .text("digest", digest)
                 .text("job", &key.0)
                 .field("wait_ms", wait.as_millis() as u64)
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -7,7 +7,8 @@
 //! - `runner` decides on the leader which item runs at which back end. `delegation` hands items to
 //!   other job stores, whose `worker` executes them; `run` is one run at a back end.
 //! - `log_observer` writes what happens to the group as lines and metrics.
-//! - `preemption` returns slots to online requests, and `backlog` reports waiting items.
+//! - `preemption` returns slots to online requests, `backlog` reports what services lack, and
+//!   `item_waits` how long items wait and why.
 //! - `loads` sums load reports, and `aggregators` exchanges the sums.
 
 mod abandon;
@@ -26,6 +27,7 @@
 pub mod hint_file;
 pub mod interrupted_output;
 mod item_run;
+mod item_waits;
 pub mod item_worker;
 pub mod loads;
 mod log_observer;
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -18,6 +18,7 @@
 use crate::delegation::Delegation;
 use crate::held_items::HeldItems;
 use crate::interrupted_output::InterruptedOutputs;
+use crate::item_waits::{ItemWaits, WaitCause};
 use crate::preemption::Phase;
 use crate::run::ItemSender;
 use crate::running::{ItemKey, Running};
@@ -57,6 +58,7 @@
     pub(crate) interrupted_outputs: InterruptedOutputs,
     /// Items that are held back because back ends crashed while running them.
     held: HeldItems,
+    waits: ItemWaits,
     pub(crate) options: RunnerOptions,
 }
 
@@ -81,7 +83,8 @@
         options: RunnerOptions,
     ) -> Self {
         let (running, estimator) = (RefCell::default(), Cell::default());
-        let (backlog, held) = (Backlog::default(), HeldItems::default());
+        let (backlog, held, waits) =
+            (Backlog::default(), HeldItems::default(), ItemWaits::default());
         let interrupted_outputs = InterruptedOutputs::default();
         Self {
             store,
@@ -93,6 +96,7 @@
             backlog,
             interrupted_outputs,
             held,
+            waits,
             options,
         }
     }
@@ -118,6 +122,8 @@
         }
         // Another leader may complete these items.
         self.interrupted_outputs.clear();
+        self.waits.clear();
+        oldest_open_job().set(0.0);
     }
 
     async fn lead(self: Rc<Self>) {
@@ -194,13 +200,20 @@
             reporting_gateways: self.store.loads.reporters(),
         };
         self.backlog.record(services.services(), stats);
+        self.waits.review(|key| self.item_id(key));
+    }
+
+    fn item_id(&self, (job, index): &ItemKey) -> Option<String> {
+        self.store.with_job(job, |job| Some(job.open.get(index)?.item.id.clone()))?
     }
 
     /// Open jobs. Items that have waited longer than their route allows are abandoned.
     fn waiting_jobs(self: &Rc<Self>) -> Vec<WaitingJob> {
         let mut jobs = Vec::new();
         let mut expired = Vec::new();
+        let mut oldest = Duration::ZERO;
         self.store.for_each_open_job(|id, job, age| {
+            oldest = oldest.max(age);
             if age.as_millis() as u64 > job.max_queue_ms {
                 expired.extend(job.open.keys().map(|item| (id.clone(), *item)));
                 return;
@@ -209,6 +222,7 @@
             let due = has_due_time.then(|| Duration::from_millis(job.completion_target_ms));
             jobs.push(WaitingJob { id: id.clone(), age, due });
         });
+        oldest_open_job().set(oldest.as_secs_f64());
         for key in expired {
             if !self.running.borrow().contains_key(&key) {
                 self.abandon_expired(key);
@@ -237,42 +251,59 @@
         waiting.sort_unstable_by_key(|item| (item.remaining, item.index));
         for (started, item) in waiting.iter().enumerate() {
             let key = (job.id.clone(), item.index);
-            if self.held.contains(&key) {
+            let Err(cause) = self.try_start(&key, waiting.len() - started, services) else {
+                self.waits.record_start(&key);
                 continue;
-            }
-            // An item without a route must not block other items.
-            let Some(pool) = self.pool_of(&key) else { continue };
-            let free = services.of(&pool, || self.free_slots(&pool));
-            let may_start =
-                free.startable_items() > 0 && self.running.borrow().len() < self.options.max_runs;
-            let choice =
-                if may_start { self.choose_backend(&key, free) } else { ItemPlacement::NoSlot };
-            let backend = match choice {
-                ItemPlacement::At(backend) => backend,
-                ItemPlacement::WaitForVersion => {
-                    free.queued += 1;
-                    continue;
-                }
-                ItemPlacement::NoSlot => {
-                    free.queued += waiting.len() - started;
-                    return;
-                }
             };
-            let suspects = &self.worker.items.suspects;
-            if !self.held.may_start(suspects, &key, &backend.id, || {
-                self.suspect_keys(&key, &backend.service)
-            }) {
-                continue;
+            self.waits.record(&key, cause);
+            if cause == WaitCause::NoSlot {
+                return;
             }
-            if let Some(worker) = self.item_workers().choose(&backend, &pool.residency) {
-                self.start(key, backend.clone(), worker);
+        }
+    }
+
+    /// Starts an item, otherwise returns why it has to wait. `unstarted` is the number of waiting
+    /// items of its job from this one on.
+    fn try_start(
+        self: &Rc<Self>,
+        key: &ItemKey,
+        unstarted: usize,
+        services: &mut FreeSlots,
+    ) -> Result<(), WaitCause> {
+        if self.held.contains(key) {
+            return Err(WaitCause::HeldBack);
+        }
+        // An item without a route must not block other items.
+        let pool = self.pool_of(key).ok_or(WaitCause::NoRoute)?;
+        let free = services.of(&pool, || self.free_slots(&pool));
+        let may_start =
+            free.startable_items() > 0 && self.running.borrow().len() < self.options.max_runs;
+        let choice = if may_start { self.choose_backend(key, free) } else { ItemPlacement::NoSlot };
+        let backend = match choice {
+            ItemPlacement::At(backend) => backend,
+            ItemPlacement::WaitForVersion => {
+                free.queued += 1;
+                return Err(WaitCause::SoftwareVersion);
             }
-            let items = self.worker.balancer.with(|balancer, _| balancer.in_flight(&backend));
-            let may_take = self.item_workers().may_take(&backend, &pool.residency);
-            if !self.has_free_slot(&backend, items) || !may_take {
-                free.remove(&backend.id);
+            ItemPlacement::NoSlot => {
+                free.queued += unstarted;
+                return Err(WaitCause::NoSlot);
             }
+        };
+        let suspects = &self.worker.items.suspects;
+        let keys = || self.suspect_keys(key, &backend.service);
+        let item_id = || self.item_id(key).unwrap_or_default();
+        if !self.held.may_start(suspects, key, &backend.id, keys, item_id) {
+            return Err(WaitCause::HeldBack);
         }
+        let worker = self.item_workers().choose(&backend, &pool.residency);
+        let started = worker.map(|worker| self.start(key.clone(), backend.clone(), worker));
+        let items = self.worker.balancer.with(|balancer, _| balancer.in_flight(&backend));
+        let may_take = self.item_workers().may_take(&backend, &pool.residency);
+        if !self.has_free_slot(&backend, items) || !may_take {
+            free.remove(&backend.id);
+        }
+        started.ok_or(WaitCause::NoWorker)
     }
 
     /// Chooses a back end to which the output of an item fits, or any after it has waited.
@@ -348,3 +379,7 @@
         });
     }
 }
+
+fn oldest_open_job() -> metrics::Gauge {
+    metrics::gauge!("job_store_oldest_open_job_seconds")
+}
