An item under which back ends crashed runs again within seconds

Callers saw items of accepted jobs that were never finished although all was calm: the verdict that a request crashes back ends withheld an item as it withholds a client's request, for 30 s, 2 min, 8 min, 32 min, 1 h, from the last crash or the last granted run. A client decides itself whether to come back, and gets a 503 meanwhile; an item has nobody to send it again, and a sound one is freed only by a run.

Change: evidence decides when an item runs and beside whom, not whether. An item that is held back runs 8 s after its last crash, alone, however many crashes there were; runs without a result don't move that. An item that does crash back ends crashes three in its first second, then one each 8 s until its route's time is over. Clients' requests wait as before.

--- a/crates/suspects/src/entry.rs
+++ b/crates/suspects/src/entry.rs
@@ -28,8 +28,12 @@
 /// Maximum of that time, in milliseconds, for client retries and for items, which delay a job.
 const MAX_ISOLATION_BACKOFF_MS: u64 = 30_000;
 const MAX_ITEM_ISOLATION_BACKOFF_MS: u64 = 4_000;
-/// Time until a request that is held back may run once, in milliseconds, and the factor for each
-/// further run: endless repetition costs 3 more back ends within 11 minutes.
+/// Time after its last crash until an item that is held back runs again, in milliseconds. It does
+/// not grow: nobody sends an item again, so that a wrong verdict ends only by a run. An item that
+/// does crash back ends crashes 8 a minute, until its job's time is over.
+const ITEM_PROBE_BACKOFF_MS: u64 = 8_000;
+/// Time until a client's request that is held back may run once, in milliseconds, and the factor for
+/// each further run: endless repetition costs 3 more back ends within 11 minutes.
 const INITIAL_PROBE_BACKOFF_MS: u64 = 30_000;
 const PROBE_BACKOFF_FACTOR: u64 = 4;
 const MAX_PROBE_BACKOFF_MS: u64 = 3_600_000;
@@ -216,7 +220,16 @@
     }
 
     /// When it may run once although it is held back.
-    pub(crate) fn probe_due(&self) -> Timestamp {
+    fn probe_due(&self, source: RequestSource) -> Timestamp {
+        match source {
+            RequestSource::Client => self.client_probe_due(),
+            RequestSource::Job => {
+                self.last_crash().unwrap_or_default().plus_millis(ITEM_PROBE_BACKOFF_MS)
+            }
+        }
+    }
+
+    fn client_probe_due(&self) -> Timestamp {
         let growth = PROBE_BACKOFF_FACTOR.saturating_pow(self.probes);
         let wait = INITIAL_PROBE_BACKOFF_MS.saturating_mul(growth);
         let last = self.last_crash().max(self.isolated_at).unwrap_or_default();
@@ -229,7 +242,7 @@
             return SuspectStatus::Free;
         }
         let due = match series.is_held_back() {
-            true => self.probe_due(),
+            true => self.probe_due(source),
             false => self.isolation_due(series, source),
         };
         match due.millis_since(now) {
