The end of each isolated run of an item is reported

Callers saw items with a suspected part wait 10 s for each run of another one, with all slots free. A part, or an item, that is suspected runs alone; the next run follows when the end of the last one is known, or after a lease of 10 s. Nobody reported the end where the back end answered with a failure (only the item was cleared, not its part), where the run was stopped with its job or with the lead of its process, and where no job store could send it to the back end after the grant.

Change: a granted run of an item is a guard, as it is at gateways; dropping it reports the end, however the task of the run ends.

--- a/crates/jobstore/src/held_items.rs
+++ b/crates/jobstore/src/held_items.rs
@@ -3,10 +3,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use yokefall_suspects::{Grant, Registry, RequestSource, Restriction, SuspectKeys, SuspectStatus};
+use yokefall_suspects::{
+    Grant, IsolatedRun, Registry, RequestSource, Restriction, SuspectKeys, SuspectStatus,
+};
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::running::ItemKey;
@@ -17,6 +20,15 @@
 /// Minimum wait that is logged; shorter ones end before anyone would look.
 const MIN_LOGGED_WAIT: Duration = Duration::from_millis(1_000);
 
+/// How an item may start.
+#[derive(Debug)]
+pub enum Clearance {
+    /// Like any other.
+    Free,
+    /// As the only run of its suspect until this is dropped.
+    Isolated(IsolatedRun),
+}
+
 /// Time until which each item is held back.
 #[derive(Debug, Default)]
 pub struct HeldItems {
@@ -34,22 +46,21 @@
         is_held
     }
 
-    /// Whether an item may start at a back end, else it is held back. Must be called by the leader.
-    pub fn may_start(
+    /// How an item may start at a back end; `None` if it is held back. Must be called by the leader.
+    pub fn clear(
         &self,
-        suspects: &Registry,
+        suspects: &Rc<Registry>,
         key: &ItemKey,
         backend: &str,
         keys: impl FnOnce() -> Option<SuspectKeys>,
         item_id: impl FnOnce() -> String,
-    ) -> bool {
+    ) -> Option<Clearance> {
         if suspects.is_empty() {
-            return true;
+            return Some(Clearance::Free);
         }
-        let Some(keys) = keys() else { return true };
-        let Some(Restriction { digest, status }) = suspects.restriction(&keys, RequestSource::Job)
-        else {
-            return true;
+        let restriction = keys().and_then(|keys| suspects.restriction(&keys, RequestSource::Job));
+        let Some(Restriction { digest, status }) = restriction else {
+            return Some(Clearance::Free);
         };
         let grant = match status {
             SuspectStatus::HeldBack { wait_ms } => Grant::Wait { ms: wait_ms },
@@ -58,7 +69,7 @@
             }
         };
         let wait = match grant {
-            Grant::Granted => return true,
+            Grant::Granted => return Some(Clearance::Isolated(suspects.run_isolated(digest))),
             Grant::BackendBusy => OTHER_BACKEND_BACKOFF,
             Grant::Wait { ms } => Duration::from_millis(ms),
         };
@@ -71,7 +82,7 @@
                 .write();
         }
         self.until.borrow_mut().insert(key.clone(), Instant::now() + wait);
-        false
+        None
     }
 
     /// Drops items that no longer wait.
--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -12,6 +12,7 @@
 use yokefall_upstream::BackendSlot;
 
 use crate::delegation::preemption;
+use crate::held_items::Clearance;
 use crate::interrupted_output::InterruptedOutput;
 use crate::item_worker::ItemWorker;
 use crate::preemption::Phase;
@@ -26,13 +27,21 @@
 struct PlacedItem {
     slot: BackendSlot,
     worker: ItemWorker,
+    /// Ends an isolated run when it is dropped, also if the run is aborted.
+    clearance: Clearance,
     phase: Rc<Cell<Phase>>,
     /// Notified when the item must release its slot to an online request.
     preempted: Rc<Notify>,
 }
 
 impl Runner {
-    pub(crate) fn start(self: &Rc<Self>, key: ItemKey, backend: Arc<Backend>, worker: ItemWorker) {
+    pub(crate) fn start(
+        self: &Rc<Self>,
+        key: ItemKey,
+        backend: Arc<Backend>,
+        worker: ItemWorker,
+        clearance: Clearance,
+    ) {
         let Some(Some((sender, item, logged))) = self.store.with_job(&key.0, |job| {
             let open = job.open.get(&key.1)?;
             let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
@@ -56,7 +65,13 @@
             sender,
             item,
             progress.clone(),
-            PlacedItem { slot, worker, phase: phase.clone(), preempted: preempted.clone() },
+            PlacedItem {
+                slot,
+                worker,
+                clearance,
+                phase: phase.clone(),
+                preempted: preempted.clone(),
+            },
         ));
         let started = Instant::now();
         let backend = Some(backend);
@@ -72,7 +87,7 @@
         progress: Rc<RefCell<Progress>>,
         placed: PlacedItem,
     ) {
-        let PlacedItem { mut slot, worker, phase, preempted } = placed;
+        let PlacedItem { mut slot, worker, clearance, phase, preempted } = placed;
         let worker = match worker {
             ItemWorker::Leader => None,
             ItemWorker::Other(member) => Some(member),
@@ -133,6 +148,8 @@
                 }
             }
         }
+        // After the result of the run is known, so that the next one is judged by it.
+        drop(clearance);
         if end == RunEnd::Completed {
             let events = progress.borrow().last_event;
             let mut estimator = self.estimator.get();
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -293,11 +293,11 @@
         let suspects = &self.worker.items.suspects;
         let keys = || self.suspect_keys(key, &backend.service);
         let item_id = || self.item_id(key).unwrap_or_default();
-        if !self.held.may_start(suspects, key, &backend.id, keys, item_id) {
-            return Err(WaitCause::HeldBack);
-        }
+        let clearance = self.held.clear(suspects, key, &backend.id, keys, item_id);
+        let clearance = clearance.ok_or(WaitCause::HeldBack)?;
         let worker = self.item_workers().choose(&backend, &pool.residency);
-        let started = worker.map(|worker| self.start(key.clone(), backend.clone(), worker));
+        let started =
+            worker.map(|worker| self.start(key.clone(), backend.clone(), worker, clearance));
         let items = self.worker.balancer.with(|balancer, _| balancer.in_flight(&backend));
         let may_take = self.item_workers().may_take(&backend, &pool.residency);
         if !self.has_free_slot(&backend, items) || !may_take {
