An item that is held back runs as soon as its suspect is cleared

Callers saw items wait out their time although another request had just shown that their part was sound: the wait was computed once, when the item was held back, and nothing looked at the verdict again.

Change: a held-back item remembers what is suspected, and is free again when that is cleared.

--- a/crates/jobstore/src/held_items.rs
+++ b/crates/jobstore/src/held_items.rs
@@ -8,7 +8,8 @@
 
 use tokio::time::Instant;
 use yokefall_suspects::{
-    Grant, IsolatedRun, Registry, RequestSource, Restriction, SuspectKeys, SuspectStatus,
+    Grant, IsolatedRun, Registry, RequestDigest, RequestSource, Restriction, SuspectKeys,
+    SuspectStatus,
 };
 use yokefall_telemetry::{EventName, LogLine};
 
@@ -29,19 +30,28 @@
     Isolated(IsolatedRun),
 }
 
-/// Time until which each item is held back.
+#[derive(Debug)]
+struct Hold {
+    until: Instant,
+    /// What is suspected: the item or a part of its prompt.
+    digest: RequestDigest,
+}
+
+/// The items that are held back.
 #[derive(Debug, Default)]
 pub struct HeldItems {
-    until: RefCell<HashMap<ItemKey, Instant>>,
+    holds: RefCell<HashMap<ItemKey, Hold>>,
 }
 
 impl HeldItems {
-    /// Whether an item is still held back.
-    pub fn contains(&self, key: &ItemKey) -> bool {
-        let mut held = self.until.borrow_mut();
-        let is_held = held.get(key).is_some_and(|until| *until > Instant::now());
+    /// Whether an item is still held back: its time is not over and nothing has cleared it.
+    pub fn contains(&self, suspects: &Registry, key: &ItemKey) -> bool {
+        let mut holds = self.holds.borrow_mut();
+        let is_held = holds.get(key).is_some_and(|hold| {
+            hold.until > Instant::now() && suspects.is_suspected(&hold.digest, RequestSource::Job)
+        });
         if !is_held {
-            held.remove(key);
+            holds.remove(key);
         }
         is_held
     }
@@ -81,12 +91,13 @@
                 .field("wait_ms", wait.as_millis() as u64)
                 .write();
         }
-        self.until.borrow_mut().insert(key.clone(), Instant::now() + wait);
+        let hold = Hold { until: Instant::now() + wait, digest };
+        self.holds.borrow_mut().insert(key.clone(), hold);
         None
     }
 
     /// Drops items that no longer wait.
     pub fn retain(&self, waits: impl Fn(&ItemKey) -> bool) {
-        self.until.borrow_mut().retain(|key, _| waits(key));
+        self.holds.borrow_mut().retain(|key, _| waits(key));
     }
 }
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -270,7 +270,8 @@
         unstarted: usize,
         services: &mut FreeSlots,
     ) -> Result<(), WaitCause> {
-        if self.held.contains(key) {
+        let suspects = &self.worker.items.suspects;
+        if self.held.contains(suspects, key) {
             return Err(WaitCause::HeldBack);
         }
         // An item without a route must not block other items.
@@ -290,7 +291,6 @@
                 return Err(WaitCause::NoSlot);
             }
         };
-        let suspects = &self.worker.items.suspects;
         let keys = || self.suspect_keys(key, &backend.service);
         let item_id = || self.item_id(key).unwrap_or_default();
         let clearance = self.held.clear(suspects, key, &backend.id, keys, item_id);
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -106,6 +106,11 @@
         self.table.borrow().status(self.now(), digest)
     }
 
+    /// Whether crashes restrict requests of a source that have this key.
+    pub fn is_suspected(&self, digest: &RequestDigest, source: RequestSource) -> bool {
+        self.table.borrow().status_of(self.now(), digest, source) != SuspectStatus::Free
+    }
+
     /// Number of consecutive crashes under a request since it was last answered.
     pub(crate) fn crash_count(&self, digest: &RequestDigest) -> usize {
         self.table.borrow().crash_count(digest)
@@ -251,7 +256,7 @@
 
     /// Whether a request may run at a back end now; only the leader of the job stores decides this.
     pub fn grant(&self, digest: &RequestDigest, backend: &str, source: RequestSource) -> Grant {
-        if self.table.borrow().status_of(self.now(), digest, source) == SuspectStatus::Free {
+        if !self.is_suspected(digest, source) {
             return Grant::Granted;
         }
         let grant = self.table.borrow_mut().grant(self.now(), digest, backend, source);
