--- a/crates/bench/src/soak/faults.rs
+++ b/crates/bench/src/soak/faults.rs
@@ -25,6 +25,12 @@
 /// Time at the end in which no fault is started, so that faults do not cut off all jobs.
 const FAULT_FREE_TAIL: Duration = Duration::from_secs(3);
 
+/// Number of waves of crashes in a series, the interval between them, and how long a crashed back
+/// end is down: an item that is sent again at once meets several.
+const CRASH_WAVES: std::ops::Range<u64> = 3..6;
+const CRASH_WAVE_INTERVAL: Duration = Duration::from_millis(400);
+const CRASH_DURATION: Duration = Duration::from_millis(400);
+
 /// Time limit for a back end that was restarted under its id to receive a request while load
 /// continues; changes of the catalog file are picked up within one second.
 const RESTART_REUSE_TIMEOUT: Duration = Duration::from_secs(6);
@@ -45,6 +51,8 @@
     Link,
     /// A back end crashes and restarts under the same id.
     Restart,
+    /// Back ends crash in several waves, a third of them each time, whatever they run.
+    CrashWaves,
     /// A back end is replaced, at its address, by one of another software version.
     Release,
     /// The machine of a job store is retired and removed once that is completed.
@@ -56,7 +64,7 @@
 }
 
 /// Kinds other than link faults and planned work, drawn with equal probability; repeated kinds weigh more.
-const WEIGHTED_KINDS: [FaultKind; 8] = [
+const WEIGHTED_KINDS: [FaultKind; 9] = [
     FaultKind::Pause,
     FaultKind::Pause,
     FaultKind::Kill,
@@ -64,12 +72,15 @@
     FaultKind::LoseDisk,
     FaultKind::Stop,
     FaultKind::Restart,
+    FaultKind::CrashWaves,
     FaultKind::Release,
 ];
 
-/// Action that ends a fault: at a process for `Start` and `Continue`, at a link for the others.
+/// Action that ends a fault or continues it: at a process for `Start` and `Continue`, at a link for
+/// the others.
 #[derive(Clone, Copy, Debug)]
 enum FaultEnd {
+    CrashWave,
     Start(usize),
     Continue(usize),
     Heal(usize),
@@ -143,6 +154,7 @@
         let due: Vec<(Instant, FaultEnd)> = due;
         for (_, end) in due {
             match end {
+                FaultEnd::CrashWave => self.crash_some(fleet),
                 FaultEnd::Start(number) => fleet.start_process(number)?,
                 FaultEnd::Continue(number) => fleet.signal(number, Signal::SIGCONT)?,
                 FaultEnd::Heal(link) => fleet.links[link].set(LinkState::Normal),
@@ -192,6 +204,9 @@
         if kind == FaultKind::Restart {
             return Ok(self.restart_back_end(fleet, (ledger, load_until), until));
         }
+        if kind == FaultKind::CrashWaves {
+            return Ok(self.schedule_crash_waves());
+        }
         if kind == FaultKind::Release {
             return Ok(self.release_back_end(fleet, until));
         }
@@ -273,12 +288,32 @@
         format!("back end {link} restarts under its id")
     }
 
+    fn schedule_crash_waves(&mut self) -> String {
+        let waves = self.random.random_range(CRASH_WAVES);
+        for number in 0..waves as u32 {
+            let at = Instant::now() + CRASH_WAVE_INTERVAL * number;
+            self.pending_ends.push((at, FaultEnd::CrashWave));
+        }
+        format!("back ends crash in {waves} waves")
+    }
+
+    /// Crashes a third of the back ends, at least one, unless they have another fault.
+    fn crash_some(&mut self, fleet: &ProcessFleet) {
+        let count = fleet.links.len().div_ceil(3);
+        for link in rand::seq::index::sample(&mut self.random, fleet.links.len(), count) {
+            if !self.has_link_fault(link) {
+                fleet.links[link].set(LinkState::Refused);
+                self.pending_ends.push((Instant::now() + CRASH_DURATION, FaultEnd::Restart(link)));
+            }
+        }
+    }
+
     fn has_link_fault(&self, link: usize) -> bool {
         self.pending_ends.iter().any(|(_, end)| match end {
             FaultEnd::Restart(faulty) | FaultEnd::Release(faulty) | FaultEnd::Heal(faulty) => {
                 *faulty == link
             }
-            FaultEnd::Start(_) | FaultEnd::Continue(_) => false,
+            FaultEnd::CrashWave | FaultEnd::Start(_) | FaultEnd::Continue(_) => false,
         })
     }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -27,8 +27,9 @@
 use fleet::ProcessFleet;
 use oracle::Oracle;
 
-/// Time limit for accepted jobs to finish after the last fault has ended.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Time limit for accepted jobs to finish after the last fault has ended: an item that waits for
+/// long after crashes counts as lost.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(18);
 const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time limit for the fleet to serve its first requests.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/bench/src/soak/streams.rs
+++ b/crates/bench/src/soak/streams.rs
@@ -35,6 +35,8 @@
 /// What a client has received of a stream.
 #[derive(Debug, Default)]
 struct Received {
+    /// Whether the client names the attempt that brought the first event.
+    names_attempt: bool,
     last_event: u64,
     /// Software version that its first event came from.
     version: Option<String>,
@@ -93,7 +95,8 @@
     }
 
     async fn read_stream(&self, random: &mut StdRng, stream: &str) {
-        let mut received = Received::default();
+        let names_attempt = random.random_range(0..3) > 0;
+        let mut received = Received { names_attempt, ..Received::default() };
         let mut outcome = StreamOutcome::Incomplete;
         for attempt in 0..=MAX_CONTINUATIONS {
             let id = format!("{stream}-attempt-{attempt}");
@@ -126,9 +129,10 @@
     let mut connection = ClientConnection::open(gateway).await?;
     let mut request = request(Method::POST, &format!("{STREAM_PATH}{stream}"), id);
     if let Some(first_attempt) = &received.first_attempt {
-        request = request
-            .header("Last-Event-Id", received.last_event)
-            .header("Yokefall-Continued-Request", first_attempt);
+        request = request.header("Last-Event-Id", received.last_event);
+        if received.names_attempt {
+            request = request.header("Yokefall-Continued-Request", first_attempt);
+        }
     }
     let request = request.body(Full::new(Bytes::new())).ok()?;
     let mut answer = connection.sender.send_request(request).await.ok()?;
