An unnamed stream does not continue at another version after all gateways were killed

Callers got streams whose first part one software version wrote and the rest another one, whole and with status 200: two versions serve, all gateways are killed and start again, and the client does not name the attempt that began its stream.

Cause: a gateway continued such a stream if its list of back ends had one version and no record named another. The records had died with the gateways, and the list begins with their start. The same conclusion was drawn from the services of the route at that moment, without any kill.

Such clients are refused at once, with a time to come back, unless the history is complete and has one origin. New kind of envelope; older builds drop it. The forms are unchanged.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -15,7 +15,9 @@
 use yokefall_jobstore::aggregators::ReportTarget;
 use yokefall_jobstore::{suspects, JobClient};
 use yokefall_quota::QuotaBounds;
-use yokefall_serving::direct_messages::{DirectMessage, DirectMessages};
+use yokefall_serving::direct_messages::{
+    split_by_kind, DirectMessage, DirectMessages, MessageKind,
+};
 use yokefall_serving::discovery::PeerPorts;
 use yokefall_serving::eligibility::cold_start;
 use yokefall_serving::fleet::Notices;
@@ -24,7 +26,7 @@
     empty_catalog, empty_fleet, Balancer, ColdStartLimiter, ColdStartLimiterOptions, Eligibility,
     Freshness, PlacementBounds, Platform, Policy, SenderId, ZoneMap,
 };
-use yokefall_streams::OriginRegistry;
+use yokefall_streams::{HistoryRegistry, OriginRegistry};
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{version, EventName, LogLine};
 use yokefall_upstream::{Pool, SharedBalancer};
@@ -190,7 +192,7 @@
         tokio::task::spawn_local(admission::run(shared.clone()));
         tokio::task::spawn_local(read_ahead::watch(shared.read_ahead.clone()));
         tokio::task::spawn_local(cold_start::watch(shared.cold.clone()));
-        tokio::task::spawn_local(shared.streams.clone().run(direct_port.incoming));
+        start_stream_tasks(&shared, direct_port.incoming);
         tokio::task::spawn_local(relay_port::serve(relay, shared.clone()));
         tokio::task::spawn_local(quota::assignment::maintain(shared.clone()));
         tokio::task::spawn_local(quota::assignment::probe_failing(shared.clone()));
@@ -211,6 +213,16 @@
     }
 }
 
+/// Starts the tasks that record and find out where streams began.
+fn start_stream_tasks(shared: &Shared, incoming: UnboundedReceiver<DirectMessage>) {
+    let (histories, history_messages) = unbounded_channel();
+    let (origins, origin_messages) = unbounded_channel();
+    let receivers = (histories, origins);
+    tokio::task::spawn_local(split_by_kind(MessageKind::OriginHistory, incoming, receivers));
+    tokio::task::spawn_local(shared.origin_history.clone().run(history_messages));
+    tokio::task::spawn_local(shared.streams.clone().run(origin_messages));
+}
+
 fn shared_state<P: Platform>(
     options: &GatewayOptions,
     platform: &P,
@@ -239,7 +251,15 @@
         dialect: platform.dialect(),
         balancer: SharedBalancer::with_cold_start(balancer, clock(), cold),
         quota: Quota::new(options.name.clone(), options.quota, clock()),
-        suspects: Registry::new(catalog, clock()),
+        suspects: Registry::new(catalog.clone(), clock()),
+        origin_history: HistoryRegistry::new(
+            options.name.clone(),
+            options.bootstrap,
+            catalog.clone(),
+            fleet.clone(),
+            clock(),
+            direct_messages.clone(),
+        ),
         streams: OriginRegistry::new(options.name.clone(), fleet.clone(), clock(), direct_messages),
         admission: Admission::default(),
         policy: options.policy,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use yokefall_serving::{
     CatalogCell, ColdStartLimiter, Dialect, Eligibility, FleetCell, Freshness, Policy, ZoneMap,
 };
-use yokefall_streams::OriginRegistry;
+use yokefall_streams::{HistoryRegistry, OriginRegistry};
 use yokefall_suspects::Registry;
 use yokefall_upstream::{Pool, SharedBalancer};
 
@@ -43,6 +43,8 @@
     pub suspects: Rc<Registry>,
     /// Which software versions began the streams that may be continued.
     pub streams: Rc<OriginRegistry>,
+    /// Where streams of each route may have begun lately.
+    pub origin_history: Rc<HistoryRegistry>,
     /// Requests that are queued until back ends have capacity.
     pub admission: Admission,
     /// Enabled policies.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 
 use http::request::Parts;
 use yokefall_serving::{Backend, Route, RouteKind, SoftwareVersion};
+use yokefall_streams::history::services;
 use yokefall_streams::{QueryOutcome, StreamKey, StreamOrigin};
 use yokefall_telemetry::{EventName, LogLine};
 
@@ -60,8 +61,11 @@
     NotRecorded,
     /// Gateways that may have a record did not answer.
     Unanswered,
-    /// The client does not name the attempt that began it, and the service has several versions.
+    /// The client does not name the attempt that began it, and it may have begun at several services
+    /// or versions.
     AttemptNotNamed,
+    /// The same, and it is not known yet where streams of the route began.
+    HistoryIncomplete,
     /// The route no longer leads to the service that began it.
     ServiceRemoved,
 }
@@ -73,6 +77,7 @@
             ContinuationError::NotRecorded => "not-recorded",
             ContinuationError::Unanswered => "unanswered",
             ContinuationError::AttemptNotNamed => "attempt-not-named",
+            ContinuationError::HistoryIncomplete => "history-incomplete",
             ContinuationError::ServiceRemoved => "service-removed",
         }
     }
@@ -90,6 +95,9 @@
             ContinuationError::AttemptNotNamed => {
                 (NOT_CONTINUED_RETRY_AFTER, "name the attempt that began the stream")
             }
+            ContinuationError::HistoryIncomplete => {
+                (UNANSWERED_RETRY_AFTER, "this gateway does not know yet where streams began")
+            }
             ContinuationError::ServiceRemoved => {
                 (NOT_CONTINUED_RETRY_AFTER, "the service that began the stream is not on the route")
             }
@@ -153,8 +161,8 @@
     }
 }
 
-/// The origin of any stream of the route, if its service has had only one version lately: some
-/// clients do not name the attempt that began their stream.
+/// The origin of all streams of the route that may be continued, if it is the same: some clients do
+/// not name the attempt that began their stream.
 fn sole_origin(shared: &Shared, route: &Route) -> Result<StreamOrigin, ContinuationError> {
     let mut services = services(route);
     let (Some(service), None) = (services.next(), services.next()) else {
@@ -163,13 +171,15 @@
     let catalog = shared.catalog.load();
     let version = catalog.sole_software_version(service);
     let origin = version.and_then(|version| StreamOrigin::new(service, version));
-    origin
-        .filter(|origin| !shared.streams.has_other_version(origin))
-        .ok_or(ContinuationError::AttemptNotNamed)
-}
-
-fn services(route: &Route) -> impl Iterator<Item = &str> {
-    route.split.iter().filter(|part| part.weight > 0).map(|part| part.service.as_str())
+    let has_other = |origin: &StreamOrigin| {
+        shared.streams.has_other_version(origin) || shared.origin_history.has_other(route, origin)
+    };
+    let origin =
+        origin.filter(|origin| !has_other(origin)).ok_or(ContinuationError::AttemptNotNamed)?;
+    match shared.origin_history.is_complete() {
+        true => Ok(origin),
+        false => Err(ContinuationError::HistoryIncomplete),
+    }
 }
 
 /// Fixes the software version of a stream and records it. Must be called before the first event
@@ -182,6 +192,7 @@
         None => known_version(shared, backend),
     };
     if let Some(origin) = StreamOrigin::new(&context.service, &version) {
+        shared.origin_history.record_stream(&context.route, &origin);
         shared.streams.record(stream.key, origin);
     }
     stream.software_version = Some(version);
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -21,6 +21,7 @@
     empty_catalog, empty_fleet, Balancer, ColdStartLimiter, ColdStartLimiterOptions, Freshness,
     PlacementBounds, Platform, Policy, SenderId, ZoneMap,
 };
+use yokefall_streams::HistoryRegistry;
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{version, EventName, LogLine};
 use yokefall_upstream::SharedBalancer;
@@ -38,7 +39,7 @@
 use crate::store::{Store, StoreLimits};
 use crate::wal::Wal;
 use crate::worker::Worker;
-use crate::{addresses, aggregators, group, pair, server, suspects};
+use crate::{addresses, aggregators, group, origin_history, pair, server, suspects};
 
 /// Maximum time that a planned stop waits for another leader.
 const STOP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -184,12 +185,13 @@
 
         let freshness = Freshness::new(options.suspension.clone());
         let (notices, port) = Notices::new();
+        let (direct_messages, direct_port) = DirectMessages::new();
         let discovery = DiscoveryOptions {
             identity,
             seeds: options.seeds.clone(),
             is_first_start: options.bootstrap,
             notices,
-            direct_messages: DirectMessages::new().0,
+            direct_messages,
             clock: clock(),
             zones: options.zones.clone(),
             placement: options.placement,
@@ -246,6 +248,20 @@
             options.folder.clone(),
             suspects.clone(),
         ));
+        let origins = HistoryRegistry::new(
+            options.name.clone(),
+            options.bootstrap,
+            catalog.clone(),
+            fleet.clone(),
+            clock(),
+            direct_port.outgoing,
+        );
+        origin_history::load(&options.folder, &origins);
+        tokio::task::spawn_local(origin_history::persist_changes(
+            options.folder.clone(),
+            origins.clone(),
+        ));
+        tokio::task::spawn_local(origins.run(direct_port.incoming));
         let client = Rc::new(JobClient::new(fleet.clone()));
         let target = ReportTarget::new(options.name.clone())
             .in_zone(options.zone.clone(), options.zones.clone());
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `protocol` defines the frames, `server` answers them, and `client` is the gateways' side.
 //! - `runner` decides on the leader which item runs at which back end. `delegation` hands items to
 //!   other job stores, whose `worker` executes them; `run` is one run at a back end.
+//! - `suspects` and `origin_history` exchange and persist what must outlive all processes.
 //! - `log_observer` writes what happens to the group as lines and metrics.
 //! - `preemption` returns slots to online requests, `backlog` reports what services lack, and
 //!   `item_waits` how long items wait and why.
@@ -31,6 +32,7 @@
 pub mod item_worker;
 pub mod loads;
 mod log_observer;
+mod origin_history;
 pub mod packed;
 pub mod pair;
 pub mod pool_slots;
--- a/crates/serving/src/direct_messages.rs
+++ b/crates/serving/src/direct_messages.rs
@@ -9,6 +9,8 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+
 use crate::message_channel::MessageChannel;
 
 const MARK: [u8; 4] = [0xff; 4];
@@ -20,6 +22,8 @@
 pub enum MessageKind {
     /// Which software version began a stream.
     StreamOrigin,
+    /// Where streams may have begun lately. Older builds drop it.
+    OriginHistory,
 }
 
 /// The encoded content of a message, with its kind.
@@ -57,5 +61,19 @@
     pub envelope: Envelope,
 }
 
+/// Passes the messages of one kind to the first receiver, and all others to the second one. Returns
+/// when no more arrive.
+pub async fn split_by_kind(
+    kind: MessageKind,
+    mut incoming: UnboundedReceiver<DirectMessage>,
+    (of_kind, others): (UnboundedSender<DirectMessage>, UnboundedSender<DirectMessage>),
+) {
+    while let Some(message) = incoming.recv().await {
+        let receiver = if message.envelope.kind == kind { &of_kind } else { &others };
+        // A receiver is gone only while this process is shutting down.
+        let _ = receiver.send(message);
+    }
+}
+
 /// Messages to and from single processes. Like any datagram, they may be lost.
 pub type DirectMessages = MessageChannel<DirectMessage>;
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -9,8 +9,12 @@
 //! `origin` defines keys and origins, `holders` selects the gateways, `table` keeps the records of
 //! one process, and `exchange` decides what to send; these have no clock, randomness or I/O.
 //! `message` defines what processes exchange. `registry` adds the clock, messages and metrics.
+//! `history` tells where the streams of a route may have begun lately, for clients that do not name
+//! the attempt that began theirs, and `history_registry` exchanges that.
 
 pub mod exchange;
+pub mod history;
+pub mod history_registry;
 pub mod holders;
 pub mod message;
 pub mod origin;
@@ -18,6 +22,7 @@
 pub mod table;
 
 pub use exchange::{OriginExchange, Outgoing, QueryOutcome};
+pub use history_registry::HistoryRegistry;
 pub use message::OriginMessage;
 pub use origin::{StreamKey, StreamOrigin};
 pub use registry::OriginRegistry;
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -170,6 +170,8 @@
     AggregatorChanged = "aggregator-changed", Info, FAILURE_LINES_PER_SECOND;
     /// An item is delayed because back ends crashed under it.
     ItemHeldBack = "item-held-back", Warn, FAILURE_LINES_PER_SECOND;
+    /// Whether it is known where all streams began that may be continued.
+    OriginHistory = "origin-history", Info, FAILURE_LINES_PER_SECOND;
     /// An item has waited for a run longer than any safeguard withholds it.
     ItemWaiting = "item-waiting", Warn, FAILURE_LINES_PER_SECOND;
     /// An item was abandoned.
