--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -11,6 +11,7 @@
 use futures::StreamExt;
 use http::{header, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
+use tokio::time::Instant;
 use yokefall_serving::identity::set_tenant_header;
 use yokefall_serving::{Backend, Dialect, JobItem, Outcome, Permit, PrefixPart, TenantName};
 use yokefall_suspects::{Registry, RequestIdentity, ResponseProgress, SuspectKeys};
@@ -23,6 +24,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without any received byte after which a run is continued elsewhere.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Maximum duration of a run, and maximum bytes of its output: a back end may send events without
+/// end, and the output is held in memory until it is whole.
+const MAX_RUN_TIME: Duration = Duration::from_secs(300);
+const MAX_OUTPUT_BYTES: usize = 1024 * 1024;
 /// Maximum number of connections from this process to one back end.
 const MAX_CONNECTIONS: usize = 32;
 
@@ -295,6 +300,8 @@
         let closes = Connection::closes_after(answer.headers());
         let mut events = answer.into_body().eventsource();
         let mut has_events = false;
+        let mut output_bytes = 0;
+        let ends_at = Instant::now() + MAX_RUN_TIME;
         loop {
             let event = match tokio::time::timeout(SILENCE_TIMEOUT, events.next()).await {
                 Ok(Some(Ok(event))) => event,
@@ -324,6 +331,11 @@
                 return retry(format!("event {:?} in the place of {expected}", event.id));
             }
             has_events = true;
+            output_bytes += event.data.len();
+            if output_bytes > MAX_OUTPUT_BYTES || Instant::now() >= ends_at {
+                slot.outcome = Outcome::Failed;
+                return retry(format!("the output of {} does not end", slot.backend.id));
+            }
             let event_number = progress.last_event + 1;
             progress.push(event_number, &event.data);
         }
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -15,6 +15,8 @@
 use crate::event_stream::EventBoundaries;
 use crate::framing::Framing;
 
+/// Maximum size of one event, with the comments before it: readers hold it until it ends.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 const EVENT_STREAM: &str = "text/event-stream";
 
 /// What a successful response to a request contains.
@@ -35,6 +37,8 @@
     WithinEvent,
     /// The event stream ended with its connection before its first byte.
     NoEvents,
+    /// An event does not end.
+    EventTooLong,
 }
 
 impl fmt::Display for BodyError {
@@ -45,6 +49,9 @@
             BodyError::NoEvents => {
                 write!(formatter, "read body: the connection ended before the first event")
             }
+            BodyError::EventTooLong => {
+                write!(formatter, "read body: an event exceeds {MAX_EVENT_BYTES} bytes")
+            }
         }
     }
 }
@@ -58,6 +65,8 @@
     framing: Framing,
     /// The structure read so far, if the body is an event stream.
     events: Option<EventBoundaries>,
+    /// Bytes since the last end of an event.
+    open_event_bytes: usize,
     is_empty: bool,
     has_ended: bool,
 }
@@ -70,7 +79,8 @@
         let is_event_stream = head.status.is_success()
             && (expected == ExpectedBody::Events || declares_events(&head.headers));
         let events = is_event_stream.then(EventBoundaries::default);
-        let body = Self { body, framing, events, is_empty: true, has_ended: false };
+        let body =
+            Self { body, framing, events, open_event_bytes: 0, is_empty: true, has_ended: false };
         Response::from_parts(head, body)
     }
 
@@ -79,10 +89,16 @@
         self.framing
     }
 
-    fn read(&mut self, data: &[u8]) {
+    fn read(&mut self, data: &[u8]) -> Result<(), BodyError> {
         self.is_empty &= data.is_empty();
-        if let Some(events) = &mut self.events {
-            events.read(data);
+        let Some(events) = &mut self.events else { return Ok(()) };
+        self.open_event_bytes = match events.read(data) {
+            Some(end) => data.len() - end,
+            None => self.open_event_bytes + data.len(),
+        };
+        match self.open_event_bytes > MAX_EVENT_BYTES {
+            true => Err(BodyError::EventTooLong),
+            false => Ok(()),
         }
     }
 
@@ -112,8 +128,9 @@
                 Some(Ok(frame)) => {
                     // Trailers are not passed on.
                     let Ok(data) = frame.into_data() else { continue };
-                    this.read(&data);
-                    return Poll::Ready(Some(Ok(data)));
+                    let read = this.read(&data);
+                    this.has_ended = read.is_err();
+                    return Poll::Ready(Some(read.map(|()| data)));
                 }
                 Some(Err(error)) => {
                     this.has_ended = true;
