--- a/crates/bench/src/soak/back_end.rs
+++ b/crates/bench/src/soak/back_end.rs
@@ -33,6 +33,12 @@
 /// is cut within an event.
 const UNFRAMED_EVERY_NTH: u64 = 4;
 const CUT_EVERY_NTH: u64 = 2;
+/// Of the responses with events, one in so many has an event that does not end, after two whole ones.
+const ENDLESS_EVERY_NTH: u64 = 24;
+/// Bytes of such an event, sent in pieces at an interval, if nobody closes the connection before.
+const ENDLESS_EVENT_BYTES: usize = 64 << 20;
+const ENDLESS_PIECE_BYTES: usize = 16 << 10;
+const ENDLESS_PIECE_INTERVAL: Duration = Duration::from_millis(1);
 /// Software versions, which the back ends change between with each release.
 const SOFTWARE_VERSIONS: [&str; 2] = ["v1", "v2"];
 
@@ -223,6 +229,17 @@
     ids.find(|(id, _)| id.starts_with(FATAL_PART)).map(|(id, _)| id.to_owned())
 }
 
+/// Sends pieces of one event until the reader closes the connection.
+async fn send_endless_event(chunks: &mpsc::UnboundedSender<Bytes>) {
+    let piece = Bytes::from("data: babble\n".repeat(ENDLESS_PIECE_BYTES / 13));
+    for _ in 0..ENDLESS_EVENT_BYTES / ENDLESS_PIECE_BYTES {
+        if chunks.send(piece.clone()).is_err() {
+            return;
+        }
+        tokio::time::sleep(ENDLESS_PIECE_INTERVAL).await;
+    }
+}
+
 /// Streams the events of an item or a stream that follow event `after`.
 fn stream(item: String, after: u64, version: &'static str) -> Response<Body> {
     let events: Vec<String> = (after + 1..=events_of(&item))
@@ -235,6 +252,10 @@
         // The first event remains whole, so that each attempt makes progress.
         pieces.truncate((draw as usize % pieces.len()).max(2));
     }
+    let is_endless = !is_unframed && draw % ENDLESS_EVERY_NTH == 1;
+    if is_endless {
+        pieces.truncate(2);
+    }
     let (chunks, queued) = mpsc::unbounded_channel();
     tokio::spawn(async move {
         for chunk in pieces {
@@ -244,6 +265,9 @@
             }
             tokio::time::sleep(EVENT_INTERVAL).await;
         }
+        if is_endless {
+            send_endless_event(&chunks).await;
+        }
     });
     let mut response = streaming(queued);
     if is_unframed {
--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -150,6 +150,19 @@
         Ok(())
     }
 
+    /// Highest resident memory of each running process so far in KiB, with its name.
+    pub fn peak_memory_kib(&self) -> Vec<(&str, u64)> {
+        let resident = |process: &ManagedProcess| {
+            let id = process.child.as_ref().and_then(Child::id)?;
+            // The process may just have ended.
+            let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+            let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+            peak.split_whitespace().next()?.parse().ok()
+        };
+        let all = self.processes.iter();
+        all.filter_map(|process| Some((process.name.as_str(), resident(process)?))).collect()
+    }
+
     pub fn signal(&self, number: usize, signal: Signal) -> Result<(), String> {
         let process = &self.processes[number];
         let Some(id) = process.child.as_ref().and_then(Child::id) else { return Ok(()) };
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -82,6 +82,9 @@
         task.await.map_err(|error| format!("a client failed: {error}"))?;
     }
     settle(&clients, &oracle).await;
+    for (process, peak_kib) in fleet.peak_memory_kib() {
+        oracle.record_memory(process, peak_kib);
+    }
     fleet.kill_all().await;
     let violations = oracle.verify(&ledger);
     Ok(SoakReport { faults, counts: oracle.counts(&ledger), violations })
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -15,6 +15,9 @@
 /// processes may be killed, suspended or lose their disks in the meantime.
 const MAX_CRASHES_PER_CAUSE: usize = 10;
 
+/// Most memory that a process may use, in KiB: several times what it needs for this load.
+const MAX_PROCESS_KIB: u64 = 160 * 1024;
+
 /// How a call ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
@@ -62,6 +65,7 @@
     jobs: BTreeMap<String, JobState>,
     streams: Vec<StreamOutcome>,
     violations: Vec<String>,
+    peak_memory_kib: u64,
 }
 
 #[derive(Debug, Default)]
@@ -78,6 +82,15 @@
         self.observed().violations.push(what);
     }
 
+    /// Records the most memory that a process used since its last start.
+    pub fn record_memory(&self, process: &str, peak_kib: u64) {
+        let mut observed = self.observed();
+        observed.peak_memory_kib = observed.peak_memory_kib.max(peak_kib);
+        if peak_kib > MAX_PROCESS_KIB {
+            observed.violations.push(format!("{process} used {peak_kib} KiB of memory"));
+        }
+    }
+
     pub fn record_call(&self, id: String, runs_once: bool, outcome: CallOutcome) {
         self.observed().calls.insert(id, (runs_once, outcome));
     }
@@ -217,6 +230,7 @@
             ("back ends that had to receive a request after a restart", ledger.idle_back_ends().0),
             ("calls that crash back ends", ledger.crashes().len()),
             ("most back ends crashed by one such call", max_crashes),
+            ("most memory of a process, in KiB", observed.peak_memory_kib as usize),
         ]
     }
 }
