Output of an item without end does not grow from run to run

Callers would have lost a job store to memory: a run ends after 1 MB of output, but what it brought was kept as interrupted output, and the next run at the same software version added another 1 MB to it.

Change: output above the limit is not kept; the item starts again.

--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -17,7 +17,7 @@
 use crate::item_worker::ItemWorker;
 use crate::preemption::Phase;
 use crate::protocol::RunRequest;
-use crate::run::{ItemSender, PermitDenied, Progress, RunEnd};
+use crate::run::{ItemSender, PermitDenied, Progress, RunEnd, MAX_OUTPUT_BYTES};
 use crate::runner::Runner;
 use crate::running::{CountedItem, ItemKey, Running};
 use crate::state::{Command, Run};
@@ -188,7 +188,9 @@
         software_version: SoftwareVersion,
     ) {
         let mut progress = progress.borrow_mut();
-        let Some(text) = progress.text.take() else { return };
+        // Output that does not end is not continued: it would grow with each run.
+        let text = progress.text.take().filter(|text| text.len() <= MAX_OUTPUT_BYTES);
+        let Some(text) = text else { return };
         let (last_event, interrupted_at) = (progress.last_event, Instant::now());
         let output = InterruptedOutput { software_version, last_event, text, interrupted_at };
         self.interrupted_outputs.keep(key.clone(), output);
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -24,10 +24,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time without any received byte after which a run is continued elsewhere.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// Maximum duration of a run, and maximum bytes of its output: a back end may send events without
-/// end, and the output is held in memory until it is whole.
+/// Maximum duration of a run: a back end may send events without end.
 const MAX_RUN_TIME: Duration = Duration::from_secs(300);
-const MAX_OUTPUT_BYTES: usize = 1024 * 1024;
+/// Maximum output of a run, and of an item whose next run continues it, in bytes. It is held in
+/// memory until it is whole.
+pub(crate) const MAX_OUTPUT_BYTES: usize = 1024 * 1024;
 /// Maximum number of connections from this process to one back end.
 const MAX_CONNECTIONS: usize = 32;
 
