History of origins: no allocation for each back end

Cause: each change of the catalog copied the name of service and version of every back end, 10,000 in the largest fleet, up to five times a second. Change: versions are compared in place, and only one origin a version is built. Not measured; tests of crates/streams pass.

--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -10,7 +10,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use xxhash_rust::xxh3::xxh3_64;
 use yokefall_core::Timestamp;
-use yokefall_serving::{Catalog, Route, RouteKind};
+use yokefall_serving::{Catalog, Route, RouteKind, SoftwareVersion};
 
 use crate::origin::StreamOrigin;
 use crate::table::RECORD_LIFETIME_MS;
@@ -44,19 +44,22 @@
     /// All origins that streams of the routes may have by a catalog. Back ends whose version is not
     /// known yet are left out: their record is completed soon, and no stream is recorded before.
     pub fn all_of(catalog: &Catalog) -> Vec<Self> {
-        let mut origins_by_service: BTreeMap<&str, Vec<StreamOrigin>> = BTreeMap::new();
+        let mut versions: BTreeMap<&str, Vec<&SoftwareVersion>> = BTreeMap::new();
         for backend in catalog.known.values() {
-            let origin = StreamOrigin::new(&backend.service, &backend.software_version);
-            let origins = origins_by_service.entry(&backend.service).or_default();
-            if let Some(origin) = origin.filter(|origin| !origins.contains(origin)) {
-                origins.push(origin);
+            let of_service = versions.entry(&backend.service).or_default();
+            if !of_service.contains(&&backend.software_version) {
+                of_service.push(&backend.software_version);
             }
         }
         let routes = catalog.configuration.iter().flat_map(|configuration| &configuration.routes);
         let continuable = routes.filter(|route| route.kind == RouteKind::Stream && route.resumable);
+        let origins_of = |service| {
+            let of_service = versions.get(service).into_iter().flatten();
+            of_service.filter_map(move |version| StreamOrigin::new(service, version))
+        };
         let of_route = |route| {
-            let origins = services(route).filter_map(|service| origins_by_service.get(service));
-            origins.flatten().map(move |origin| Self::new(route, origin)).collect::<Vec<Self>>()
+            let origins = services(route).flat_map(origins_of);
+            origins.map(|origin| Self::new(route, &origin)).collect::<Vec<Self>>()
         };
         continuable.flat_map(of_route).collect()
     }
