Runs of items do not make clients wait longer for a suspect

Change: only runs granted to clients count as probes, and a run that ended without a result does not move the next one; the number of probes still spaces them.

--- a/crates/suspects/src/entry.rs
+++ b/crates/suspects/src/entry.rs
@@ -232,7 +232,9 @@
     fn client_probe_due(&self) -> Timestamp {
         let growth = PROBE_BACKOFF_FACTOR.saturating_pow(self.probes);
         let wait = INITIAL_PROBE_BACKOFF_MS.saturating_mul(growth);
-        let last = self.last_crash().max(self.isolated_at).unwrap_or_default();
+        // A run that ended without a result says nothing; the growth alone spaces such runs.
+        let isolated_at = self.isolated_at.filter(|at| self.inconclusive_at < Some(*at));
+        let last = self.last_crash().max(isolated_at).unwrap_or_default();
         last.plus_millis(wait.min(MAX_PROBE_BACKOFF_MS))
     }
 
--- a/crates/suspects/src/message.rs
+++ b/crates/suspects/src/message.rs
@@ -50,7 +50,7 @@
     pub inconclusive_age_ms: Option<u64>,
     /// Longest run without a crash since it was last answered, in milliseconds.
     pub survived_ms: u64,
-    /// Number of isolated runs granted while it was held back.
+    /// Number of isolated runs granted to clients while it was held back.
     pub probes: u32,
 }
 
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -255,7 +255,8 @@
         self.granted.insert(*digest, (backend.to_owned(), now));
         self.change(now, *digest, |entry| {
             entry.isolated_at = Some(now);
-            if entry.series().is_held_back() {
+            // Items run again however often they did, and must not make clients wait for it.
+            if source == RequestSource::Client && entry.series().is_held_back() {
                 entry.probes += 1;
             }
             true
--- a/crates/suspects/tests/items.rs
+++ b/crates/suspects/tests/items.rs
@@ -136,3 +136,24 @@
     assert!(crashes_ms.iter().filter(|at| **at < 5_000).count() <= 5);
     assert!(crashes_ms.len() <= 12, "{} back ends crashed in a minute", crashes_ms.len());
 }
+
+/// Seen: each run that was granted to an item made clients wait longer, up to an hour.
+#[test]
+fn runs_of_items_do_not_make_clients_wait_longer() {
+    let mut play = Play::new(1);
+    (0..3).for_each(|_| {
+        play.now = play.now.plus_millis(500);
+        play.crash(&all_digests(), 80);
+    });
+    let request = *keys().request();
+    let SuspectStatus::HeldBack { wait_ms } = play.table.status(play.now, &request) else {
+        panic!("it is not held back");
+    };
+    let due = play.now.plus_millis(wait_ms);
+    for _ in 0..5 {
+        play.time_to_next_run();
+        play.now = play.now.plus_millis(1_000);
+        play.table.record_inconclusive_run(play.now, &request, 0);
+    }
+    assert_eq!(play.table.status(due, &request), SuspectStatus::Isolated);
+}
