--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -20,7 +20,7 @@
 /// Longest interval between observations without a gap, in milliseconds. A process that was
 /// suspended for longer has missed what happened meanwhile.
 const MAX_OBSERVATION_GAP_MS: u64 = 3_000;
-/// Maximum number of origins in one report, 10 KB: a datagram. With more, nothing is reported.
+/// Maximum number of origins in one report, 12 KB: a datagram. With more, nothing is reported.
 const MAX_REPORTED: usize = 512;
 
 /// An origin that streams of a route may have had. Hashes keep messages short.
