A gateway that has just started waits briefly for the history of origins

Change: in the first 2 s of a process such a request waits for up to 0.3 s, and others are asked each 20 ms meanwhile. Later it is refused at once, as nobody is left who knows more.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -128,7 +128,7 @@
     let key = StreamKey::of_attempt(first_attempt.unwrap_or(id));
     let origin = match first_attempt {
         Some(_) => recorded_origin(shared, route, key).await,
-        None => sole_origin(shared, route),
+        None => sole_origin(shared, route).await,
     };
     let log_line = LogLine::new(EventName::ContinuationRequested)
         .id(id)
@@ -163,7 +163,8 @@
 
 /// The origin of all streams of the route that may be continued, if it is the same: some clients do
 /// not name the attempt that began their stream.
-fn sole_origin(shared: &Shared, route: &Route) -> Result<StreamOrigin, ContinuationError> {
+async fn sole_origin(shared: &Shared, route: &Route) -> Result<StreamOrigin, ContinuationError> {
+    let is_complete = shared.origin_history.until_complete().await;
     let mut services = services(route);
     let (Some(service), None) = (services.next(), services.next()) else {
         return Err(ContinuationError::AttemptNotNamed);
@@ -176,7 +177,7 @@
     };
     let origin =
         origin.filter(|origin| !has_other(origin)).ok_or(ContinuationError::AttemptNotNamed)?;
-    match shared.origin_history.is_complete() {
+    match is_complete {
         true => Ok(origin),
         false => Err(ContinuationError::HistoryIncomplete),
     }
--- a/crates/streams/src/history_registry.rs
+++ b/crates/streams/src/history_registry.rs
@@ -2,13 +2,14 @@
 //! all gateways may be killed at once; one that has just started asks others until its own is
 //! complete.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use yokefall_clock::ElapsedClock;
 use yokefall_core::Timestamp;
@@ -26,6 +27,12 @@
 /// or be out of touch.
 const QUERIED_PER_ROLE: usize = 3;
 
+/// Time after the start in which a request waits for the history, at most `COMPLETION_TIMEOUT`, while
+/// others are asked at `QUERY_INTERVAL`. Later nobody is left who knows more.
+const STARTUP_TIME: Duration = Duration::from_millis(2_000);
+const COMPLETION_TIMEOUT: Duration = Duration::from_millis(300);
+const QUERY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The history of a process; owned by one thread.
 pub struct HistoryRegistry {
     /// Name of this process.
@@ -37,6 +44,10 @@
     fleet: FleetCell,
     clock: ElapsedClock,
     outgoing: UnboundedSender<DirectMessage>,
+    started_at: Instant,
+    queried_at: Cell<Option<Instant>>,
+    /// Notified when the history has become complete.
+    completed: Notify,
 }
 
 impl HistoryRegistry {
@@ -53,7 +64,18 @@
         let now = clock.now().plus_millis(INITIAL_TIME_MS);
         let history = RefCell::new(OriginHistory::new(now, is_first_start));
         let observed = RefCell::default();
-        Rc::new(Self { name, history, observed, catalog, fleet, clock, outgoing })
+        Rc::new(Self {
+            name,
+            history,
+            observed,
+            catalog,
+            fleet,
+            clock,
+            outgoing,
+            started_at: Instant::now(),
+            queried_at: Cell::default(),
+            completed: Notify::new(),
+        })
     }
 
     fn now(&self) -> Timestamp {
@@ -65,6 +87,23 @@
         self.history.borrow().is_complete(self.now())
     }
 
+    /// Waits for a short time until the history is complete if this process has just started; returns
+    /// whether it is.
+    pub async fn until_complete(&self) -> bool {
+        let wait_until = Instant::now() + COMPLETION_TIMEOUT;
+        while !self.is_complete() {
+            let now = Instant::now();
+            if now >= wait_until || now >= self.started_at + STARTUP_TIME {
+                return false;
+            }
+            if self.queried_at.get().is_none_or(|queried_at| now - queried_at >= QUERY_INTERVAL) {
+                self.query_others();
+            }
+            let _ = tokio::time::timeout(QUERY_INTERVAL, self.completed.notified()).await;
+        }
+        true
+    }
+
     /// Whether a stream of the route may have begun at another service or software version.
     pub fn has_other(&self, route: &Route, origin: &StreamOrigin) -> bool {
         self.history.borrow().has_other(self.now(), RouteOrigin::new(route, origin))
@@ -84,6 +123,9 @@
     /// Adds what another process, or this one before its start, has observed.
     pub fn merge(&self, report: HistoryReport) {
         self.history.borrow_mut().merge(self.now(), report);
+        if self.is_complete() {
+            self.completed.notify_waiters();
+        }
     }
 
     /// Observes the catalog and answers others until the process ends.
@@ -126,6 +168,7 @@
     }
 
     fn query_others(&self) {
+        self.queried_at.set(Some(Instant::now()));
         let fleet = self.fleet.load();
         for job_store in [true, false] {
             let others = fleet
