Items that met the same crashes do not wait for each other's runs

Callers saw batch jobs go on slowly for half a minute after a storm of crashes, with nearly all slots free: all items that had met two or three crashes ran alone, one at each back end, and those with the same suspected part one at a time in the whole fleet, each until its run had ended. An item that found its back end occupied by another suspect waited 0.1 s and was placed at random again.

Cause: the limit of one suspect at a time did not follow the evidence. A run that has lasted longer than each that ended with a crash has shown what it can.

Change: a granted run is confirmed when it is answered, or when it has outlasted the longest run that ended with a crash by 0.5 s. An item waits for the unconfirmed run of its suspect only. Each confirmed run widens the window of its back end by one, so that suspects run one, two, four at a back end; a crash under an unconfirmed run closes all windows. The leader places a suspected item at a back end that may take it. Requests of clients wait for the whole run, as before.

An API of the job store's held items changed, and its test with it: what it asks is the same.

--- a/crates/jobstore/src/capacity.rs
+++ b/crates/jobstore/src/capacity.rs
@@ -1,6 +1,6 @@
 //! How many items may start at a service while slots stay reserved for online requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -105,11 +105,19 @@
         self.capacity.startable_items()
     }
 
-    /// Chooses a back end for the next item and occupies one of its slots.
-    pub fn choose(&mut self, balancer: &mut Balancer, now: Timestamp) -> Option<Arc<Backend>> {
-        let backend = balancer.choose(now, &self.backends, &[], None)?;
-        self.occupy_slot();
-        Some(backend)
+    /// Chooses a back end for the next item, except the `excluded` ones, and occupies one of its slots.
+    pub fn choose(
+        &mut self,
+        balancer: &mut Balancer,
+        now: Timestamp,
+        excluded: &HashSet<String>,
+    ) -> Option<Arc<Backend>> {
+        if excluded.is_empty() {
+            let backend = balancer.choose(now, &self.backends, &[], None)?;
+            self.occupy_slot();
+            return Some(backend);
+        }
+        self.choose_among(balancer, now, |backend| !excluded.contains(&backend.id))
     }
 
     /// Like `choose`, among the back ends to which the output of an item fits.
@@ -118,10 +126,21 @@
         balancer: &mut Balancer,
         now: Timestamp,
         output: &InterruptedOutput,
+        excluded: &HashSet<String>,
+    ) -> Option<Arc<Backend>> {
+        let fits = |backend: &Backend| output.fits(backend) && !excluded.contains(&backend.id);
+        self.choose_among(balancer, now, fits)
+    }
+
+    fn choose_among(
+        &mut self,
+        balancer: &mut Balancer,
+        now: Timestamp,
+        accepts: impl Fn(&Backend) -> bool,
     ) -> Option<Arc<Backend>> {
-        let fits = |backend: &&Arc<Backend>| output.fits(backend);
-        let fitting: Vec<Arc<Backend>> = self.backends.iter().filter(fits).cloned().collect();
-        let backend = balancer.choose(now, &fitting, &[], None)?;
+        let accepts = |backend: &&Arc<Backend>| accepts(backend);
+        let accepted: Vec<Arc<Backend>> = self.backends.iter().filter(accepts).cloned().collect();
+        let backend = balancer.choose(now, &accepted, &[], None)?;
         self.occupy_slot();
         Some(backend)
     }
--- a/crates/jobstore/src/held_items.rs
+++ b/crates/jobstore/src/held_items.rs
@@ -15,19 +15,21 @@
 
 use crate::running::ItemKey;
 
-/// Backoff before a suspect is tried at another back end, if this one already runs a suspect.
+/// Time after which a suspect is tried again if each back end already runs others.
 const OTHER_BACKEND_BACKOFF: Duration = Duration::from_millis(100);
 
 /// Minimum wait that is logged; shorter ones end before anyone would look.
 const MIN_LOGGED_WAIT: Duration = Duration::from_millis(1_000);
 
-/// How an item may start.
-#[derive(Debug)]
-pub enum Clearance {
+/// Whether an item may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
     /// Like any other.
     Free,
-    /// As the only run of its suspect until this is dropped.
-    Isolated(IsolatedRun),
+    /// At a back end where it is granted an isolated run, because of this suspect.
+    Suspect(RequestDigest),
+    /// Not now.
+    HeldBack,
 }
 
 #[derive(Debug)]
@@ -45,7 +47,7 @@
 
 impl HeldItems {
     /// Whether an item is still held back: its time is not over and nothing has cleared it.
-    pub fn contains(&self, suspects: &Registry, key: &ItemKey) -> bool {
+    fn contains(&self, suspects: &Registry, key: &ItemKey) -> bool {
         let mut holds = self.holds.borrow_mut();
         let is_held = holds.get(key).is_some_and(|hold| {
             hold.until > Instant::now() && suspects.is_suspected(&hold.digest, RequestSource::Job)
@@ -56,33 +58,62 @@
         is_held
     }
 
-    /// How an item may start at a back end; `None` if it is held back. Must be called by the leader.
-    pub fn clear(
+    /// Whether an item may start. Must be called by the leader.
+    pub fn admit(
         &self,
-        suspects: &Rc<Registry>,
+        suspects: &Registry,
         key: &ItemKey,
-        backend: &str,
         keys: impl FnOnce() -> Option<SuspectKeys>,
         item_id: impl FnOnce() -> String,
-    ) -> Option<Clearance> {
+    ) -> Admission {
+        if self.contains(suspects, key) {
+            return Admission::HeldBack;
+        }
         if suspects.is_empty() {
-            return Some(Clearance::Free);
+            return Admission::Free;
         }
         let restriction = keys().and_then(|keys| suspects.restriction(&keys, RequestSource::Job));
-        let Some(Restriction { digest, status }) = restriction else {
-            return Some(Clearance::Free);
-        };
-        let grant = match status {
-            SuspectStatus::HeldBack { wait_ms } => Grant::Wait { ms: wait_ms },
-            SuspectStatus::Free | SuspectStatus::Isolated => {
-                suspects.grant(&digest, backend, RequestSource::Job)
+        match restriction {
+            None => Admission::Free,
+            Some(Restriction { digest, status: SuspectStatus::HeldBack { wait_ms } }) => {
+                self.hold(key, digest, Duration::from_millis(wait_ms), item_id);
+                Admission::HeldBack
             }
-        };
-        let wait = match grant {
-            Grant::Granted => return Some(Clearance::Isolated(suspects.run_isolated(digest))),
+            Some(Restriction { digest, .. }) => Admission::Suspect(digest),
+        }
+    }
+
+    /// Requests an isolated run of an item at a back end; `None` if it is held back instead. Must be
+    /// called by the leader.
+    pub fn isolate(
+        &self,
+        suspects: &Rc<Registry>,
+        key: &ItemKey,
+        digest: RequestDigest,
+        backend: &str,
+        item_id: impl FnOnce() -> String,
+    ) -> Option<IsolatedRun> {
+        let wait = match suspects.grant(&digest, backend, RequestSource::Job) {
+            Grant::Granted => return Some(suspects.run_isolated(digest)),
             Grant::BackendBusy => OTHER_BACKEND_BACKOFF,
             Grant::Wait { ms } => Duration::from_millis(ms),
         };
+        self.hold(key, digest, wait, item_id);
+        None
+    }
+
+    /// Holds an item back until a back end may take one more suspect.
+    pub fn wait_for_backend(&self, key: &ItemKey, digest: RequestDigest) {
+        self.hold(key, digest, OTHER_BACKEND_BACKOFF, String::new);
+    }
+
+    fn hold(
+        &self,
+        key: &ItemKey,
+        digest: RequestDigest,
+        wait: Duration,
+        item_id: impl FnOnce() -> String,
+    ) {
         if wait >= MIN_LOGGED_WAIT {
             LogLine::new(EventName::ItemHeldBack)
                 .id(item_id())
@@ -93,7 +124,6 @@
         }
         let hold = Hold { until: Instant::now() + wait, digest };
         self.holds.borrow_mut().insert(key.clone(), hold);
-        None
     }
 
     /// Drops items that no longer wait.
--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -8,11 +8,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use yokefall_serving::{Backend, ItemState, JobItem, Permit, SoftwareVersion};
+use yokefall_suspects::IsolatedRun;
 use yokefall_telemetry::{EventName, LogLine};
 use yokefall_upstream::BackendSlot;
 
 use crate::delegation::preemption;
-use crate::held_items::Clearance;
 use crate::interrupted_output::InterruptedOutput;
 use crate::item_worker::ItemWorker;
 use crate::preemption::Phase;
@@ -27,8 +27,8 @@
 struct PlacedItem {
     slot: BackendSlot,
     worker: ItemWorker,
-    /// Ends an isolated run when it is dropped, also if the run is aborted.
-    clearance: Clearance,
+    /// Reports the end of an isolated run when it is dropped, also if the run is aborted.
+    isolated_run: Option<IsolatedRun>,
     phase: Rc<Cell<Phase>>,
     /// Notified when the item must release its slot to an online request.
     preempted: Rc<Notify>,
@@ -40,7 +40,7 @@
         key: ItemKey,
         backend: Arc<Backend>,
         worker: ItemWorker,
-        clearance: Clearance,
+        isolated_run: Option<IsolatedRun>,
     ) {
         let Some(Some((sender, item, logged))) = self.store.with_job(&key.0, |job| {
             let open = job.open.get(&key.1)?;
@@ -68,7 +68,7 @@
             PlacedItem {
                 slot,
                 worker,
-                clearance,
+                isolated_run,
                 phase: phase.clone(),
                 preempted: preempted.clone(),
             },
@@ -87,7 +87,7 @@
         progress: Rc<RefCell<Progress>>,
         placed: PlacedItem,
     ) {
-        let PlacedItem { mut slot, worker, clearance, phase, preempted } = placed;
+        let PlacedItem { mut slot, worker, isolated_run, phase, preempted } = placed;
         let worker = match worker {
             ItemWorker::Leader => None,
             ItemWorker::Other(member) => Some(member),
@@ -149,7 +149,7 @@
             }
         }
         // After the result of the run is known, so that the next one is judged by it.
-        drop(clearance);
+        drop(isolated_run);
         if end == RunEnd::Completed {
             let events = progress.borrow().last_event;
             let mut estimator = self.estimator.get();
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -3,20 +3,20 @@
 //! recorded result, and `delegation` the runs at other job stores.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 use yokefall_serving::{Backend, BackendIncarnation, FleetCell, InFlight, Policy};
-use yokefall_suspects::SuspectKeys;
+use yokefall_suspects::{IsolatedRun, SuspectKeys};
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::backlog::{Backlog, PassStats};
-use crate::capacity::{FreeSlots, ServiceSlots};
+use crate::capacity::{FreeSlots, ServiceSlots, SlotPool};
 use crate::delegation::Delegation;
-use crate::held_items::HeldItems;
+use crate::held_items::{Admission, HeldItems};
 use crate::interrupted_output::InterruptedOutputs;
 use crate::item_waits::{ItemWaits, WaitCause};
 use crate::preemption::Phase;
@@ -270,34 +270,17 @@
         unstarted: usize,
         services: &mut FreeSlots,
     ) -> Result<(), WaitCause> {
-        let suspects = &self.worker.items.suspects;
-        if self.held.contains(suspects, key) {
-            return Err(WaitCause::HeldBack);
-        }
         // An item without a route must not block other items.
         let pool = self.pool_of(key).ok_or(WaitCause::NoRoute)?;
         let free = services.of(&pool, || self.free_slots(&pool));
-        let may_start =
-            free.startable_items() > 0 && self.running.borrow().len() < self.options.max_runs;
-        let choice = if may_start { self.choose_backend(key, free) } else { ItemPlacement::NoSlot };
-        let backend = match choice {
-            ItemPlacement::At(backend) => backend,
-            ItemPlacement::WaitForVersion => {
-                free.queued += 1;
-                return Err(WaitCause::SoftwareVersion);
-            }
-            ItemPlacement::NoSlot => {
-                free.queued += unstarted;
-                return Err(WaitCause::NoSlot);
-            }
-        };
-        let keys = || self.suspect_keys(key, &backend.service);
-        let item_id = || self.item_id(key).unwrap_or_default();
-        let clearance = self.held.clear(suspects, key, &backend.id, keys, item_id);
-        let clearance = clearance.ok_or(WaitCause::HeldBack)?;
+        if free.startable_items() == 0 || self.running.borrow().len() >= self.options.max_runs {
+            free.queued += unstarted;
+            return Err(WaitCause::NoSlot);
+        }
+        let (backend, isolated_run) = self.place(key, &pool, free, unstarted)?;
         let worker = self.item_workers().choose(&backend, &pool.residency);
         let started =
-            worker.map(|worker| self.start(key.clone(), backend.clone(), worker, clearance));
+            worker.map(|worker| self.start(key.clone(), backend.clone(), worker, isolated_run));
         let items = self.worker.balancer.with(|balancer, _| balancer.in_flight(&backend));
         let may_take = self.item_workers().may_take(&backend, &pool.residency);
         if !self.has_free_slot(&backend, items) || !may_take {
@@ -306,19 +289,63 @@
         started.ok_or(WaitCause::NoWorker)
     }
 
+    /// Occupies a slot for an item, and requests an isolated run there if the item is suspected.
+    fn place(
+        &self,
+        key: &ItemKey,
+        pool: &SlotPool,
+        free: &mut ServiceSlots,
+        unstarted: usize,
+    ) -> Result<(Arc<Backend>, Option<IsolatedRun>), WaitCause> {
+        let suspects = &self.worker.items.suspects;
+        let keys = || self.suspect_keys(key, &pool.service);
+        let item_id = || self.item_id(key).unwrap_or_default();
+        let (digest, excluded) = match self.held.admit(suspects, key, keys, item_id) {
+            Admission::Free => (None, HashSet::new()),
+            Admission::Suspect(digest) => (Some(digest), suspects.busy_backends()),
+            Admission::HeldBack => return Err(WaitCause::HeldBack),
+        };
+        let backend = match (self.choose_backend(key, free, &excluded), digest) {
+            (ItemPlacement::At(backend), _) => backend,
+            (ItemPlacement::WaitForVersion, _) => {
+                free.queued += 1;
+                return Err(WaitCause::SoftwareVersion);
+            }
+            // There may be slots for other items.
+            (ItemPlacement::NoSlot, Some(digest)) if !excluded.is_empty() => {
+                self.held.wait_for_backend(key, digest);
+                return Err(WaitCause::HeldBack);
+            }
+            (ItemPlacement::NoSlot, _) => {
+                free.queued += unstarted;
+                return Err(WaitCause::NoSlot);
+            }
+        };
+        let Some(digest) = digest else { return Ok((backend, None)) };
+        let run = self.held.isolate(suspects, key, digest, &backend.id, item_id);
+        let run = run.ok_or(WaitCause::HeldBack)?;
+        Ok((backend, Some(run)))
+    }
+
     /// Chooses a back end to which the output of an item fits, or any after it has waited.
-    fn choose_backend(&self, key: &ItemKey, free: &mut ServiceSlots) -> ItemPlacement {
+    fn choose_backend(
+        &self,
+        key: &ItemKey,
+        free: &mut ServiceSlots,
+        excluded: &HashSet<String>,
+    ) -> ItemPlacement {
         self.worker.balancer.with(|balancer, now| {
             self.interrupted_outputs.with(key, |output| {
                 if let Some(output) = output {
-                    if let Some(fitting) = free.choose_fitting(balancer, now, output) {
+                    if let Some(fitting) = free.choose_fitting(balancer, now, output, excluded) {
                         return ItemPlacement::At(fitting);
                     }
                     if output.is_worth_waiting() {
                         return ItemPlacement::WaitForVersion;
                     }
                 }
-                free.choose(balancer, now).map_or(ItemPlacement::NoSlot, ItemPlacement::At)
+                let chosen = free.choose(balancer, now, excluded);
+                chosen.map_or(ItemPlacement::NoSlot, ItemPlacement::At)
             })
         })
     }
--- a/crates/jobstore/tests/held_items.rs
+++ b/crates/jobstore/tests/held_items.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use yokefall_clock::{ElapsedClock, SuspensionSource};
-use yokefall_jobstore::held_items::HeldItems;
+use yokefall_jobstore::held_items::{Admission, HeldItems};
 use yokefall_serving::{empty_catalog, BackendIncarnation};
 use yokefall_suspects::{
     CrashInfo, Registry, RequestDigest, RequestIdentity, SuspectKeys, SuspectReport, SuspectUpdate,
@@ -43,10 +43,9 @@
     let held = HeldItems::default();
     let key = ("job".to_owned(), 1);
     suspects.take(held_back(keys().parts()[0]));
-    let clear = || held.clear(&suspects, &key, "b-9", || Some(keys()), || "item".to_owned());
-    assert!(clear().is_none());
-    assert!(held.contains(&suspects, &key));
+    let admit = || held.admit(&suspects, &key, || Some(keys()), || "item".to_owned());
+    assert_eq!(admit(), Admission::HeldBack);
+    assert_eq!(admit(), Admission::HeldBack);
     suspects.record_success(&keys());
-    assert!(!held.contains(&suspects, &key));
-    assert!(clear().is_some());
+    assert_eq!(admit(), Admission::Free);
 }
--- a/crates/suspects/src/entry.rs
+++ b/crates/suspects/src/entry.rs
@@ -6,6 +6,7 @@
 
 use crate::background::{are_simultaneous, is_same_crash, surprisal, Background, CERTAIN};
 use crate::digest::RequestDigest;
+use crate::isolated_runs::RunState;
 use crate::message::{CrashInfo, SuspectUpdate};
 
 /// Number of consecutive crashes from which a request runs isolated: a single one may be chance.
@@ -39,6 +40,9 @@
 const MAX_PROBE_BACKOFF_MS: u64 = 3_600_000;
 /// Time without news for which a granted run counts as running, as long as most may take, in ms.
 const ISOLATED_RUN_LEASE_MS: u64 = 10_000;
+/// Time by which an isolated run must outlast those that ended with a crash to be confirmed, in
+/// milliseconds: until a crash is detected, and what a back end needs longer under load.
+const CONFIRMATION_MARGIN_MS: u64 = 500;
 /// Time after which to ask again if the same request already runs isolated, in milliseconds.
 pub(crate) const RETRY_AFTER_MS: u64 = 500;
 /// Number of simultaneous crashes of other back ends that indicates a common cause.
@@ -262,6 +266,32 @@
         })
     }
 
+    /// Whether an isolated run has to be waited for before the next one. An item waits only until it
+    /// is confirmed, as runs of items may be long and many items may share a part.
+    pub(crate) fn blocks_next_run(&self, now: Timestamp, source: RequestSource) -> bool {
+        let is_confirmed = self.isolated_at.is_some_and(|at| self.is_confirmed(now, at));
+        self.is_running_isolated(now) && !(source == RequestSource::Job && is_confirmed)
+    }
+
+    /// What has become of a run that was granted at this time.
+    pub(crate) fn run_state(&self, now: Timestamp, granted_at: Timestamp) -> RunState {
+        if self.answered_at >= Some(granted_at) {
+            return RunState::Confirmed;
+        }
+        match self.is_running_isolated(now) {
+            false => RunState::Ended,
+            true if self.is_confirmed(now, granted_at) => RunState::Confirmed,
+            true => RunState::Unconfirmed,
+        }
+    }
+
+    /// Whether a run that began at this time has lasted longer than each that ended with a crash: a
+    /// cause crashes back ends after about the same time.
+    fn is_confirmed(&self, now: Timestamp, began_at: Timestamp) -> bool {
+        let longest_run_ms = self.crashes.iter().map(Crash::run_ms).max().unwrap_or(0);
+        now.millis_since(began_at) >= longest_run_ms + CONFIRMATION_MARGIN_MS
+    }
+
     /// Adds a crash or merges it with its earlier record; returns whether anything is new.
     pub(crate) fn add(&mut self, crash: Crash) -> bool {
         if self.answered_at.is_some_and(|answered| crash.crashed_at <= answered) {
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -1,6 +1,7 @@
 //! The table of one process with its clock, log lines and metrics; `notices` sends updates.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -254,6 +255,11 @@
         self.publish_soon(*digest);
     }
 
+    /// Back ends that may not take one more suspect, as far as this process granted the others.
+    pub fn busy_backends(&self) -> HashSet<String> {
+        self.table.borrow_mut().busy_backends(self.now())
+    }
+
     /// Whether a request may run at a back end now; only the leader of the job stores decides this.
     pub fn grant(&self, digest: &RequestDigest, backend: &str, source: RequestSource) -> Grant {
         if !self.is_suspected(digest, source) {
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -19,7 +19,7 @@
 //! The tables of several processes converge to the same content when merged in any order and any
 //! number of times, except for times, which shift by the delay of the messages.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use yokefall_core::Timestamp;
 use yokefall_serving::BackendIncarnation;
@@ -29,6 +29,7 @@
 use crate::entry::{
     Crash, Entry, RequestSource, SuspectStatus, CRASHES_TO_ISOLATE, RETRY_AFTER_MS,
 };
+use crate::isolated_runs::{IsolatedRuns, RunState};
 use crate::keys::SuspectKeys;
 use crate::message::{CrashInfo, CrashedBackend, Grant, SuspectUpdate};
 
@@ -51,8 +52,7 @@
 pub struct Table {
     entries: HashMap<RequestDigest, Entry>,
     background: Background,
-    /// Isolated runs that this process granted as the leader: the back end and the time.
-    granted: HashMap<RequestDigest, (String, Timestamp)>,
+    isolated_runs: IsolatedRuns,
 }
 
 impl Table {
@@ -193,6 +193,7 @@
         let rate = self.background.rate(now, backend, population);
         let crash = Crash { backend: backend.clone(), sent_at, crashed_at: now, rate };
         self.change(now, digest, |entry| entry.add(crash));
+        self.isolated_runs.record_crash(&digest, now);
         self.record_background_crash(backend, now);
         if let Some(entry) = self.entries.get_mut(&digest) {
             entry.discount_simultaneous(&self.background, now);
@@ -227,8 +228,22 @@
         crash_count.saturating_sub(self.crash_count(digest))
     }
 
+    /// Back ends that may not take one more suspect, as far as this process granted the others.
+    pub fn busy_backends(&mut self, now: Timestamp) -> HashSet<String> {
+        self.review_isolated_runs(now);
+        self.isolated_runs.busy_backends()
+    }
+
+    fn review_isolated_runs(&mut self, now: Timestamp) {
+        let entries = &self.entries;
+        self.isolated_runs.review(now, |digest, granted_at| {
+            entries.get(digest).map_or(RunState::Ended, |entry| entry.run_state(now, granted_at))
+        });
+    }
+
     /// Whether a suspect may run isolated at a back end now, as the leader decides. Invariant: one
-    /// isolated run per request and one suspect per back end, so that a crash has one suspect.
+    /// unconfirmed run per suspect, and one suspect per back end until some have been confirmed, so
+    /// that a crash has one suspect.
     pub fn grant(
         &mut self,
         now: Timestamp,
@@ -240,19 +255,16 @@
         match entry.status(now, source) {
             SuspectStatus::Free => return Grant::Granted,
             SuspectStatus::HeldBack { wait_ms } => return Grant::Wait { ms: wait_ms },
-            SuspectStatus::Isolated if entry.is_running_isolated(now) => {
+            SuspectStatus::Isolated if entry.blocks_next_run(now, source) => {
                 return Grant::Wait { ms: RETRY_AFTER_MS }
             }
             SuspectStatus::Isolated => {}
         }
-        let entries = &self.entries;
-        self.granted.retain(|digest, _| {
-            entries.get(digest).is_some_and(|e| !e.crashes.is_empty() && e.is_running_isolated(now))
-        });
-        if self.granted.values().any(|(granted_to, _)| granted_to == backend) {
+        self.review_isolated_runs(now);
+        if !self.isolated_runs.may_take(backend) {
             return Grant::BackendBusy;
         }
-        self.granted.insert(*digest, (backend.to_owned(), now));
+        self.isolated_runs.insert(now, *digest, backend);
         self.change(now, *digest, |entry| {
             entry.isolated_at = Some(now);
             // Items run again however often they did, and must not make clients wait for it.
@@ -274,6 +286,7 @@
         if crashes.is_empty() && !self.entries.contains_key(&digest) {
             return false;
         }
+        let last_crash = crashes.iter().map(|crash| at(crash.crashed_age_ms)).max();
         let is_new = self.change(now, digest, |entry| {
             let mut is_new = answered_age_ms.is_some_and(|age| entry.clear(at(age)));
             for CrashInfo { backend, sent_age_ms, crashed_age_ms, rate } in crashes {
@@ -289,6 +302,9 @@
             }
             is_new
         });
+        if let Some(crashed_at) = last_crash {
+            self.isolated_runs.record_crash(&digest, crashed_at);
+        }
         // This follows the merge, so that the crashes are known as this request's own.
         self.merge_crashed_backends(now, &crashed);
         if let Some(entry) = self.entries.get_mut(&digest) {
--- a/crates/suspects/tests/items.rs
+++ b/crates/suspects/tests/items.rs
@@ -1,11 +1,14 @@
 //! How long items may be withheld: nobody sends an item again, so that it must run once all is calm.
 
+use std::collections::HashMap;
+
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use yokefall_core::Timestamp;
 use yokefall_serving::BackendIncarnation;
 use yokefall_suspects::{
-    Grant, RequestDigest, RequestIdentity, RequestSource, SuspectKeys, SuspectStatus, Table,
+    Grant, RequestDigest, RequestIdentity, RequestSource, Restriction, SuspectKeys, SuspectStatus,
+    Table,
 };
 
 const POPULATION: usize = 16;
@@ -15,9 +18,13 @@
 const POLL_MS: u64 = 100;
 
 fn keys() -> SuspectKeys {
+    keys_of(b"item", &["popular", "rare"])
+}
+
+fn keys_of(body: &[u8], parts: &[&str]) -> SuspectKeys {
     let (method, host, path, tenant) = ("POST", "maps.example", "/jobs/1", "");
-    let identity = RequestIdentity { method, host, path, tenant, body: b"item" };
-    SuspectKeys::of(&identity, "models", ["popular", "rare"].into_iter())
+    let identity = RequestIdentity { method, host, path, tenant, body };
+    SuspectKeys::of(&identity, "models", parts.iter().copied())
 }
 
 /// Plays random crashes by chance, runs and restarts, and then calm.
@@ -157,3 +164,80 @@
     }
     assert_eq!(play.table.status(due, &request), SuspectStatus::Isolated);
 }
+
+/// Duration of a run of a sound item, in milliseconds.
+const RUN_MS: u64 = 5_000;
+const SLOTS: usize = 8;
+
+/// Time from the last crash until each of many items has begun a run that is not interrupted. All
+/// have met the same waves of crashes; `parts` are those that they share.
+fn time_until_all_run(items: usize, parts: &[&str]) -> u64 {
+    let mut table = Table::default();
+    let keys: Vec<SuspectKeys> =
+        (0..items).map(|number| keys_of(format!("item {number}").as_bytes(), parts)).collect();
+    for wave in 1..=4 {
+        for (number, keys) in keys.iter().enumerate() {
+            let id = format!("b-{}-{wave}", number % POPULATION);
+            let now = Timestamp(10_000 + wave * 400 + (number % POPULATION) as u64);
+            let sent_at = Timestamp(now.0 - 250);
+            for digest in keys.iter() {
+                let backend = BackendIncarnation { id: id.clone(), started_ms: 0 };
+                table.record_crash(now, *digest, (&backend, POPULATION), sent_at);
+            }
+        }
+    }
+    let calm_from = Timestamp(10_000 + 4 * 400 + POPULATION as u64);
+    let mut now = calm_from;
+    let mut ends: HashMap<usize, (Timestamp, usize)> = HashMap::new();
+    while ends.len() < items {
+        now = now.plus_millis(POLL_MS);
+        assert!(now.millis_since(calm_from) < 600_000, "{} of {items} items ran", ends.len());
+        for (number, keys) in keys.iter().enumerate() {
+            if ends.get(&number).is_some_and(|(at, _)| *at <= now && now.0 < at.0 + POLL_MS) {
+                keys.iter().for_each(|digest| {
+                    table.record_answer(now, digest);
+                });
+            }
+        }
+        for (number, keys) in keys.iter().enumerate() {
+            if ends.contains_key(&number) {
+                continue;
+            }
+            let restriction = table.restriction(now, keys, RequestSource::Job);
+            if restriction.is_some_and(|found| found.status != SuspectStatus::Isolated) {
+                continue;
+            }
+            let has_slot = |backend: &usize| {
+                ends.values().filter(|(at, to)| *at > now && to == backend).count() < SLOTS
+            };
+            let granted = (0..POPULATION).filter(has_slot).find(|backend| {
+                restriction.is_none_or(|Restriction { digest, .. }| {
+                    let (to, source) = (format!("to-{backend}"), RequestSource::Job);
+                    table.grant(now, &digest, &to, source) == Grant::Granted
+                })
+            });
+            if let Some(backend) = granted {
+                ends.insert(number, (now.plus_millis(RUN_MS), backend));
+            }
+        }
+    }
+    now.millis_since(calm_from)
+}
+
+/// Seen: each back end ran one item at a time that had met crashes, whatever became of the others.
+#[test]
+fn many_items_that_met_the_same_crashes_do_not_wait_for_each_other() {
+    for items in [20, 100, 128] {
+        let waited_ms = time_until_all_run(items, &[]);
+        println!("{items} items: {waited_ms} ms");
+        assert!(waited_ms <= MAX_WITHHELD_MS + RUN_MS, "{items} items: {waited_ms} ms");
+    }
+}
+
+/// Seen: items that shared a part waited for the whole run of the first of them.
+#[test]
+fn items_that_share_a_suspected_part_do_not_wait_for_a_whole_run_of_another() {
+    let waited_ms = time_until_all_run(100, &["shared"]);
+    println!("{waited_ms} ms");
+    assert!(waited_ms <= MAX_WITHHELD_MS + RUN_MS, "{waited_ms} ms");
+}
