An item that does not start leaves its slot to the next one

Found by reading, beside items that wait for suspects: an item that was placed and then held back, or that no job store could send, kept its slot until the end of the scheduling pass, so that items behind it found none. With more such items than slots for each pass, items behind them would wait as long.

Change: the slot is returned. The back ends that an item may not use are given to the balancer, which excludes them already, instead of being filtered beside it. Tests of placement share one back end.

--- a/crates/jobstore/src/capacity.rs
+++ b/crates/jobstore/src/capacity.rs
@@ -1,6 +1,6 @@
 //! How many items may start at a service while slots stay reserved for online requests.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -110,14 +110,11 @@
         &mut self,
         balancer: &mut Balancer,
         now: Timestamp,
-        excluded: &HashSet<String>,
+        excluded: &[String],
     ) -> Option<Arc<Backend>> {
-        if excluded.is_empty() {
-            let backend = balancer.choose(now, &self.backends, &[], None)?;
-            self.occupy_slot();
-            return Some(backend);
-        }
-        self.choose_among(balancer, now, |backend| !excluded.contains(&backend.id))
+        let backend = balancer.choose(now, &self.backends, excluded, None)?;
+        self.occupy_slot();
+        Some(backend)
     }
 
     /// Like `choose`, among the back ends to which the output of an item fits.
@@ -126,21 +123,11 @@
         balancer: &mut Balancer,
         now: Timestamp,
         output: &InterruptedOutput,
-        excluded: &HashSet<String>,
-    ) -> Option<Arc<Backend>> {
-        let fits = |backend: &Backend| output.fits(backend) && !excluded.contains(&backend.id);
-        self.choose_among(balancer, now, fits)
-    }
-
-    fn choose_among(
-        &mut self,
-        balancer: &mut Balancer,
-        now: Timestamp,
-        accepts: impl Fn(&Backend) -> bool,
+        excluded: &[String],
     ) -> Option<Arc<Backend>> {
-        let accepts = |backend: &&Arc<Backend>| accepts(backend);
-        let accepted: Vec<Arc<Backend>> = self.backends.iter().filter(accepts).cloned().collect();
-        let backend = balancer.choose(now, &accepted, &[], None)?;
+        let fits = |backend: &&Arc<Backend>| output.fits(backend);
+        let fitting: Vec<Arc<Backend>> = self.backends.iter().filter(fits).cloned().collect();
+        let backend = balancer.choose(now, &fitting, excluded, None)?;
         self.occupy_slot();
         Some(backend)
     }
@@ -149,6 +136,11 @@
         self.capacity.free = self.capacity.free.saturating_sub(1);
     }
 
+    /// Returns the slot of an item that does not start after all.
+    pub fn vacate_slot(&mut self) {
+        self.capacity.free += 1;
+    }
+
     /// Removes a back end that has no free slot left.
     pub fn remove(&mut self, id: &str) {
         self.backends.retain(|backend| backend.id != id);
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -3,7 +3,7 @@
 //! recorded result, and `delegation` the runs at other job stores.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -281,6 +281,9 @@
         let worker = self.item_workers().choose(&backend, &pool.residency);
         let started =
             worker.map(|worker| self.start(key.clone(), backend.clone(), worker, isolated_run));
+        if started.is_none() {
+            free.vacate_slot();
+        }
         let items = self.worker.balancer.with(|balancer, _| balancer.in_flight(&backend));
         let may_take = self.item_workers().may_take(&backend, &pool.residency);
         if !self.has_free_slot(&backend, items) || !may_take {
@@ -301,7 +304,7 @@
         let keys = || self.suspect_keys(key, &pool.service);
         let item_id = || self.item_id(key).unwrap_or_default();
         let (digest, excluded) = match self.held.admit(suspects, key, keys, item_id) {
-            Admission::Free => (None, HashSet::new()),
+            Admission::Free => (None, Vec::new()),
             Admission::Suspect(digest) => (Some(digest), suspects.busy_backends()),
             Admission::HeldBack => return Err(WaitCause::HeldBack),
         };
@@ -322,8 +325,10 @@
             }
         };
         let Some(digest) = digest else { return Ok((backend, None)) };
-        let run = self.held.isolate(suspects, key, digest, &backend.id, item_id);
-        let run = run.ok_or(WaitCause::HeldBack)?;
+        let Some(run) = self.held.isolate(suspects, key, digest, &backend.id, item_id) else {
+            free.vacate_slot();
+            return Err(WaitCause::HeldBack);
+        };
         Ok((backend, Some(run)))
     }
 
@@ -332,7 +337,7 @@
         &self,
         key: &ItemKey,
         free: &mut ServiceSlots,
-        excluded: &HashSet<String>,
+        excluded: &[String],
     ) -> ItemPlacement {
         self.worker.balancer.with(|balancer, now| {
             self.interrupted_outputs.with(key, |output| {
--- a/crates/jobstore/tests/capacity.rs
+++ b/crates/jobstore/tests/capacity.rs
@@ -1,9 +1,15 @@
 //! Capacity for items beside online requests.
 
+mod support;
+
+use std::sync::Arc;
 use std::time::Duration;
 
-use yokefall_jobstore::capacity::Capacity;
+use support::backend;
+use yokefall_core::Timestamp;
+use yokefall_jobstore::capacity::{Capacity, ServiceSlots};
 use yokefall_jobstore::loads::report_interval;
+use yokefall_serving::{Balancer, Policy};
 
 fn capacity(back_ends: u32, taken: u32, interval_ms: u64) -> Capacity {
     let mut capacity = Capacity::new(Duration::from_millis(interval_ms));
@@ -43,3 +49,16 @@
     }
     assert_eq!(report_interval(6), Duration::from_millis(24));
 }
+
+/// Seen: items that were placed and then not started took the slots of those behind them.
+#[test]
+fn a_slot_of_an_item_that_does_not_start_is_free_for_the_next_one() {
+    let mut slots = ServiceSlots::new(capacity(1, 8, 20), vec![Arc::new(backend(0, 10))]);
+    let mut balancer = Balancer::new(String::new(), 1, Policy::default());
+    assert!(slots.choose(&mut balancer, Timestamp(0), &[]).is_some());
+    assert_eq!(slots.startable_items(), 0);
+    slots.vacate_slot();
+    assert_eq!(slots.startable_items(), 1);
+    assert!(slots.choose(&mut balancer, Timestamp(0), &["i-0".to_owned()]).is_none());
+    assert_eq!(slots.startable_items(), 1);
+}
--- a/crates/jobstore/tests/pool_slots.rs
+++ b/crates/jobstore/tests/pool_slots.rs
@@ -1,28 +1,17 @@
 //! Slots of a pool, counted without examining each back end.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use quickcheck::quickcheck;
+use support::backend;
 use yokefall_jobstore::capacity::Capacity;
 use yokefall_jobstore::pool_slots::PoolSlots;
 use yokefall_serving::backend_table::BackendTable;
-use yokefall_serving::{Backend, BackendIncarnation, BackendState};
-
-fn backend(index: usize) -> Arc<Backend> {
-    Arc::new(Backend {
-        id: format!("i-{index}"),
-        started_ms: 1,
-        service: "models".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: "hall-1".into(),
-        slots: 4,
-        state: BackendState::Ready,
-        cold_remaining_ms: 0,
-        software_version: Default::default(),
-    })
-}
+use yokefall_serving::{Backend, BackendIncarnation};
 
 fn incarnation(index: u8) -> BackendIncarnation {
     BackendIncarnation { id: format!("i-{index}"), started_ms: 1 }
@@ -46,7 +35,8 @@
     fn table_totals_give_the_same_capacity_as_each_back_end(
         count: u8, excluded: Vec<u8>, taken: Vec<(u8, u8)>, split: u8
     ) -> bool {
-        let all: Vec<Arc<Backend>> = (0..usize::from(count)).map(backend).collect();
+        let all: Vec<Arc<Backend>> =
+            (0..usize::from(count)).map(|number| Arc::new(backend(number, 4))).collect();
         let (left, right) = all.split_at(usize::from(split).min(all.len()));
         let (left, right): (BackendTable, BackendTable) =
             (left.iter().collect(), right.iter().collect());
--- a/crates/jobstore/tests/preemption.rs
+++ b/crates/jobstore/tests/preemption.rs
@@ -1,30 +1,19 @@
 //! Items release their slots to online requests, and no more of them than needed.
 
+mod support;
+
 use std::time::Duration;
 
+use support::backend;
 use tokio::time::Instant;
 use yokefall_jobstore::preemption::{preempted, Phase, PlacedRun};
-use yokefall_serving::{Backend, BackendState};
+use yokefall_serving::Backend;
 
 const SLOTS: u32 = 8;
 /// Interval between two passes, and backoff of a preempted item, as in the runner.
 const PASS_INTERVAL: Duration = Duration::from_millis(20);
 const RETRY_BACKOFF: Duration = Duration::from_millis(150);
 
-fn backend(number: usize) -> Backend {
-    Backend {
-        id: format!("i-{number}"),
-        started_ms: 0,
-        service: "models".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: "hall-1".into(),
-        slots: SLOTS,
-        state: BackendState::Ready,
-        cold_remaining_ms: 0,
-        software_version: Default::default(),
-    }
-}
-
 fn run(backend: &Backend, started: Instant, phase: Phase) -> PlacedRun<'_> {
     PlacedRun { backend, has_output: true, started, phase }
 }
@@ -35,7 +24,7 @@
 /// preempted item waited its 150 ms, another took the slot and was preempted next.
 #[tokio::test(start_paused = true)]
 async fn one_short_request_preempts_one_item() {
-    let backend = backend(1);
+    let backend = backend(1, SLOTS);
     let mut runs: Vec<PlacedRun> =
         (0..SLOTS).map(|_| run(&backend, Instant::now(), Phase::Placed)).collect();
     let mut preemptions = 0;
@@ -65,7 +54,7 @@
 /// online requests got no further slots until the backoff of those items was over.
 #[tokio::test(start_paused = true)]
 async fn items_that_released_their_slots_are_not_selected_again() {
-    let backends = [backend(1), backend(2)];
+    let backends = [backend(1, SLOTS), backend(2, SLOTS)];
     let mut runs: Vec<PlacedRun> = Vec::new();
     for number in 0..6 {
         tokio::time::sleep(PASS_INTERVAL).await;
@@ -80,7 +69,7 @@
 /// A run at another job store takes up to 0.4 s to end; until then its slot counts as released.
 #[tokio::test(start_paused = true)]
 async fn a_slot_being_released_counts_as_released() {
-    let backend = backend(1);
+    let backend = backend(1, SLOTS);
     let mut runs = vec![run(&backend, Instant::now(), Phase::Preempting)];
     runs.extend((1..SLOTS).map(|_| run(&backend, Instant::now(), Phase::Placed)));
     // One online request at a back end with 8 items, and one more slot of the service is needed.
@@ -92,11 +81,11 @@
 /// Guards against preempting items because runs of an earlier incarnation count at the new one.
 #[test]
 fn items_at_an_earlier_incarnation_occupy_no_slots_of_the_new_one() {
-    let before = backend(1);
-    let after = Backend { started_ms: 1, ..before.clone() };
+    let before = backend(1, SLOTS);
+    let after = Backend { started_ms: before.started_ms + 1, ..before.clone() };
     let mut runs: Vec<PlacedRun> =
         (0..SLOTS).map(|_| run(&before, Instant::now(), Phase::Placed)).collect();
     runs.push(run(&after, Instant::now(), Phase::Placed));
-    let online = |backend: &Backend| u32::from(backend.started_ms == 1);
+    let online = |backend: &Backend| u32::from(backend.started_ms == after.started_ms);
     assert!(preempted(&runs, online, |_| 0).is_empty());
 }
--- a/crates/suspects/src/isolated_runs.rs
+++ b/crates/suspects/src/isolated_runs.rs
@@ -2,7 +2,7 @@
 //! back end may run at a time. The number grows as runs turn out well, so that many suspects which
 //! met the same crashes by chance do not wait for each other long after these have ended.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 
 use yokefall_core::Timestamp;
 
@@ -78,9 +78,10 @@
     }
 
     /// Back ends that may not take one more suspect.
-    pub(crate) fn busy_backends(&self) -> HashSet<String> {
-        let backends = self.unconfirmed.values().map(|run| &run.backend);
-        backends.filter(|backend| !self.may_take(backend)).cloned().collect()
+    pub(crate) fn busy_backends(&self) -> Vec<String> {
+        let backends: BTreeSet<&String> =
+            self.unconfirmed.values().map(|run| &run.backend).collect();
+        backends.into_iter().filter(|backend| !self.may_take(backend)).cloned().collect()
     }
 
     /// Records a crash under a suspect. If it was the run granted here, suspects run alone again, so
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -1,7 +1,6 @@
 //! The table of one process with its clock, log lines and metrics; `notices` sends updates.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -256,7 +255,7 @@
     }
 
     /// Back ends that may not take one more suspect, as far as this process granted the others.
-    pub fn busy_backends(&self) -> HashSet<String> {
+    pub fn busy_backends(&self) -> Vec<String> {
         self.table.borrow_mut().busy_backends(self.now())
     }
 
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -19,7 +19,7 @@
 //! The tables of several processes converge to the same content when merged in any order and any
 //! number of times, except for times, which shift by the delay of the messages.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use yokefall_core::Timestamp;
 use yokefall_serving::BackendIncarnation;
@@ -229,7 +229,7 @@
     }
 
     /// Back ends that may not take one more suspect, as far as this process granted the others.
-    pub fn busy_backends(&mut self, now: Timestamp) -> HashSet<String> {
+    pub fn busy_backends(&mut self, now: Timestamp) -> Vec<String> {
         self.review_isolated_runs(now);
         self.isolated_runs.busy_backends()
     }
