The end of another run does not end an isolated one

Seen in a test: while one item with a suspected part ran alone, any other run with that part that ended without a result (one that had begun before the part was suspected, preempted by online requests) let the next item begin beside it, so that one fatal part could crash two back ends where one was allowed. The same after an isolated run that had been followed by another one.

Cause: such an end was recorded for each part of the run's prompt, whoever had been granted the run, and without the time at which the run had begun.

Change: only the guard of a granted run reports its end, with the time of the grant; the end of a run that another one has followed is ignored. A gateway whose run ends before it hears of the grant from the leader reports that as well; the lease of 10 s was waited for otherwise (by reading).

Both tests failed before.

--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -43,12 +43,15 @@
 pub struct IsolatedRun {
     registry: Rc<Registry>,
     digest: RequestDigest,
+    began_at: Timestamp,
 }
 
 impl Drop for IsolatedRun {
     fn drop(&mut self) {
-        // It is not known here whether the back end had started it.
-        self.registry.end_run(&self.digest, Duration::ZERO);
+        let Self { registry, digest, began_at } = self;
+        if registry.table.borrow_mut().end_isolated_run(registry.now(), digest, *began_at) {
+            registry.publish_soon(*digest);
+        }
     }
 }
 
@@ -278,21 +281,14 @@
 
     /// Starts an isolated run, which the leader granted, until the guard is dropped.
     pub fn run_isolated(self: &Rc<Self>, digest: RequestDigest) -> IsolatedRun {
-        IsolatedRun { registry: self.clone(), digest }
+        IsolatedRun { registry: self.clone(), digest, began_at: self.now() }
     }
 
     /// Records that a run finished without an answer and without a crash after the back end had
-    /// worked on it for `worked`. If it was isolated, the next run may follow.
+    /// worked on it for `worked`. How long it lasted says nothing of the parts of its prompt, which
+    /// crash back ends at the start.
     pub fn record_inconclusive_run(&self, keys: &SuspectKeys, worked: Duration) {
-        for part in keys.parts() {
-            // How long a run lasts says nothing of a part that crashes back ends at its start.
-            self.end_run(part, Duration::ZERO);
-        }
-        self.end_run(keys.request(), worked);
-    }
-
-    fn end_run(&self, digest: &RequestDigest, worked: Duration) {
-        let survived_ms = worked.as_millis() as u64;
+        let (digest, survived_ms) = (keys.request(), worked.as_millis() as u64);
         if self.table.borrow_mut().record_inconclusive_run(self.now(), digest, survived_ms) {
             self.publish_soon(*digest);
         }
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -219,6 +219,27 @@
         was_running || (is_longer && entry.series().count >= CRASHES_TO_ISOLATE)
     }
 
+    /// Records that the isolated run which was granted at `began_at` ended without an answer and
+    /// without a crash, so that the next one may follow. The end of a run that the next one followed
+    /// already says nothing of that one. Returns whether to tell others.
+    pub fn end_isolated_run(
+        &mut self,
+        now: Timestamp,
+        digest: &RequestDigest,
+        began_at: Timestamp,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(digest) else { return false };
+        let is_followed =
+            entry.isolated_at.is_some_and(|at| at.millis_since(began_at) >= RETRY_AFTER_MS);
+        if is_followed {
+            return false;
+        }
+        // The leader's notice of the grant may still be on its way.
+        let was_running = entry.is_running_isolated(now) || entry.isolated_at < Some(began_at);
+        entry.inconclusive_at = Some(now);
+        was_running && entry.last_crash() <= Some(began_at)
+    }
+
     /// Records a complete answer. Returns the number of crashes that it clears.
     pub fn record_answer(&mut self, now: Timestamp, digest: &RequestDigest) -> usize {
         let crash_count = self.crash_count(digest);
--- a/crates/suspects/tests/registry.rs
+++ b/crates/suspects/tests/registry.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::time::Instant;
@@ -10,8 +11,8 @@
     empty_catalog, Backend, BackendIncarnation, BackendState, Catalog, CatalogCell,
 };
 use yokefall_suspects::{
-    CrashInfo, DisconnectCause, Registry, RequestDigest, RequestIdentity, ResponseProgress,
-    SuspectKeys, SuspectReport, SuspectStatus, SuspectUpdate,
+    CrashInfo, DisconnectCause, Grant, Registry, RequestDigest, RequestIdentity, RequestSource,
+    ResponseProgress, SuspectKeys, SuspectReport, SuspectStatus, SuspectUpdate,
 };
 
 fn digest() -> RequestDigest {
@@ -139,3 +140,63 @@
     );
     assert!(registry.is_empty());
 }
+
+fn keys_with_part(path: &str) -> SuspectKeys {
+    let (method, host) = ("POST", "maps.example");
+    let identity = RequestIdentity { method, host, path, tenant: "", body: b"" };
+    SuspectKeys::of(&identity, "models", ["part"].into_iter())
+}
+
+/// A registry that knows three crashes under a part, so long ago that an item with it may run.
+fn registry_with_suspected_part() -> Rc<Registry> {
+    let registry = registry(empty_catalog());
+    let crash = |number: u64| CrashInfo {
+        backend: BackendIncarnation { id: format!("b-{number}"), started_ms: 0 },
+        sent_age_ms: 10_100 - number * 500,
+        crashed_age_ms: 10_000 - number * 500,
+        rate: 1_000,
+    };
+    let update = SuspectUpdate {
+        digest: keys_with_part("/").parts()[0],
+        crashes: (0..3).map(crash).collect(),
+        answered_age_ms: None,
+        isolated_age_ms: None,
+        inconclusive_age_ms: None,
+        survived_ms: 0,
+        probes: 0,
+    };
+    registry.take(SuspectReport { suspects: vec![update], crashed_backends: Vec::new() });
+    registry
+}
+
+/// Seen: the end of a run that was not isolated let a second one begin beside the isolated run.
+#[tokio::test(start_paused = true)]
+async fn the_end_of_another_run_with_the_same_part_does_not_end_an_isolated_run() {
+    let registry = registry_with_suspected_part();
+    let part = keys_with_part("/").parts()[0];
+    let grant = |backend| registry.grant(&part, backend, RequestSource::Job);
+    assert_eq!(grant("s-1"), Grant::Granted);
+    let run = registry.run_isolated(part);
+    tokio::time::advance(Duration::from_millis(10)).await;
+    registry.record_inconclusive_run(&keys_with_part("/other"), Duration::ZERO);
+    assert!(matches!(grant("s-2"), Grant::Wait { .. }));
+    drop(run);
+    assert_eq!(grant("s-2"), Grant::Granted);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_late_end_of_an_isolated_run_does_not_end_the_next_one() {
+    let registry = registry_with_suspected_part();
+    let part = keys_with_part("/").parts()[0];
+    let grant = |backend| registry.grant(&part, backend, RequestSource::Job);
+    assert_eq!(grant("s-1"), Grant::Granted);
+    let first = registry.run_isolated(part);
+    tokio::time::advance(Duration::from_millis(1_000)).await;
+    assert_eq!(grant("s-2"), Grant::Granted);
+    let second = registry.run_isolated(part);
+    tokio::time::advance(Duration::from_millis(10)).await;
+    drop(first);
+    assert!(matches!(grant("s-3"), Grant::Wait { .. }));
+    drop(second);
+    assert_eq!(grant("s-3"), Grant::Granted);
+}
