A response underway clears the parts of its prompt

Callers whose prompts share a sound part, under which servers had crashed by chance, were refused until a request or an item with it had been answered to the end; an item of a minute kept it suspected for a minute, although a crash that late would not have counted against the part.

Cause: what clears a part was narrower than what accuses it. A part is accused by crashes within 100 ms of the first data, since such a part crashes a back end as it begins to write.

Change: a successful response that has sent data for longer clears the parts, at gateways and for items. One tracker follows both kinds of bodies; a crash right after the first event of an item now counts against its parts as it did at gateways.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,6 @@
 
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
@@ -11,7 +10,7 @@
 use http::{header, HeaderMap, Response, StatusCode};
 use tokio::time::{Instant, Sleep};
 use yokefall_serving::{Outcome, RouteKind};
-use yokefall_suspects::ResponseProgress;
+use yokefall_suspects::ProgressTracker;
 use yokefall_telemetry::{EventName, LogLine};
 use yokefall_upstream::{BackendBody, BackendSlot, Connection, EventBoundaries, StreamPosition};
 
@@ -23,9 +22,6 @@
 use crate::stream::{self, requested_event};
 use crate::suspect;
 
-/// Maximum time from the first bytes of a body until a crash that writing them caused is seen here:
-/// some network delay and the processor time of a busy gateway.
-const MAX_CRASH_DELAY: Duration = Duration::from_millis(100);
 /// Maximum size of a response that is collected before it is relayed.
 const MAX_COLLECTED_BYTES: usize = 256 * 1024;
 
@@ -95,8 +91,7 @@
     close: bool,
     /// Whether the response reports success.
     is_success: bool,
-    /// When the first bytes of the body arrived.
-    first_data_at: Option<Instant>,
+    progress: ProgressTracker,
 }
 
 impl Source {
@@ -105,14 +100,17 @@
         let (head, body) = response.into_parts();
         let close = Connection::closes_after(&head.headers);
         let is_success = head.status.is_success();
-        (head, Self { body, connection, slot, close, is_success, first_data_at: None })
-    }
-
-    fn progress(&self) -> ResponseProgress {
-        match self.first_data_at {
-            Some(at) if at.elapsed() > MAX_CRASH_DELAY => ResponseProgress::Underway,
-            Some(_) | None => ResponseProgress::Beginning,
-        }
+        (
+            head,
+            Self {
+                body,
+                connection,
+                slot,
+                close,
+                is_success,
+                progress: ProgressTracker::default(),
+            },
+        )
     }
 }
 
@@ -153,7 +151,8 @@
     async fn chunk(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         loop {
             let source = self.source.as_mut()?;
-            match next_chunk(&self.shared, source, &mut self.deadline, &mut self.silence).await {
+            let request = (&*self.shared, &*self.context);
+            match next_chunk(request, source, &mut self.deadline, &mut self.silence).await {
                 NextChunk::Data(data) if !self.resumes => {
                     self.relayed_bytes += data.len() as u64;
                     return Some(Ok(data));
@@ -195,7 +194,7 @@
     /// Determines whether the back end terminated during the request.
     async fn record_disconnect(&self) {
         let Some(source) = &self.source else { return };
-        let progress = source.progress();
+        let progress = source.progress.progress();
         suspect::record_disconnect(&self.shared, &self.context, &source.slot, progress).await;
     }
 
@@ -280,7 +279,7 @@
 }
 
 async fn next_chunk(
-    shared: &Shared,
+    (shared, context): (&Shared, &RequestContext),
     source: &mut Source,
     deadline: &mut Pin<Box<Sleep>>,
     silence: &mut Pin<Box<Sleep>>,
@@ -302,7 +301,9 @@
         return match chunk {
             Some(Ok(data)) => {
                 source.slot.record_activity();
-                source.first_data_at.get_or_insert_with(Instant::now);
+                if source.progress.record_data() && source.is_success {
+                    suspect::record_underway(shared, context);
+                }
                 NextChunk::Data(data)
             }
             Some(Err(error)) => NextChunk::Broken(error.to_string()),
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -99,3 +99,10 @@
         false => shared.suspects.record_answer(context.suspect_keys().request()),
     }
 }
+
+/// Records that a successful response to a request is underway.
+pub fn record_underway(shared: &Shared, context: &RequestContext) {
+    if !shared.suspects.is_empty() {
+        shared.suspects.record_underway(context.suspect_keys());
+    }
+}
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -14,7 +14,9 @@
 use tokio::time::Instant;
 use yokefall_serving::identity::set_tenant_header;
 use yokefall_serving::{Backend, Dialect, JobItem, Outcome, Permit, PrefixPart, TenantName};
-use yokefall_suspects::{Registry, RequestIdentity, ResponseProgress, SuspectKeys};
+use yokefall_suspects::{
+    ProgressTracker, Registry, RequestIdentity, ResponseProgress, SuspectKeys,
+};
 use yokefall_upstream::{
     exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody, Pool, SendFailure,
 };
@@ -300,7 +302,7 @@
         let signed = !self.dialect.signs_responses() || answer.headers().contains_key(signature);
         let closes = Connection::closes_after(answer.headers());
         let mut events = answer.into_body().eventsource();
-        let mut has_events = false;
+        let mut received = ProgressTracker::default();
         let mut output_bytes = 0;
         let ends_at = Instant::now() + MAX_RUN_TIME;
         loop {
@@ -310,12 +312,7 @@
                 Ok(Some(Err(error))) => {
                     slot.outcome = Outcome::Failed;
                     slot.record_failure();
-                    // The output of an item takes seconds, so that one with events has not just begun.
-                    let reached = match has_events {
-                        true => ResponseProgress::Underway,
-                        false => ResponseProgress::Beginning,
-                    };
-                    self.record_disconnect(slot, sender, item, reached).await;
+                    self.record_disconnect(slot, sender, item, received.progress()).await;
                     return retry(format!("read answer of {}: {error}", slot.backend.id));
                 }
                 Err(_) => {
@@ -331,7 +328,10 @@
                 let expected = progress.last_event + 1;
                 return retry(format!("event {:?} in the place of {expected}", event.id));
             }
-            has_events = true;
+            if received.record_data() && !self.suspects.is_empty() {
+                let keys = self.suspect_keys(&slot.backend.service, sender, item);
+                self.suspects.record_underway(&keys);
+            }
             output_bytes += event.data.len();
             if output_bytes > MAX_OUTPUT_BYTES || Instant::now() >= ends_at {
                 slot.outcome = Outcome::Failed;
--- a/crates/suspects/src/keys.rs
+++ b/crates/suspects/src/keys.rs
@@ -53,13 +53,3 @@
         self.parts.iter().chain(std::iter::once(&self.request))
     }
 }
-
-/// How far a back end had come with a response when it crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ResponseProgress {
-    /// It had sent nothing of the body, or had just begun.
-    Beginning,
-    /// It had been sending the body for a while: no part of the prompt is the cause, since such a
-    /// part crashes a back end as it begins to write.
-    Underway,
-}
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -12,7 +12,7 @@
 //! computes how much a crash proves. These modules have no clock, randomness or I/O. `message`
 //! defines what processes exchange, and `notices` broadcasts it. `registry` is the table of one
 //! process with its clock, log lines and metrics; `exit_check` determines whether the process of a
-//! back end is gone.
+//! back end is gone, and `progress` how far it has come with a response.
 
 pub mod background;
 pub mod digest;
@@ -22,12 +22,14 @@
 pub mod keys;
 pub mod message;
 pub mod notices;
+pub mod progress;
 pub mod registry;
 pub mod table;
 
 pub use digest::{RequestDigest, RequestIdentity};
 pub use entry::{RequestSource, SuspectStatus};
-pub use keys::{PartIdentity, ResponseProgress, SuspectKeys};
+pub use keys::{PartIdentity, SuspectKeys};
 pub use message::{CrashInfo, CrashedBackend, Grant, SuspectReport, SuspectUpdate};
+pub use progress::{ProgressTracker, ResponseProgress};
 pub use registry::{DisconnectCause, IsolatedRun, Registry};
 pub use table::{Restriction, Table};
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -15,8 +15,9 @@
 use crate::digest::RequestDigest;
 use crate::entry::{RequestSource, SuspectStatus};
 use crate::exit_check::ExitChecks;
-use crate::keys::{ResponseProgress, SuspectKeys};
+use crate::keys::SuspectKeys;
 use crate::message::{Grant, SuspectReport, SuspectUpdate};
+use crate::progress::ResponseProgress;
 use crate::table::{Restriction, Table};
 
 /// Clock value at the start, in milliseconds: a day, longer than anything is kept.
@@ -230,6 +231,12 @@
     /// that no part of its prompt is the cause of earlier crashes.
     pub fn record_success(&self, keys: &SuspectKeys) {
         self.record_answer(keys.request());
+        self.record_underway(keys);
+    }
+
+    /// Records that a successful response is underway, which proves that no part of the prompt is
+    /// the cause of earlier crashes.
+    pub fn record_underway(&self, keys: &SuspectKeys) {
         for part in keys.parts() {
             self.clear(part, MIN_PART_CRASHES_TO_PUBLISH);
         }
