Suspected parts are judged once for all items that share them

Found by reading, beside items that wait after a storm of crashes: the leader of the job stores judged the parts of each waiting item's prompt by a pass over the whole table, ten times a second for each item that waits for a back end. With 1,000 such items that is ten times what its thread can do, which also serves the log; gateways did the same for each request with a part that has three crashes.

Change: the table keeps the result for a list of parts until any entry changes. What explains crashes of others moves to a module of its own.

--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -8,14 +8,16 @@
 //!
 //! `digest` identifies a request independently of its sender and of the number of attempts. `table`
 //! records which back ends crashed under which request, each in an `entry`, and decides what may
-//! still be sent; `isolated_runs` limits how many suspects run at a back end, and `background`
-//! computes how much a crash proves. These modules have no clock, randomness or I/O. `message`
-//! defines what processes exchange, and `notices` broadcasts it. `registry` is the table of one
-//! process with its clock, log lines and metrics; `exit_check` determines whether the process of a
-//! back end is gone, and `progress` how far it has come with a response.
+//! still be sent; `entries` tells which of them explain others, `isolated_runs` limits how many
+//! suspects run at a back end, and `background` computes how much a crash proves. These modules have
+//! no clock, randomness or I/O. `message` defines what processes exchange, and `notices` broadcasts
+//! it. `registry` is the table of one process with its clock, log lines and metrics; `exit_check`
+//! determines whether the process of a back end is gone, and `progress` how far it has come with a
+//! response.
 
 pub mod background;
 pub mod digest;
+mod entries;
 pub mod entry;
 pub mod exit_check;
 mod isolated_runs;
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -19,13 +19,12 @@
 //! The tables of several processes converge to the same content when merged in any order and any
 //! number of times, except for times, which shift by the delay of the messages.
 
-use std::collections::HashMap;
-
 use yokefall_core::Timestamp;
 use yokefall_serving::BackendIncarnation;
 
 use crate::background::Background;
 use crate::digest::RequestDigest;
+use crate::entries::{Entries, MAX_ENTRIES};
 use crate::entry::{
     Crash, Entry, RequestSource, SuspectStatus, CRASHES_TO_ISOLATE, RETRY_AFTER_MS,
 };
@@ -33,8 +32,6 @@
 use crate::keys::SuspectKeys;
 use crate::message::{CrashInfo, CrashedBackend, Grant, SuspectUpdate};
 
-/// Maximum number of requests, about 250 bytes each; those with the fewest crashes go first.
-const MAX_ENTRIES: usize = 1_024;
 /// Maximum number of requests in one message, about 5 KB; those with the most crashes go first.
 pub const MAX_UPDATES: usize = 64;
 
@@ -50,7 +47,7 @@
 /// What is known about suspects. Invariant: an entry's crashes follow its last complete answer.
 #[derive(Debug, Default)]
 pub struct Table {
-    entries: HashMap<RequestDigest, Entry>,
+    entries: Entries,
     background: Background,
     isolated_runs: IsolatedRuns,
 }
@@ -78,12 +75,7 @@
 
     /// Whether one other suspect explains all crashes under a key.
     pub fn is_explained(&self, digest: &RequestDigest) -> bool {
-        let Some(entry) = self.entries.get(digest) else { return false };
-        self.entries.iter().any(|(other_digest, other)| {
-            other_digest != digest
-                && other.may_explain(entry)
-                && entry.crashes.iter().all(|crash| other.has_crash(crash))
-        })
+        self.entries.is_explained(digest)
     }
 
     /// What may be done with a request.
@@ -115,7 +107,7 @@
             let status = match *digest == keys.request() {
                 // Its restriction concerns no other request.
                 true => entry.status(now, source),
-                false => self.shared_status(now, entry, &all[..=position], source),
+                false => self.entries.shared_status(now, entry, &all[..=position], source),
             };
             // Of equal ones the narrowest, which restricts the fewest others.
             let is_strictest = strictest.is_none_or(|found| status >= found.status);
@@ -126,46 +118,6 @@
         strictest
     }
 
-    /// What may be done with requests that share a part of their prompts, as far as crashes under
-    /// it are not explained by suspects other than `not_by`.
-    fn shared_status(
-        &self,
-        now: Timestamp,
-        entry: &Entry,
-        not_by: &[&RequestDigest],
-        source: RequestSource,
-    ) -> SuspectStatus {
-        if !entry.restricts_shared(source) {
-            return SuspectStatus::Free;
-        }
-        let unexplained = self.without_explained(entry, not_by);
-        match unexplained.restricts_shared(source) {
-            true => unexplained.status(now, source),
-            false => SuspectStatus::Free,
-        }
-    }
-
-    /// An entry without the crashes that suspects other than `not_by` explain. Each must explain at
-    /// least half of those left: one cause of all is likelier than many that share them.
-    fn without_explained(&self, entry: &Entry, not_by: &[&RequestDigest]) -> Entry {
-        let suspects: Vec<&Entry> = self
-            .entries
-            .iter()
-            .filter(|(digest, other)| !not_by.contains(digest) && other.may_explain(entry))
-            .map(|(_, other)| other)
-            .collect();
-        let mut unexplained = entry.clone();
-        loop {
-            let best = suspects.iter().max_by_key(|suspect| suspect.count_shared(&unexplained));
-            let Some(best) = best else { return unexplained };
-            let shared = best.count_shared(&unexplained);
-            if shared == 0 || 2 * shared < unexplained.crashes.len() {
-                return unexplained;
-            }
-            unexplained = unexplained.without(|crash| best.has_crash(crash));
-        }
-    }
-
     /// Number of consecutive crashes under a request since it was last answered.
     pub fn crash_count(&self, digest: &RequestDigest) -> usize {
         self.entries.get(digest).map_or(0, |entry| entry.series().count)
