A gateway asks others before it continues a stream of an unnamed attempt

Callers could have got streams of two software versions from a gateway that was suspended, or is cut off from the platform's store and from other processes, while versions changed: its history counted as complete, and its list of back ends showed one version. Found by reading; no run showed it.

Cause: a process took the absence of news for a proof that there were none. A history knew that it had a gap only after the next observation, and nothing told a process that it was out of touch.

A history with a gap is not complete. What others have seen is added by their answers, so that news that reached them first count. Processes that never answered, as those of older builds, are not waited for. The forms of the messages are unchanged.

The tests of cut-off processes and of the gap fail without the majority and the check of the gap.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -64,7 +64,7 @@
     /// The client does not name the attempt that began it, and it may have begun at several services
     /// or versions.
     AttemptNotNamed,
-    /// The same, and it is not known yet where streams of the route began.
+    /// The same, and this process may not know all places where streams of the route began.
     HistoryIncomplete,
     /// The route no longer leads to the service that began it.
     ServiceRemoved,
@@ -96,7 +96,7 @@
                 (NOT_CONTINUED_RETRY_AFTER, "name the attempt that began the stream")
             }
             ContinuationError::HistoryIncomplete => {
-                (UNANSWERED_RETRY_AFTER, "this gateway does not know yet where streams began")
+                (UNANSWERED_RETRY_AFTER, "this gateway does not know now where streams began")
             }
             ContinuationError::ServiceRemoved => {
                 (NOT_CONTINUED_RETRY_AFTER, "the service that began the stream is not on the route")
@@ -164,7 +164,7 @@
 /// The origin of all streams of the route that may be continued, if it is the same: some clients do
 /// not name the attempt that began their stream.
 async fn sole_origin(shared: &Shared, route: &Route) -> Result<StreamOrigin, ContinuationError> {
-    let is_complete = shared.origin_history.until_complete().await;
+    let is_confirmed = shared.origin_history.confirm().await;
     let mut services = services(route);
     let (Some(service), None) = (services.next(), services.next()) else {
         return Err(ContinuationError::AttemptNotNamed);
@@ -177,7 +177,7 @@
     };
     let origin =
         origin.filter(|origin| !has_other(origin)).ok_or(ContinuationError::AttemptNotNamed)?;
-    match is_complete {
+    match is_confirmed {
         true => Ok(origin),
         false => Err(ContinuationError::HistoryIncomplete),
     }
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -131,9 +131,11 @@
         self.complete_since = self.complete_since.min(at(report.complete_ms));
     }
 
-    /// Whether every stream that may be continued began at a recorded origin.
+    /// Whether every stream that may be continued began at a recorded origin. A process that was
+    /// suspended does not know that before it has observed again.
     pub fn is_complete(&self, now: Timestamp) -> bool {
         now.millis_since(self.complete_since) >= WINDOW_MS
+            && now.millis_since(self.observed_at) <= MAX_OBSERVATION_GAP_MS
     }
 
     /// Whether a stream of the route may have begun elsewhere.
--- a/crates/streams/src/history_registry.rs
+++ b/crates/streams/src/history_registry.rs
@@ -1,8 +1,10 @@
 //! The history of origins of one process with its clock and messages. Every process keeps one, as
 //! all gateways may be killed at once; one that has just started asks others until its own is
-//! complete.
+//! complete. What a process knows may be old without its knowledge, so that others are asked again
+//! before a decision relies on it.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,24 +16,31 @@
 use yokefall_clock::ElapsedClock;
 use yokefall_core::Timestamp;
 use yokefall_serving::direct_messages::{DirectMessage, Envelope, MessageKind};
-use yokefall_serving::{Catalog, CatalogCell, FleetCell, Route};
+use yokefall_serving::{Catalog, CatalogCell, FleetCell, FleetMember, Route};
 use yokefall_telemetry::{EventName, LogLine};
 
+use crate::contacts::{Contacts, Round};
 use crate::history::{HistoryMessage, HistoryReport, OriginHistory, RouteOrigin};
 use crate::origin::StreamOrigin;
 
 /// Clock value at the start, in milliseconds: longer than the window of a history.
 const INITIAL_TIME_MS: u64 = 86_400_000;
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(200);
-/// Number of job stores and of gateways that are asked each time: some may have started as recently,
-/// or be out of touch.
-const QUERIED_PER_ROLE: usize = 3;
-
-/// Time after the start in which a request waits for the history, at most `COMPLETION_TIMEOUT`, while
-/// others are asked at `QUERY_INTERVAL`. Later nobody is left who knows more.
+/// Number of processes that answered before, and of other job stores and gateways, that are asked at a
+/// time: some may have started as recently, or be out of touch.
+const ASKED_CONTACTS: usize = 6;
+const ASKED_PER_ROLE: usize = 3;
+/// Interval between questions by which a process with a complete history learns who answers, and until
+/// somebody does.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(30_000);
+const FIRST_CONTACT_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time for which a request waits for the answers of others, the longer one in the first time after the
+/// start: later nobody is left who knows more. They are asked again at `RESEND_INTERVAL` meanwhile.
+const ANSWER_WAIT: Duration = Duration::from_millis(180);
+const STARTUP_ANSWER_WAIT: Duration = Duration::from_millis(300);
 const STARTUP_TIME: Duration = Duration::from_millis(2_000);
-const COMPLETION_TIMEOUT: Duration = Duration::from_millis(300);
-const QUERY_INTERVAL: Duration = Duration::from_millis(20);
+const RESEND_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The history of a process; owned by one thread.
 pub struct HistoryRegistry {
@@ -45,9 +54,12 @@
     clock: ElapsedClock,
     outgoing: UnboundedSender<DirectMessage>,
     started_at: Instant,
-    queried_at: Cell<Option<Instant>>,
-    /// Notified when the history has become complete.
-    completed: Notify,
+    contacts: RefCell<Contacts>,
+    /// The last question to others.
+    last_round: RefCell<Option<Round>>,
+    asked_at: Cell<Option<Instant>>,
+    /// Notified when another process has answered.
+    answered: Notify,
 }
 
 impl HistoryRegistry {
@@ -73,8 +85,10 @@
             clock,
             outgoing,
             started_at: Instant::now(),
-            queried_at: Cell::default(),
-            completed: Notify::new(),
+            contacts: RefCell::default(),
+            last_round: RefCell::default(),
+            asked_at: Cell::default(),
+            answered: Notify::new(),
         })
     }
 
@@ -87,21 +101,28 @@
         self.history.borrow().is_complete(self.now())
     }
 
-    /// Waits for a short time until the history is complete if this process has just started; returns
-    /// whether it is.
-    pub async fn until_complete(&self) -> bool {
-        let wait_until = Instant::now() + COMPLETION_TIMEOUT;
-        while !self.is_complete() {
-            let now = Instant::now();
-            if now >= wait_until || now >= self.started_at + STARTUP_TIME {
+    /// Asks others for what this process may have missed, as one that was suspended or is out of touch
+    /// does not know that it is. Returns whether every stream that may be continued began at a known
+    /// origin: the history is complete and most of those that answered before have answered again.
+    pub async fn confirm(&self) -> bool {
+        let began_at = Instant::now();
+        let wait = match began_at - self.started_at < STARTUP_TIME {
+            true => STARTUP_ANSWER_WAIT,
+            false => ANSWER_WAIT,
+        };
+        let round = self.ask();
+        loop {
+            let answered = self.answered.notified();
+            if self.is_complete() && self.contacts.borrow().is_answered(&round) {
+                return true;
+            }
+            if began_at.elapsed() >= wait {
                 return false;
             }
-            if self.queried_at.get().is_none_or(|queried_at| now - queried_at >= QUERY_INTERVAL) {
-                self.query_others();
+            if tokio::time::timeout(RESEND_INTERVAL, answered).await.is_err() {
+                self.ask();
             }
-            let _ = tokio::time::timeout(QUERY_INTERVAL, self.completed.notified()).await;
         }
-        true
     }
 
     /// Whether a stream of the route may have begun at another service or software version.
@@ -123,9 +144,6 @@
     /// Adds what another process, or this one before its start, has observed.
     pub fn merge(&self, report: HistoryReport) {
         self.history.borrow_mut().merge(self.now(), report);
-        if self.is_complete() {
-            self.completed.notify_waiters();
-        }
     }
 
     /// Observes the catalog and answers others until the process ends.
@@ -141,9 +159,7 @@
                 () = tokio::time::sleep_until(observe_at) => {
                     observe_at = Instant::now() + OBSERVATION_INTERVAL;
                     self.observe();
-                    if !self.is_complete() {
-                        self.query_others();
-                    }
+                    self.keep_contact();
                 }
             }
             if self.is_complete() != was_complete {
@@ -167,30 +183,64 @@
         self.history.borrow_mut().observe(self.now(), observed.1.iter().copied());
     }
 
-    fn query_others(&self) {
-        self.queried_at.set(Some(Instant::now()));
-        let fleet = self.fleet.load();
-        for job_store in [true, false] {
-            let others = fleet
-                .members
-                .iter()
-                .filter(|member| member.job_store == job_store && member.name != self.name);
-            for member in others.choose_multiple(&mut rand::rng(), QUERIED_PER_ROLE) {
-                self.send(member.address, &HistoryMessage::Query);
-            }
+    fn keep_contact(&self) {
+        if let Some(round) = &*self.last_round.borrow() {
+            self.contacts.borrow_mut().review(self.now(), round);
+        }
+        let interval = match (self.is_complete(), self.contacts.borrow().is_empty()) {
+            (false, _) => OBSERVATION_INTERVAL,
+            (true, true) => FIRST_CONTACT_INTERVAL,
+            (true, false) => CONTACT_INTERVAL,
+        };
+        if self.asked_at.get().is_none_or(|asked_at| asked_at.elapsed() >= interval) {
+            self.ask();
         }
     }
 
+    /// Asks some others, unless that was done just now.
+    fn ask(&self) -> Round {
+        let is_recent = self.asked_at.get().is_some_and(|at| at.elapsed() < RESEND_INTERVAL);
+        if let Some(round) = self.last_round.borrow().as_ref().filter(|_| is_recent) {
+            return round.clone();
+        }
+        let asked = self.choose_others();
+        for address in &asked {
+            self.send(*address, &HistoryMessage::Query);
+        }
+        let round = self.contacts.borrow().ask(self.now(), &asked);
+        self.asked_at.set(Some(Instant::now()));
+        self.last_round.replace(Some(round.clone()));
+        round
+    }
+
+    /// Some of those that answered before, live or not, and of the live members that did not.
+    fn choose_others(&self) -> Vec<SocketAddr> {
+        let (fleet, contacts) = (self.fleet.load(), self.contacts.borrow());
+        let is_other =
+            |member: &&FleetMember| member.name != self.name && !contacts.contains(&member.address);
+        let of_role = |job_store| {
+            let members = fleet.members.iter().filter(|member| member.job_store == job_store);
+            let addresses = members.filter(is_other).map(|member| member.address);
+            addresses.choose_multiple(&mut rand::rng(), ASKED_PER_ROLE)
+        };
+        let known = contacts.addresses().choose_multiple(&mut rand::rng(), ASKED_CONTACTS);
+        [known, of_role(true), of_role(false)].concat()
+    }
+
     fn receive(&self, DirectMessage { peer, envelope }: DirectMessage) {
         // A message of a newer build that this one cannot read counts as lost.
         match borsh::from_slice::<HistoryMessage>(&envelope.content) {
             Ok(HistoryMessage::Query) => self.send(peer, &HistoryMessage::Report(self.report())),
-            Ok(HistoryMessage::Report(report)) => self.merge(report),
+            Ok(HistoryMessage::Report(report)) => {
+                self.merge(report);
+                self.contacts.borrow_mut().record_answer(self.now(), peer);
+                self.answered.notify_waiters();
+            }
             Err(_) => {}
         }
     }
 
-    fn send(&self, to: std::net::SocketAddr, message: &HistoryMessage) {
+    fn send(&self, to: SocketAddr, message: &HistoryMessage) {
         // Encoding to memory does not fail.
         let Ok(content) = borsh::to_vec(message) else { return };
         let envelope = Envelope { kind: MessageKind::OriginHistory, content };
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -10,8 +10,10 @@
 //! one process, and `exchange` decides what to send; these have no clock, randomness or I/O.
 //! `message` defines what processes exchange. `registry` adds the clock, messages and metrics.
 //! `history` tells where the streams of a route may have begun lately, for clients that do not name
-//! the attempt that began theirs, and `history_registry` exchanges that.
+//! the attempt that began theirs, `history_registry` exchanges that, and `contacts` tells whether a
+//! process is in touch with most others.
 
+mod contacts;
 pub mod exchange;
 pub mod history;
 pub mod history_registry;
--- a/crates/streams/tests/history.rs
+++ b/crates/streams/tests/history.rs
@@ -91,6 +91,9 @@
 fn a_process_that_was_suspended_no_longer_knows_all_origins() {
     let mut history = OriginHistory::new(START, true);
     history.observe(after(1_000), [origin("models", "v1")]);
+    assert!(history.is_complete(after(2_000)));
+    // Right after the suspension, before it observes again, and then.
+    assert!(!history.is_complete(after(9_000)));
     history.observe(after(9_000), [origin("models", "v1")]);
     assert!(!history.is_complete(after(9_000)));
 }
--- /dev/null
+++ b/crates/streams/tests/history_registry.rs
@@ -0,0 +1,135 @@
+//! What a process knows of origins that it may have missed, and whom it asks.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use yokefall_clock::{ElapsedClock, SuspensionSource};
+use yokefall_serving::direct_messages::{DirectMessage, Envelope, MessageKind};
+use yokefall_serving::fleet::empty_fleet;
+use yokefall_serving::{empty_catalog, Fleet, FleetMember};
+use yokefall_streams::history::{HistoryMessage, HistoryReport, WINDOW_MS};
+use yokefall_streams::HistoryRegistry;
+
+const OTHERS: usize = 10;
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 1_000 + number as u16))
+}
+
+fn member(number: usize) -> FleetMember {
+    FleetMember {
+        name: format!("member-{number}"),
+        address: address(number),
+        zone: "hall-1".into(),
+        job_store: number < 3,
+        accepting: true,
+    }
+}
+
+/// Other processes, each of which answers with a complete history or not at all.
+#[derive(Clone, Default)]
+struct Others {
+    silent: Arc<Mutex<HashMap<SocketAddr, bool>>>,
+}
+
+impl Others {
+    fn set_silent(&self, numbers: std::ops::Range<usize>, is_silent: bool) {
+        let mut silent = self.silent.lock().expect("the others");
+        silent.extend(numbers.map(|number| (address(number), is_silent)));
+    }
+
+    fn answer(&self, question: DirectMessage) -> Option<DirectMessage> {
+        let is_silent = self.silent.lock().expect("the others").get(&question.peer).copied();
+        if is_silent == Some(true) {
+            return None;
+        }
+        let report = HistoryReport { complete_ms: WINDOW_MS, origins: Vec::new() };
+        let content = borsh::to_vec(&HistoryMessage::Report(report)).expect("bytes");
+        let envelope = Envelope { kind: MessageKind::OriginHistory, content };
+        Some(DirectMessage { peer: question.peer, envelope })
+    }
+}
+
+/// Runs a test with a process that started with the whole system two minutes ago.
+async fn with_process<F>(others: Others, test: impl FnOnce(Rc<HistoryRegistry>, Others) -> F)
+where
+    F: std::future::Future<Output = ()>,
+{
+    let (asked, mut questions) = mpsc::unbounded_channel();
+    let (answers, answered) = mpsc::unbounded_channel();
+    let fleet = empty_fleet();
+    let members = (0..OTHERS).map(member).collect();
+    fleet.store(Arc::new(Fleet { members, ..Fleet::default() }));
+    let clock = ElapsedClock::new(SuspensionSource::Machine);
+    let process = HistoryRegistry::new("me".into(), true, empty_catalog(), fleet, clock, asked);
+    let answering = others.clone();
+    LocalSet::new()
+        .run_until(async {
+            tokio::task::spawn_local(process.clone().run(answered));
+            tokio::task::spawn_local(async move {
+                while let Some(question) = questions.recv().await {
+                    if let Some(answer) = answering.answer(question) {
+                        let _ = answers.send(answer);
+                    }
+                }
+            });
+            tokio::time::sleep(Duration::from_secs(120)).await;
+            test(process, others).await;
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_knows_all_origins_while_most_others_answer() {
+    with_process(Others::default(), |process, others| async move {
+        assert!(process.confirm().await);
+        others.set_silent(0..2, true);
+        for _ in 0..20 {
+            assert!(process.confirm().await);
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    })
+    .await;
+}
+
+/// Seen by reading: a gateway that was cut off relied on a list that others knew to be old.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_is_cut_off_does_not_know_all_origins() {
+    with_process(Others::default(), |process, others| async move {
+        others.set_silent(0..OTHERS, true);
+        assert!(!process.confirm().await);
+        tokio::time::sleep(Duration::from_secs(300)).await;
+        assert!(!process.confirm().await);
+        others.set_silent(0..OTHERS, false);
+        assert!(process.confirm().await);
+    })
+    .await;
+}
+
+/// The same for one that is cut off together with a few others.
+#[tokio::test(start_paused = true)]
+async fn a_process_in_touch_with_a_minority_does_not_know_all_origins() {
+    with_process(Others::default(), |process, others| async move {
+        others.set_silent(0..9, true);
+        for _ in 0..20 {
+            assert!(!process.confirm().await);
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn processes_that_never_answered_are_not_waited_for() {
+    let silent = Others::default();
+    silent.set_silent(0..OTHERS, true);
+    with_process(silent, |process, _| async move {
+        assert!(process.confirm().await, "older builds do not answer");
+    })
+    .await;
+}
