A crash is one event: what ended just before the port closed is evidence too

Callers whose prompts share a common part got 503 for good, with sixteen sound back ends idle, or back ends went on crashing: when a process crashes, its connections break one after the other and its port closes last. The check right after the first disconnect found the port open, so that the fatal request went free; those that were merely there broke milliseconds later, when the port was closed, and their common part, present at each crash and explained by nothing, was held back.

Cause: evidence was attributed by the order in which two symptoms of one event were noticed.

Change: a run whose connection broke while the back end still accepted others is kept for 0.3 s, and its back end is checked again; whatever proves the crash within that time (a check, another request's, a refused connection, a report of another process) makes all that ended there evidence, each with its own time. Forms of messages are unchanged.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -247,6 +247,7 @@
                 };
                 last = error.to_string();
                 log_failed_attempt(context, &backend.id, &last);
+                shared.suspects.record_unreachable(&backend).await;
                 continue;
             }
         };
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -176,6 +176,7 @@
                         ConnectFailure::Unreachable { .. } => Outcome::Unreachable,
                         ConnectFailure::Exhausted => Outcome::Full,
                     };
+                    self.suspects.record_unreachable(&backend).await;
                     return retry(error.to_string(), false);
                 }
             };
--- a/crates/jobstore/src/suspects.rs
+++ b/crates/jobstore/src/suspects.rs
@@ -71,6 +71,7 @@
     let MessagePort { outgoing, incoming } = port;
     tokio::task::spawn_local(notices::publish(registry.clone(), fleet.clone(), outgoing));
     tokio::task::spawn_local(notices::receive(registry.clone(), incoming));
+    tokio::task::spawn_local(registry.clone().watch_ended_runs());
     tokio::task::spawn_local(exchange(registry, client, fleet, target));
 }
 
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -12,11 +12,12 @@
 //! suspects run at a back end, and `background` computes how much a crash proves. These modules have
 //! no clock, randomness or I/O. `message` defines what processes exchange, and `notices` broadcasts
 //! it. `registry` is the table of one process with its clock, log lines and metrics; `exit_check`
-//! determines whether the process of a back end is gone, and `progress` how far it has come with a
-//! response.
+//! determines whether the process of a back end is gone, `ended_runs` what ran there when it went,
+//! and `progress` how far it had come with a response.
 
 pub mod background;
 pub mod digest;
+mod ended_runs;
 mod entries;
 pub mod entry;
 pub mod exit_check;
--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -1,6 +1,7 @@
 //! The table of one process with its clock, log lines and metrics; `notices` sends updates.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 
 use crate::background::is_same_crash;
 use crate::digest::RequestDigest;
+use crate::ended_runs::{DueCheck, EndedRun, EndedRuns, RunEnd};
 use crate::entry::{RequestSource, SuspectStatus};
 use crate::exit_check::ExitChecks;
 use crate::keys::SuspectKeys;
@@ -28,11 +30,13 @@
 /// back. For a part of prompts, crashes that different processes know add up.
 const MIN_REQUEST_CRASHES_TO_PUBLISH: usize = 2;
 const MIN_PART_CRASHES_TO_PUBLISH: usize = 1;
+/// Interval at which runs that ended lately are looked at.
+const WATCH_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Why a connection to a back end broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DisconnectCause {
-    /// The back end is running, its state is unknown, or it was about to leave.
+    /// The back end accepts connections, its state is unknown, or it was about to leave.
     Unknown,
     /// The back end crashed while it ran the request.
     BackendCrashed,
@@ -64,6 +68,8 @@
     checks: ExitChecks,
     clock: ElapsedClock,
     logged_crashes: RefCell<Vec<(BackendIncarnation, Timestamp)>>,
+    ended_runs: RefCell<EndedRuns>,
+    has_ended_runs: Notify,
     /// Requests about which this process learned something that is not sent to other processes yet.
     pub(crate) unpublished: RefCell<Vec<RequestDigest>>,
     pub(crate) has_unpublished: Notify,
@@ -82,6 +88,8 @@
             checks: ExitChecks::default(),
             clock,
             logged_crashes: RefCell::default(),
+            ended_runs: RefCell::default(),
+            has_ended_runs: Notify::new(),
             unpublished: RefCell::default(),
             has_unpublished: Notify::new(),
             observed: Notify::new(),
@@ -120,10 +128,10 @@
         self.table.borrow().crash_count(digest)
     }
 
-    /// Records that a connection broke off during a request sent at `sent`, after determining
-    /// whether the back end crashed. `progress` tells whether a part of the prompt may be the cause.
-    /// The exit of a back end that is leaving is no evidence, nor
-    /// that of an earlier incarnation, which may have drained and left its address to another.
+    /// Records that a connection broke off during a run, after determining whether the back end
+    /// crashed. One that still accepts connections is checked again (`watch_ended_runs`). The exit of a
+    /// back end that is leaving is no evidence, nor that of an earlier incarnation, which may have
+    /// drained and left its address to another.
     pub async fn record_disconnect(
         &self,
         backend: &Backend,
@@ -131,43 +139,138 @@
         progress: ResponseProgress,
         keys: impl FnOnce() -> SuspectKeys,
     ) -> DisconnectCause {
-        let incarnation = backend.incarnation();
-        let is_leaving = !self.catalog.load().is_ready_incarnation(&incarnation);
-        if is_leaving || !self.checks.has_exited(&incarnation, backend.address).await {
+        if !self.catalog.load().is_ready_incarnation(&backend.incarnation()) {
             return DisconnectCause::Unknown;
         }
-        let keys = keys();
-        let parts = match progress {
-            ResponseProgress::Beginning => keys.parts(),
-            ResponseProgress::Underway => &[],
-        };
-        self.log_crash(backend);
-        for digest in parts.iter().chain([keys.request()]) {
-            self.record_crash(backend, sent, digest, digest != keys.request());
+        let run = self.ended_run(backend, sent, progress, keys(), RunEnd::Broken);
+        let has_exited = self.checks.has_exited(&run.backend, run.address).await;
+        self.ended_runs.borrow_mut().push(run);
+        match has_exited {
+            true => {
+                self.record_exit(&backend.incarnation());
+                DisconnectCause::BackendCrashed
+            }
+            false => {
+                self.has_ended_runs.notify_one();
+                DisconnectCause::Unknown
+            }
         }
-        DisconnectCause::BackendCrashed
     }
 
-    /// Records the crash of a back end as evidence against a request or a part of prompts.
-    fn record_crash(
+    /// Records a response that ended with its connection, as its framing has it. It is an answer unless
+    /// its back end turns out to have crashed then.
+    pub fn record_unframed_answer(
         &self,
         backend: &Backend,
         sent: Instant,
-        digest: &RequestDigest,
-        is_part: bool,
+        progress: ResponseProgress,
+        keys: SuspectKeys,
+        is_success: bool,
     ) {
+        let end = RunEnd::Answered { is_success };
+        let run = self.ended_run(backend, sent, progress, keys, end);
+        self.ended_runs.borrow_mut().push(run);
+        self.has_ended_runs.notify_one();
+    }
+
+    /// Records that no connection to a back end could be made, which proves a crash if a run ended
+    /// there just before.
+    pub async fn record_unreachable(&self, backend: &Backend) {
         let incarnation = backend.incarnation();
+        if self.ended_runs.borrow().contains(&incarnation) {
+            self.check_again(incarnation, backend.address).await;
+        }
+    }
+
+    fn ended_run(
+        &self,
+        backend: &Backend,
+        sent: Instant,
+        progress: ResponseProgress,
+        keys: SuspectKeys,
+        end: RunEnd,
+    ) -> EndedRun {
+        EndedRun {
+            backend: backend.incarnation(),
+            address: backend.address,
+            service: backend.service.clone(),
+            keys,
+            progress,
+            sent_at: self.clock.at(sent).plus_millis(INITIAL_TIME_MS),
+            ended_at: self.now(),
+            end,
+        }
+    }
+
+    async fn check_again(&self, backend: BackendIncarnation, address: SocketAddr) {
+        if self.checks.has_exited(&backend, address).await {
+            self.record_exit(&backend);
+        }
+    }
+
+    /// Checks the back ends of runs that ended lately until the process ends.
+    pub async fn watch_ended_runs(self: Rc<Self>) {
+        loop {
+            self.has_ended_runs.notified().await;
+            while !self.ended_runs.borrow().is_empty() {
+                self.settle_ended_runs();
+                let checks_answered = !self.is_empty();
+                let due = self.ended_runs.borrow_mut().due_checks(self.now(), checks_answered);
+                for DueCheck { backend, address } in due {
+                    let registry = self.clone();
+                    tokio::task::spawn_local(async move {
+                        registry.check_again(backend, address).await;
+                    });
+                }
+                tokio::time::sleep(WATCH_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Books the runs whose back ends did not crash.
+    fn settle_ended_runs(&self) {
+        let settled = self.ended_runs.borrow_mut().take_settled(self.now());
+        for EndedRun { keys, ended_at, end, .. } in settled {
+            match end {
+                RunEnd::Broken => {}
+                RunEnd::Answered { is_success } => {
+                    self.record_answer_at(ended_at, &keys, is_success)
+                }
+            }
+        }
+    }
+
+    /// Records the exit of a back end as evidence against the runs that ended there lately.
+    fn record_exit(&self, backend: &BackendIncarnation) {
+        let runs = self.ended_runs.borrow_mut().take_of(backend);
+        for run in runs {
+            self.record_crash_under(&run);
+        }
+    }
+
+    fn record_crash_under(&self, run: &EndedRun) {
+        let parts = match run.progress {
+            ResponseProgress::Beginning => run.keys.parts(),
+            ResponseProgress::Underway => &[],
+        };
+        self.log_crash(run);
+        for digest in parts.iter().chain([run.keys.request()]) {
+            self.record_crash(run, digest, digest != run.keys.request());
+        }
+    }
+
+    /// Records the crash of a back end as evidence against a request or a part of prompts.
+    fn record_crash(&self, run: &EndedRun, digest: &RequestDigest, is_part: bool) {
         let before = self.is_held_back(digest);
         let population =
-            self.catalog.load().ready_table(&backend.service).map_or(0, |table| table.len());
-        let crashed = (&incarnation, population);
-        let sent_at = self.clock.at(sent).plus_millis(INITIAL_TIME_MS);
-        self.table.borrow_mut().record_crash(self.now(), *digest, crashed, sent_at);
+            self.catalog.load().ready_table(&run.service).map_or(0, |table| table.len());
+        let crashed = (&run.backend, population);
+        self.table.borrow_mut().record_crash(run.ended_at, *digest, crashed, run.sent_at);
         LogLine::new(EventName::BackendEndedUnder)
             .id(digest)
-            .text("backend", &backend.id)
-            .field("started_ms", backend.started_ms)
-            .field("ran_ms", sent.elapsed().as_millis() as u64)
+            .text("backend", &run.backend.id)
+            .field("started_ms", run.backend.started_ms)
+            .field("ran_ms", run.ended_at.millis_since(run.sent_at))
             .field("ends", self.crash_count(digest))
             .field("is_prompt_part", is_part)
             .write();
@@ -176,23 +279,21 @@
     }
 
     /// Logs the crash of a back end once, for the first request that detects it.
-    fn log_crash(&self, backend: &Backend) {
-        let (mut logged, now, incarnation) =
-            (self.logged_crashes.borrow_mut(), self.now(), backend.incarnation());
-        if logged.iter().any(|(known, at)| is_same_crash((known, *at), (&incarnation, now))) {
+    fn log_crash(&self, run: &EndedRun) {
+        let (mut logged, crash) = (self.logged_crashes.borrow_mut(), (&run.backend, run.ended_at));
+        if logged.iter().any(|(known, at)| is_same_crash((known, *at), crash)) {
             return;
         }
         if logged.len() >= MAX_LOGGED_CRASHES {
             logged.remove(0);
         }
-        logged.push((incarnation, now));
-        metrics::counter!("backends_ended_total", "service" => backend.service.clone())
-            .increment(1);
+        logged.push((run.backend.clone(), run.ended_at));
+        metrics::counter!("backends_ended_total", "service" => run.service.clone()).increment(1);
         LogLine::new(EventName::BackendEnded)
-            .id(&backend.id)
-            .field("started_ms", backend.started_ms)
-            .text("address", backend.address)
-            .field("service", backend.service.as_str())
+            .id(&run.backend.id)
+            .field("started_ms", run.backend.started_ms)
+            .text("address", run.address)
+            .field("service", run.service.as_str())
             .write();
     }
 
@@ -224,30 +325,40 @@
 
     /// Records that a back end answered a request completely, with any status.
     pub fn record_answer(&self, request: &RequestDigest) {
-        self.clear(request, MIN_REQUEST_CRASHES_TO_PUBLISH);
+        self.clear(self.now(), request, MIN_REQUEST_CRASHES_TO_PUBLISH);
     }
 
     /// Records that a back end answered a request completely and successfully, which also proves
     /// that no part of its prompt is the cause of earlier crashes.
     pub fn record_success(&self, keys: &SuspectKeys) {
-        self.record_answer(keys.request());
-        self.record_underway(keys);
+        self.record_answer_at(self.now(), keys, true);
+    }
+
+    fn record_answer_at(&self, at: Timestamp, keys: &SuspectKeys, is_success: bool) {
+        self.clear(at, keys.request(), MIN_REQUEST_CRASHES_TO_PUBLISH);
+        if is_success {
+            self.clear_parts(at, keys);
+        }
     }
 
     /// Records that a successful response is underway, which proves that no part of the prompt is
     /// the cause of earlier crashes.
     pub fn record_underway(&self, keys: &SuspectKeys) {
+        self.clear_parts(self.now(), keys);
+    }
+
+    fn clear_parts(&self, at: Timestamp, keys: &SuspectKeys) {
         for part in keys.parts() {
-            self.clear(part, MIN_PART_CRASHES_TO_PUBLISH);
+            self.clear(at, part, MIN_PART_CRASHES_TO_PUBLISH);
         }
     }
 
-    fn clear(&self, digest: &RequestDigest, min_crashes_to_publish: usize) {
+    fn clear(&self, at: Timestamp, digest: &RequestDigest, min_crashes_to_publish: usize) {
         let table = self.table.borrow();
         // Of keys that are always present together, one is the cause and only that one restricts.
         let was_held_back = table.is_held_back(digest) && !table.is_explained(digest);
         drop(table);
-        let cleared = self.table.borrow_mut().record_answer(self.now(), digest);
+        let cleared = self.table.borrow_mut().record_answer(at, digest);
         if cleared < min_crashes_to_publish {
             return;
         }
@@ -342,6 +453,9 @@
         }
         // After the updates, so that a request's own crashes are not taken for those of others.
         self.table.borrow_mut().merge_crashed_backends(now, &report.crashed_backends);
+        for crashed in &report.crashed_backends {
+            self.record_exit(&crashed.backend);
+        }
         if is_new {
             self.update_gauge();
             self.changed.notify_one();
--- a/crates/suspects/tests/registry.rs
+++ b/crates/suspects/tests/registry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::task::LocalSet;
 use tokio::time::Instant;
 use yokefall_clock::{ElapsedClock, SuspensionSource};
 use yokefall_serving::{
@@ -77,6 +78,25 @@
     assert_eq!(registry.status(&digest()), SuspectStatus::Free);
 }
 
+/// Seen: a connection broke milliseconds before the port closed, and the crash was no evidence.
+#[tokio::test]
+async fn a_back_end_whose_port_closes_after_its_connections_has_crashed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let crashing = backend("crashing", listener.local_addr().expect("an address"));
+    let registry = registry(catalog_of(std::slice::from_ref(&crashing)));
+    let watching = async {
+        tokio::task::spawn_local(registry.clone().watch_ended_runs());
+        let disconnect =
+            registry.record_disconnect(&crashing, Instant::now(), ResponseProgress::Beginning, keys);
+        assert_eq!(disconnect.await, DisconnectCause::Unknown);
+        drop(listener);
+        while registry.is_empty() {
+            registry.changed.notified().await;
+        }
+    };
+    LocalSet::new().run_until(watching).await;
+}
+
 #[tokio::test]
 async fn the_end_of_a_back_end_that_was_about_to_leave_is_no_evidence() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
