A response that ended with its connection is no answer if its back end crashed then

Back ends went on crashing where responses have neither a length nor chunks: a request with a fatal part got a short response and status 200 as its back end crashed, which cleared the part each time.

Cause: the end of the connection was booked as an answer at once, although a crash ends it as well.

Change: such a response is kept for 0.3 s as a run that ended. If its back end is found crashed, it is evidence; otherwise it is booked as an answer, at the time of its end. Back ends are checked for this only after some crash (one connection, 0.15 s after the response); before, a disconnect or a refused connection of another request shows it.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -216,7 +216,8 @@
             .field("bytes", self.relayed_bytes)
             .write();
         source.slot.outcome = Outcome::Answered;
-        suspect::record_answer(&self.shared, &self.context, source.is_success);
+        let end = (source.body.framing(), source.progress.progress());
+        suspect::record_answer(&self.shared, &self.context, &source.slot, end, source.is_success);
         if !source.close {
             self.shared.pool.put_back(source.connection);
         }
--- a/crates/gateway/src/suspect.rs
+++ b/crates/gateway/src/suspect.rs
@@ -10,7 +10,7 @@
 use yokefall_jobstore::client::CallOutcome;
 use yokefall_jobstore::{Reply, Request};
 use yokefall_suspects::{Grant, RequestSource, ResponseProgress, Restriction, SuspectStatus};
-use yokefall_upstream::BackendSlot;
+use yokefall_upstream::{BackendSlot, Framing};
 
 use crate::context::RequestContext;
 use crate::shared::Shared;
@@ -88,15 +88,25 @@
     shared.suspects.record_disconnect(&slot.backend, slot.acquired_at(), progress, keys).await;
 }
 
-/// Records that a back end completed a request: terminations that were attributed to the request,
-/// or on success to a part of its prompt, had another cause.
-pub fn record_answer(shared: &Shared, context: &RequestContext, is_success: bool) {
-    if shared.suspects.is_empty() {
-        return;
-    }
-    match is_success {
-        true => shared.suspects.record_success(context.suspect_keys()),
-        false => shared.suspects.record_answer(context.suspect_keys().request()),
+/// Records that a back end completed a request: crashes that were attributed to the request, or on
+/// success to a part of its prompt, had another cause. A response that ended with its connection may
+/// have been cut off by one.
+pub fn record_answer(
+    shared: &Shared,
+    context: &RequestContext,
+    slot: &BackendSlot,
+    (framing, progress): (Framing, ResponseProgress),
+    is_success: bool,
+) {
+    let (suspects, sent) = (&shared.suspects, slot.acquired_at());
+    match (framing, is_success) {
+        (Framing::Connection, _) => {
+            let keys = context.suspect_keys().clone();
+            suspects.record_unframed_answer(&slot.backend, sent, progress, keys, is_success);
+        }
+        _ if suspects.is_empty() => {}
+        (_, true) => suspects.record_success(context.suspect_keys()),
+        (_, false) => suspects.record_answer(context.suspect_keys().request()),
     }
 }
 
--- a/crates/suspects/tests/registry.rs
+++ b/crates/suspects/tests/registry.rs
@@ -86,8 +86,12 @@
     let registry = registry(catalog_of(std::slice::from_ref(&crashing)));
     let watching = async {
         tokio::task::spawn_local(registry.clone().watch_ended_runs());
-        let disconnect =
-            registry.record_disconnect(&crashing, Instant::now(), ResponseProgress::Beginning, keys);
+        let disconnect = registry.record_disconnect(
+            &crashing,
+            Instant::now(),
+            ResponseProgress::Beginning,
+            keys,
+        );
         assert_eq!(disconnect.await, DisconnectCause::Unknown);
         drop(listener);
         while registry.is_empty() {
