An event ends with both characters of its line end

Callers that split a resumed stream at CRLF CRLF got two events joined into one: an event was taken to end at the CR of its last line end, so that the LF came with the next chunk and was lost where the stream went on at another back end.

Change: the LF belongs to the event that it ends where it is at hand. One that arrives later still comes with the next event of the same back end. The test failed before.

--- a/crates/upstream/src/event_stream.rs
+++ b/crates/upstream/src/event_stream.rs
@@ -21,11 +21,14 @@
 }
 
 impl EventBoundaries {
-    /// Reads the next bytes. Returns the position after the last empty line in them.
+    /// Reads the next bytes. Returns the position after the last empty line in them, with both
+    /// characters of its end if they are at hand.
     pub fn read(&mut self, bytes: &[u8]) -> Option<usize> {
         let mut last_end = None;
         for (position, byte) in bytes.iter().enumerate() {
-            if self.read_byte(*byte) {
+            let is_second_of_end =
+                last_end == Some(position) && *byte == b'\n' && self.line == Line::StartAfterCr;
+            if self.read_byte(*byte) || is_second_of_end {
                 last_end = Some(position + 1);
             }
         }
--- a/crates/upstream/tests/event_stream.rs
+++ b/crates/upstream/tests/event_stream.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// Seen: the line feed came with the next chunk, and was lost where the stream went on elsewhere.
+#[test]
+fn an_event_ends_with_both_characters_of_its_line_end() {
+    let mut boundaries = EventBoundaries::default();
+    assert_eq!(boundaries.read(b"id: 1\r\ndata: a\r\n\r\nid"), Some(18));
+    assert_eq!(boundaries.read(b": 2\r\ndata: b\r\n\r\n"), Some(16));
+    assert_eq!(boundaries.read(b"\r\n"), Some(2));
+}
+
 #[test]
 fn the_end_of_the_last_event_is_found() {
     let mut boundaries = EventBoundaries::default();
