Processes that are gone are no longer expected to answer while requests come

Callers who name no attempt would have been refused after most processes had been replaced at other addresses: those that were gone were forgotten only if the last question was a second old, and each such request asks a new one. Found by reading the change; the test failed before.

Change: one question at a time is kept until its answers should have come, whatever is asked meanwhile. The text of the refusal says what it means.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -100,17 +100,8 @@
         let (head, body) = response.into_parts();
         let close = Connection::closes_after(&head.headers);
         let is_success = head.status.is_success();
-        (
-            head,
-            Self {
-                body,
-                connection,
-                slot,
-                close,
-                is_success,
-                progress: ProgressTracker::default(),
-            },
-        )
+        let progress = ProgressTracker::default();
+        (head, Self { body, connection, slot, close, is_success, progress })
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -95,9 +95,10 @@
             ContinuationError::AttemptNotNamed => {
                 (NOT_CONTINUED_RETRY_AFTER, "name the attempt that began the stream")
             }
-            ContinuationError::HistoryIncomplete => {
-                (UNANSWERED_RETRY_AFTER, "this gateway does not know now where streams began")
-            }
+            ContinuationError::HistoryIncomplete => (
+                UNANSWERED_RETRY_AFTER,
+                "this gateway cannot tell now where streams of the route began",
+            ),
             ContinuationError::ServiceRemoved => {
                 (NOT_CONTINUED_RETRY_AFTER, "the service that began the stream is not on the route")
             }
--- a/crates/streams/src/contacts.rs
+++ b/crates/streams/src/contacts.rs
@@ -76,11 +76,14 @@
     }
 
     /// Forgets those that are gone: they did not answer a question in time, while most others did.
-    pub(crate) fn review(&mut self, now: Timestamp, round: &Round) {
-        if now.millis_since(round.asked_at) >= ANSWER_TIMEOUT_MS && self.is_answered(round) {
-            let gone: Vec<SocketAddr> = self.unanswered(round).collect();
+    /// Takes the question once the time is over.
+    pub(crate) fn review(&mut self, now: Timestamp, round: &mut Option<Round>) {
+        self.answered_at.retain(|_, at| now.millis_since(*at) < CONTACT_LIFETIME_MS);
+        let is_over = |round: &mut Round| now.millis_since(round.asked_at) >= ANSWER_TIMEOUT_MS;
+        let Some(round) = round.take_if(is_over) else { return };
+        if self.is_answered(&round) {
+            let gone: Vec<SocketAddr> = self.unanswered(&round).collect();
             self.answered_at.retain(|address, _| !gone.contains(address));
         }
-        self.answered_at.retain(|_, at| now.millis_since(*at) < CONTACT_LIFETIME_MS);
     }
 }
--- a/crates/streams/src/history_registry.rs
+++ b/crates/streams/src/history_registry.rs
@@ -57,6 +57,8 @@
     contacts: RefCell<Contacts>,
     /// The last question to others.
     last_round: RefCell<Option<Round>>,
+    /// A question whose answers are looked at once all should have come.
+    reviewed_round: RefCell<Option<Round>>,
     asked_at: Cell<Option<Instant>>,
     /// Notified when another process has answered.
     answered: Notify,
@@ -87,6 +89,7 @@
             started_at: Instant::now(),
             contacts: RefCell::default(),
             last_round: RefCell::default(),
+            reviewed_round: RefCell::default(),
             asked_at: Cell::default(),
             answered: Notify::new(),
         })
@@ -184,9 +187,7 @@
     }
 
     fn keep_contact(&self) {
-        if let Some(round) = &*self.last_round.borrow() {
-            self.contacts.borrow_mut().review(self.now(), round);
-        }
+        self.contacts.borrow_mut().review(self.now(), &mut self.reviewed_round.borrow_mut());
         let interval = match (self.is_complete(), self.contacts.borrow().is_empty()) {
             (false, _) => OBSERVATION_INTERVAL,
             (true, true) => FIRST_CONTACT_INTERVAL,
@@ -210,6 +211,7 @@
         let round = self.contacts.borrow().ask(self.now(), &asked);
         self.asked_at.set(Some(Instant::now()));
         self.last_round.replace(Some(round.clone()));
+        self.reviewed_round.borrow_mut().get_or_insert_with(|| round.clone());
         round
     }
 
--- a/crates/streams/tests/history_registry.rs
+++ b/crates/streams/tests/history_registry.rs
@@ -124,6 +124,23 @@
     .await;
 }
 
+/// Seen by reading: processes that were replaced by others were expected to answer while requests came
+/// all the time.
+#[tokio::test(start_paused = true)]
+async fn processes_that_are_gone_are_forgotten_while_requests_come() {
+    with_process(Others::default(), |process, others| async move {
+        for gone in 1..=8 {
+            others.set_silent(0..gone, true);
+            for _ in 0..200 {
+                process.confirm().await;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            assert!(process.confirm().await, "{gone} are gone");
+        }
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn processes_that_never_answered_are_not_waited_for() {
     let silent = Others::default();
