A back end that leaves right after an unframed response has not crashed

Callers would have had their requests suspected where a back end ends as planned: a response that ends with its connection was evidence if the port closed within 0.3 s, also if the back end drained, or had left the list meanwhile. Found by reading the change; the test failed before.

Change: when an exit is found, the list is asked again whether the back end was about to leave; what ended there is then booked as it ended. A crashed one stays listed until it is missed.

--- a/crates/suspects/src/registry.rs
+++ b/crates/suspects/src/registry.rs
@@ -145,16 +145,11 @@
         let run = self.ended_run(backend, sent, progress, keys(), RunEnd::Broken);
         let has_exited = self.checks.has_exited(&run.backend, run.address).await;
         self.ended_runs.borrow_mut().push(run);
-        match has_exited {
-            true => {
-                self.record_exit(&backend.incarnation());
-                DisconnectCause::BackendCrashed
-            }
-            false => {
-                self.has_ended_runs.notify_one();
-                DisconnectCause::Unknown
-            }
+        if has_exited && self.record_exit(&backend.incarnation()) {
+            return DisconnectCause::BackendCrashed;
         }
+        self.has_ended_runs.notify_one();
+        DisconnectCause::Unknown
     }
 
     /// Records a response that ended with its connection, as its framing has it. It is an answer unless
@@ -230,21 +225,39 @@
     /// Books the runs whose back ends did not crash.
     fn settle_ended_runs(&self) {
         let settled = self.ended_runs.borrow_mut().take_settled(self.now());
-        for EndedRun { keys, ended_at, end, .. } in settled {
-            match end {
-                RunEnd::Broken => {}
-                RunEnd::Answered { is_success } => {
-                    self.record_answer_at(ended_at, &keys, is_success)
-                }
-            }
+        settled.iter().for_each(|run| self.record_end(run));
+    }
+
+    fn record_end(&self, EndedRun { keys, ended_at, end, .. }: &EndedRun) {
+        match end {
+            RunEnd::Broken => {}
+            RunEnd::Answered { is_success } => self.record_answer_at(*ended_at, keys, *is_success),
         }
     }
 
-    /// Records the exit of a back end as evidence against the runs that ended there lately.
-    fn record_exit(&self, backend: &BackendIncarnation) {
+    /// Records the exit of a back end as evidence against the runs that ended there lately, unless it
+    /// was about to leave. Returns whether it is evidence.
+    fn record_exit(&self, backend: &BackendIncarnation) -> bool {
         let runs = self.ended_runs.borrow_mut().take_of(backend);
-        for run in runs {
-            self.record_crash_under(&run);
+        let has_crashed = !self.is_leaving(backend);
+        for run in &runs {
+            match has_crashed {
+                true => self.record_crash_under(run),
+                false => self.record_end(run),
+            }
+        }
+        has_crashed
+    }
+
+    /// Whether a back end drains or has left. A crashed one stays listed until it is missed, or until
+    /// its next incarnation takes its place.
+    fn is_leaving(&self, backend: &BackendIncarnation) -> bool {
+        let catalog = self.catalog.load();
+        match catalog.known.get(&backend.id) {
+            None => true,
+            Some(known) => {
+                known.started_ms == backend.started_ms && !catalog.is_ready_incarnation(backend)
+            }
         }
     }
 
--- a/crates/suspects/tests/registry.rs
+++ b/crates/suspects/tests/registry.rs
@@ -101,6 +101,26 @@
     LocalSet::new().run_until(watching).await;
 }
 
+/// Seen by reading: a back end that ended as planned right after such a response had crashed.
+#[tokio::test]
+async fn a_response_that_ends_with_its_connection_is_an_answer_if_the_back_end_leaves() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let leaving = backend("leaving", listener.local_addr().expect("an address"));
+    let catalog = catalog_of(std::slice::from_ref(&leaving));
+    let registry = registry(catalog.clone());
+    let (now, progress) = (Instant::now(), ResponseProgress::Beginning);
+    registry.record_unframed_answer(&leaving, now, progress, keys(), true);
+    catalog.store(catalog_of(&[]).load_full());
+    drop(listener);
+    registry.record_unreachable(&leaving).await;
+    assert!(registry.is_empty());
+    // The same without leaving.
+    catalog.store(catalog_of(std::slice::from_ref(&leaving)).load_full());
+    registry.record_unframed_answer(&leaving, now, progress, keys(), true);
+    registry.record_unreachable(&leaving).await;
+    assert!(!registry.is_empty());
+}
+
 #[tokio::test]
 async fn the_end_of_a_back_end_that_was_about_to_leave_is_no_evidence() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
