--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,18 @@
+//! The scripts of this review: `review-2 CASE RECORD`, in the root of the repository.
+
+mod kit;
+mod retired;
+mod unsealed;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let record = kit::Record::create(std::path::Path::new(&arguments[2]));
+    let result = match arguments[1].as_str() {
+        "retired" => retired::run(&record),
+        "unsealed" => unsealed::run(&record),
+        _ => 2,
+    };
+    record.line(format!("result {result}"));
+    println!("result {result}");
+    std::process::exit(result);
+}
