--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod kit;
 mod retired;
+mod unrouted;
 mod unsealed;
 
 fn main() {
@@ -9,6 +10,7 @@
     let record = kit::Record::create(std::path::Path::new(&arguments[2]));
     let result = match arguments[1].as_str() {
         "retired" => retired::run(&record),
+        "unrouted" => unrouted::run(&record),
         "unsealed" => unsealed::run(&record),
         _ => 2,
     };
