--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -458,7 +458,7 @@
     Server { id: id.to_owned(), address }
 }
 
-fn serve_connection(mut stream: TcpStream, id: &str, behaviour: Behaviour) {
+pub fn serve_connection(mut stream: TcpStream, id: &str, behaviour: Behaviour) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     while let Some(request) = read_message(&mut stream, &mut buffer, false) {
