--- a/review/p1-route/main.rs
+++ b/review/p1-route/main.rs
@@ -35,7 +35,8 @@
                 request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
             running.fetch_add(1, Ordering::SeqCst);
             let head = format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\nServer-Load: 1,0,4\r\n\
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\n\
+                 Server-Load: 1,0,4\r\n\
                  Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             );
             let mut open = socket.write_all(head.as_bytes()).is_ok();
--- a/review/p1-seal/main.rs
+++ b/review/p1-seal/main.rs
@@ -1,4 +1,5 @@
-//! A server spoils the line of its answer that carries the seal. Does a client get a success without it?
+//! A server spoils the line of its answer that carries the seal. Does a client get a success without
+//! it?
 
 #[path = "../standins-3/kit.rs"]
 mod kit;
@@ -38,7 +39,8 @@
                 log.line(format!("server {index} spoils its answer to {id}"));
             }
             let head = format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n{seal}\r\nServer-Load: 1,0,6\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n{seal}\r\nServer-Load: 1,0,6\r\n\
+                 Content-Length: {}\r\n\r\n",
                 body.len()
             );
             socket.write_all(format!("{head}{body}").as_bytes()).is_ok()
@@ -92,7 +94,10 @@
             }
         }
     }
-    record.line(format!("{REQUESTS} requests: {served} with a seal, {unsealed} successes without a seal, {other} other answers"));
+    record.line(format!(
+        "{REQUESTS} requests: {served} with a seal, {unsealed} successes without a seal, \
+         {other} other answers"
+    ));
     drop(deployment);
     let code = match (served > REQUESTS / 2, unsealed > 0) {
         (_, true) => 1,
--- a/review/p1-term/main.rs
+++ b/review/p1-term/main.rs
@@ -26,8 +26,8 @@
     fn connect(socket: i32, address: *const u8, length: u32) -> i32;
 }
 
-/// Connects as over Ethernet: segments of 1,448 bytes, in place of the 64 KB of loopback, and a small
-/// window.
+/// Connects as over Ethernet: segments of 1,448 bytes, in place of the 64 KB of loopback, and a
+/// small window.
 fn connect_over_ethernet(address: SocketAddr) -> Option<TcpStream> {
     let SocketAddr::V4(v4) = address else { return None };
     unsafe {
@@ -107,7 +107,8 @@
             let after: u64 =
                 request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
             let mut answer = format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\nServer-Load: 1,0,12\r\n\
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\n\
+                 Server-Load: 1,0,12\r\n\
                  Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             );
             for event in after + 1..=EVENTS {
--- a/review/p1-watch/main.rs
+++ b/review/p1-watch/main.rs
@@ -36,7 +36,8 @@
             }
             let body = "turn left at the depot";
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\nServer-Load: 1,0,6\r\n\
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\n\
+                 Server-Load: 1,0,6\r\n\
                  Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
@@ -150,13 +151,16 @@
     for (at, id) in &late {
         let sent = sent_after.get(id).and_then(|sent| sent.checked_duration_since(acknowledged));
         record.line(format!(
-            "{id}, which its client sent {sent:?} after the acknowledgement, reached i-turn-0 {:.3} s after it",
+            "{id}, which its client sent {sent:?} after the acknowledgement, reached i-turn-0 \
+             {:.3} s after it",
             at.duration_since(acknowledged).as_secs_f64()
         ));
     }
     record.line(format!(
-        "{answered} requests were answered; {} reached the leaving server, {} of them later than drainMs",
-        arrivals.len(), late.len()
+        "{answered} requests were answered; {} reached the leaving server, {} of them later than \
+         drainMs",
+        arrivals.len(),
+        late.len()
     ));
     match (late.len(), answered > 100 && !arrivals.is_empty()) {
         (1.., _) => 1,
--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -485,7 +485,8 @@
             }
             std::thread::sleep(Duration::from_millis(2));
             let head = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if writer.write_all(head.as_bytes()).is_err() {
@@ -577,8 +578,8 @@
     }
 }
 
-/// Accepts connections of a stand-in of a server; `serve` gets each request and the socket to answer
-/// on, and returns whether the connection stays open.
+/// Accepts connections of a stand-in of a server; `serve` gets each request and the socket to
+/// answer on, and returns whether the connection stays open.
 pub fn serve_requests(
     address: (Ipv4Addr, u16),
     serve: impl Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
@@ -618,7 +619,8 @@
 
 pub fn post(path: &str, host: &str, id: &str, headers: &str, body: &str) -> String {
     format!(
-        "POST {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        "POST {path} HTTP/1.1\r\nHost: {host}\r\nAttempt-Id: {id}\r\n{headers}\
+         Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
 }
@@ -783,11 +785,14 @@
         let (ip, zone) = (self.addresses.ip(10 + index), ZONES[index as usize % 3]);
         let name = format!("edge-{index}");
         let settings = format!(
-            "role = \"gateway\"\n[node]\nname = \"{name}\"\nzone = \"{zone}\"\nregion = \"region-1\"\n\
-             [listen]\ningress = \"{ip}:8144\"\nreadiness = \"{ip}:8140\"\ndirectory = \"{ip}:8143\"\n\
+            "role = \"gateway\"\n[node]\nname = \"{name}\"\nzone = \"{zone}\"\n\
+             region = \"region-1\"\n\
+             [listen]\ningress = \"{ip}:8144\"\nreadiness = \"{ip}:8140\"\n\
+             directory = \"{ip}:8143\"\n\
              peer = \"{ip}:8146\"\nnews = \"{ip}:7675\"\nmetrics = \"{ip}:9464\"\n\
              [fleet]\nseeds = {}\ntolerated_losses = {}\nbootstrap = {bootstrap}\n\
-             [platform]\nstore = \"{}\"\n[limits]\nmemory_mb = 220\n[stop]\nseconds = 8\n[zones]\n{}",
+             [platform]\nstore = \"{}\"\n[limits]\nmemory_mb = 220\n\
+             [stop]\nseconds = 8\n[zones]\n{}",
             self.seeds(),
             self.tolerated_losses,
             self.store.address,
@@ -803,10 +808,12 @@
         let name = format!("storage-{index}");
         let data = self.folder.join(format!("{name}-data"));
         let settings = format!(
-            "role = \"job-store\"\n[node]\nname = \"{name}\"\nzone = \"{zone}\"\nregion = \"region-1\"\n\
+            "role = \"job-store\"\n[node]\nname = \"{name}\"\nzone = \"{zone}\"\n\
+             region = \"region-1\"\n\
              [listen]\npeer = \"{ip}:7660\"\nnews = \"{ip}:7675\"\nmetrics = \"{ip}:9464\"\n\
              [fleet]\nseeds = {}\ntolerated_losses = {}\n[platform]\nstore = \"{}\"\n\
-             [data]\nfolder = \"{}\"\nbootstrap = {bootstrap}\nretention_seconds = 120\ndisk_mb = 470\n\
+             [data]\nfolder = \"{}\"\nbootstrap = {bootstrap}\nretention_seconds = 120\n\
+             disk_mb = 470\n\
              [limits]\nmemory_mb = 250\n[stop]\nseconds = 8\n[zones]\n{}",
             self.seeds(),
             self.tolerated_losses,
