Review: retirements leave a group that never answers (case 8)

Where two losses are to be borne, three of five job stores may be emptied one after the other, each reported as completed; the two that are left answer 503 to every read for good (LOST).

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 rustc --edition 2021 -O -o target/review-2/review-2 review/standins-2/main.rs
+rustc --edition 2021 -O -o target/review-2/case-8 review/8/main.rs
