--- a/crates/bench/src/standin/http.rs
+++ b/crates/bench/src/standin/http.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
+use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -138,9 +139,20 @@
         .map_err(|error| Box::new(full_response(StatusCode::BAD_REQUEST, error.to_string())))
 }
 
-/// The first value of a key in the query string, not percent-decoded.
+/// The first value of a key in the query string, decoded as by HTML forms; `None` also if it is not
+/// UTF-8.
 pub fn query_value(request: &Request<Incoming>, key: &str) -> Option<String> {
     let query = request.uri().query()?;
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.filter(|(name, _)| *name == key).map(|(_, value)| value.to_owned()).next()
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(name, _)| *name == key)?;
+    percent_decode(&value.replace('+', " "))
+}
+
+/// The segments of the path, decoded; `None` if one is not UTF-8.
+pub fn path_segments(request: &Request<Incoming>) -> Option<Vec<String>> {
+    request.uri().path().split('/').skip(1).map(percent_decode).collect()
+}
+
+fn percent_decode(text: &str) -> Option<String> {
+    percent_decode_str(text).decode_utf8().ok().map(|decoded| decoded.into_owned())
 }
