Back ends that no request can name accept no work

Callers could see: a request that was given to a back end whose id fits no header (a control character in it) was refused with 503, whatever other back ends were free; an item given to one was abandoned for good.

Cause: the request for a back end carries its id in a header, and a request that can't be built was taken for a property of the request instead of the back end.

Evidence: by reading (`request_for` in the gateway, `ItemRunner::request` in the job store); the test a_back_end_whose_id_fits_no_header_accepts_no_work fails without the change: all five back ends are ready.

Change: the catalog, from which every sender takes its candidates, lists no back end that can't be named. `is_ready` asks the same function instead of repeating it.

--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -191,10 +191,8 @@
 
     /// Whether a back end accepts work.
     pub fn is_ready(&self, id: &str) -> bool {
-        self.known.get(id).is_some_and(|backend| {
-            let accepts_work = backend.state == BackendState::Ready && !self.evacuations_unknown;
-            accepts_work && !self.is_evacuated(&backend.zone)
-        })
+        let known = self.known.get(id).filter(|_| !self.evacuations_unknown);
+        known.is_some_and(|backend| accepts_work(backend, &self.evacuated))
     }
 
     /// Whether this incarnation of a back end accepts work.
@@ -267,8 +265,12 @@
     }
 }
 
+/// Whether a back end accepts work. Processes of older builds pass on records with ids of any
+/// characters.
 fn accepts_work(backend: &Backend, evacuated: &BTreeSet<String>) -> bool {
-    backend.state == BackendState::Ready && !evacuated.contains(&backend.zone)
+    backend.state == BackendState::Ready
+        && !evacuated.contains(&backend.zone)
+        && backend.has_sendable_id()
 }
 
 /// Indexes tenants by key. The first of duplicates wins; the `check` command reports them.
--- a/crates/serving/src/model.rs
+++ b/crates/serving/src/model.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use borsh::{BorshDeserialize, BorshSerialize};
+use http::HeaderValue;
 use yokefall_types::Tenant;
 
 use crate::objects::Incarnated;
@@ -223,6 +224,11 @@
     pub fn incarnation(&self) -> BackendIncarnation {
         BackendIncarnation { id: self.id.clone(), started_ms: self.started_ms }
     }
+
+    /// Whether requests can name it: each carries the id in a header.
+    pub fn has_sendable_id(&self) -> bool {
+        !self.id.is_empty() && HeaderValue::try_from(&self.id).is_ok()
+    }
 }
 
 /// One incarnation of a back end; load, outcomes, connections and caches are not carried over.
--- a/crates/serving/tests/catalog.rs
+++ b/crates/serving/tests/catalog.rs
@@ -1,12 +1,16 @@
 //! Routes, traffic splits, and state that never goes backwards.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use yokefall_serving::catalog::empty_catalog;
 use yokefall_serving::objects::{Incarnated, Objects};
 use yokefall_serving::table::{RouteTable, Splitter};
 use yokefall_serving::watch::PlatformState;
-use yokefall_serving::{Change, Configuration, Listing, Route, RouteKind, SplitPart};
+use yokefall_serving::{
+    Backend, BackendState, Catalog, Change, Configuration, Listing, Route, RouteKind,
+    SoftwareVersion, SplitPart,
+};
 
 fn route(name: &str, host: &str, prefix: &str, split: &[(&str, u32)]) -> Route {
     let part =
@@ -149,3 +153,28 @@
     objects.apply(vec![in_incarnation("a", 10, None, 0)], 10);
     assert_eq!(values(&objects), [9], "the object was removed");
 }
+
+/// Each request names its back end in a header. No request could be built for such a back end:
+/// clients were refused, and items given up.
+#[test]
+fn a_back_end_whose_id_fits_no_header_accepts_no_work() {
+    let backend = |id: &str| {
+        Arc::new(Backend {
+            id: id.into(),
+            started_ms: 0,
+            service: "s".into(),
+            address: "127.0.0.1:80".parse().expect("an address"),
+            zone: "z".into(),
+            slots: 1,
+            state: BackendState::Ready,
+            cold_remaining_ms: 0,
+            software_version: SoftwareVersion::Unnamed,
+        })
+    };
+    let backends = ["i-0", "i\n1", "", "i\u{0}", "i-4"].map(backend);
+    let catalog = Catalog::new(None, backends.iter());
+    let ready: BTreeSet<&str> =
+        catalog.ready("s").iter().map(|backend| backend.id.as_str()).collect();
+    assert_eq!(ready, BTreeSet::from(["i-0", "i-4"]));
+    assert!(catalog.is_ready("i-0") && !catalog.is_ready("i\n1"));
+}
