A list that makes no progress ends, and what was read of it is used

Callers could see: where the store takes no page after a name (it refuses the name, closes the connection, or understands another one), a process never came past that name. It read the same pages again forever and used the back ends of the first pages alone.

Cause: the last name of a page was the only place from which the list could go on, and only a complete list counted. One entry decided over all that come after it.

If the store answers without a further page, or gives one that was read, the name before is tried; the pages then overlap, and each object counts once. If none is left, the list ends early: what was read is applied and followed without counting as complete, so that nothing unread is taken for gone here or at peers, and the list is read again after 10 s. The line `list-incomplete` and `platform_lists_incomplete_total` tell of it. An answer that can't be used is an error of its own (`SourceError::Unusable`), since one that never came says nothing about the name.

--- a/crates/serving/src/source.rs
+++ b/crates/serving/src/source.rs
@@ -64,6 +64,15 @@
         /// The cause.
         cause: String,
     },
+    /// The store answered a read, but not with what was asked for.
+    Unusable {
+        /// The step that failed, for example `parse answer`.
+        step: &'static str,
+        /// Address of the store.
+        peer: String,
+        /// The cause.
+        cause: String,
+    },
     /// The store rejected the call by its rate limit or because of its state; nothing was done.
     Refused {
         /// HTTP status of the response.
@@ -74,7 +83,8 @@
 impl fmt::Display for SourceError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            SourceError::Failed { step, peer, cause } => {
+            SourceError::Failed { step, peer, cause }
+            | SourceError::Unusable { step, peer, cause } => {
                 write!(formatter, "{step} {peer}: {cause}")
             }
             SourceError::Refused { status } => write!(formatter, "rejected with status {status}"),
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -5,8 +5,9 @@
 
 use tokio::sync::Notify;
 use yokefall_core::Timestamp;
+use yokefall_telemetry::{EventName, LogLine};
 
-use crate::listing::PartialList;
+use crate::listing::{ListEnd, PartialList};
 pub use crate::platform_state::{PlatformState, StateOptions};
 pub use crate::shared_state::{EvacuationChange, Observer, SharedPlatformState};
 use crate::source::{Change, Listing, Revision, Source, SourceError, WatchResponse};
@@ -36,16 +37,21 @@
 const WATCH_GRACE: Duration = Duration::from_millis(700);
 /// Timeout for one page of a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which a list that ended early is read again.
+const RELIST_INTERVAL: Duration = Duration::from_secs(10);
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Revision of changes to objects that are not all known: it raises none.
+pub const INCOMPLETE: Revision = 0;
+
 /// Receives the results of lists and watches.
 pub trait Sink<T> {
     /// Replaces all objects with a list.
     fn replace(&self, listing: Listing<T>);
     /// Receives one page of a list that is still being read.
     fn apply_page(&self, _items: &[Change<T>]) {}
-    /// Applies changes.
+    /// Applies changes. The objects are complete up to `revision`, unless it is [`INCOMPLETE`].
     fn apply(&self, changes: Vec<Change<T>>, revision: Revision);
     /// Reports the outcome of a call; `None` for success.
     fn ended(&self, error: Option<&SourceError>);
@@ -140,31 +146,95 @@
     failed: &mut bool,
     backoff: &mut Duration,
 ) -> Result<(), SourceError> {
-    while !list.is_complete() {
+    let Some(end) = read_list(source, list, sink, options, backoff).await? else { return Ok(()) };
+    let asked = list.asked();
+    let listing = list.take();
+    let revision = listing.revision;
+    match end {
+        ListEnd::LastPage => {
+            sink.replace(listing);
+            sink.answered(asked, 0);
+        }
+        ListEnd::NoFurtherPage => sink.apply(listing.items, INCOMPLETE),
+    }
+    sink.ended(None);
+    if std::mem::take(failed) {
+        options.others.iter().for_each(|other| other.notify_one());
+    }
+    *backoff = INITIAL_BACKOFF;
+    match end {
+        ListEnd::LastPage => watch_changes(source, sink, options, (revision, end)).await,
+        ListEnd::NoFurtherPage => {
+            let watching = watch_changes(source, sink, options, (revision, end));
+            // When the time is up, the list is read again.
+            tokio::time::timeout(RELIST_INTERVAL, watching).await.unwrap_or(Ok(()))
+        }
+    }
+}
+
+/// Reads the remaining pages; returns `None` if the role has ended meanwhile.
+async fn read_list<T, S: Source<T>>(
+    source: &mut S,
+    list: &mut PartialList<T>,
+    sink: &impl Sink<T>,
+    options: &WatchOptions,
+    backoff: &mut Duration,
+) -> Result<Option<ListEnd>, SourceError> {
+    let mut cause = None;
+    loop {
+        if let Some(end) = list.end() {
+            if end == ListEnd::NoFurtherPage {
+                log_incomplete(source.kind(), list, cause.as_ref());
+            }
+            return Ok(Some(end));
+        }
         // The list is not read further if a peer has supplied it in the meantime.
         if !options.watch_role.is_active() {
-            return Ok(());
+            return Ok(None);
         }
         let asked = sink.now();
         let page = with_timeout(LIST_TIMEOUT, source.list(list.after())).await;
         count_call(source.kind(), "list", &page);
-        let page = page?;
-        if page.next.is_some() {
-            sink.apply_page(&page.items);
+        match page {
+            Ok(page) => {
+                if page.next.is_some() {
+                    sink.apply_page(&page.items);
+                }
+                list.add(page, asked);
+                *backoff = INITIAL_BACKOFF;
+            }
+            Err(error @ SourceError::Unusable { .. }) => {
+                if !list.skip_position() {
+                    return Err(error);
+                }
+                cause = Some(error);
+            }
+            Err(error @ SourceError::Failed { .. }) => {
+                list.postpone_position();
+                return Err(error);
+            }
+            Err(error @ SourceError::Refused { .. }) => return Err(error),
         }
-        list.add(page, asked);
-        *backoff = INITIAL_BACKOFF;
-    }
-    let asked = list.asked();
-    let listing = list.take();
-    let mut revision = listing.revision;
-    sink.replace(listing);
-    sink.answered(asked, 0);
-    sink.ended(None);
-    if std::mem::take(failed) {
-        options.others.iter().for_each(|other| other.notify_one());
     }
-    *backoff = INITIAL_BACKOFF;
+}
+
+fn log_incomplete<T>(kind: &'static str, list: &PartialList<T>, cause: Option<&SourceError>) {
+    metrics::counter!("platform_lists_incomplete_total", "kind" => kind).increment(1);
+    LogLine::new(EventName::ListIncomplete)
+        .id(kind)
+        .field("objects", list.len())
+        .field("cause", cause.map_or_else(|| "pages repeat".to_owned(), ToString::to_string))
+        .write();
+}
+
+/// Applies changes after a revision until the history is lost, the watch is ended by `refresh`, or
+/// the role ends.
+async fn watch_changes<T, S: Source<T>>(
+    source: &mut S,
+    sink: &impl Sink<T>,
+    options: &mut WatchOptions,
+    (mut revision, list_end): (Revision, ListEnd),
+) -> Result<(), SourceError> {
     let mut wait = options.waits.first();
     loop {
         let asked = sink.now();
@@ -184,8 +254,14 @@
             WatchResponse::Changes { changes, revision: next } => {
                 revision = revision.max(next);
                 let changed = !changes.is_empty();
-                sink.apply(changes, revision);
-                sink.answered(asked, if changed { 0 } else { wait.as_millis() as u64 });
+                match list_end {
+                    ListEnd::LastPage => {
+                        sink.apply(changes, revision);
+                        let held_back_ms = if changed { 0 } else { wait.as_millis() as u64 };
+                        sink.answered(asked, held_back_ms);
+                    }
+                    ListEnd::NoFurtherPage => sink.apply(changes, INCOMPLETE),
+                }
                 wait = options.waits.next();
                 if changed {
                     wait = options.waits.first();
@@ -201,7 +277,7 @@
     let outcome = match response {
         Ok(_) => "ok",
         Err(SourceError::Refused { .. }) => "refused",
-        Err(SourceError::Failed { .. }) => "failed",
+        Err(SourceError::Failed { .. } | SourceError::Unusable { .. }) => "failed",
     };
     metrics::counter!("platform_calls_total", "kind" => kind, "call" => call, "outcome" => outcome)
         .increment(1);
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -86,6 +86,8 @@
     EvacuationObeyed = "evacuation-obeyed", Info, FAILURE_LINES_PER_SECOND;
     /// An object of the platform's store cannot be decoded and counts as absent.
     EntryNotUnderstood = "entry-not-understood", Warn, FAILURE_LINES_PER_SECOND;
+    /// A list of the platform's store could not be read to its end; what was read is used.
+    ListIncomplete = "list-incomplete", Warn, FAILURE_LINES_PER_SECOND;
     /// The machine was suspended: leases and ages have advanced by that time.
     MachineSuspended = "machine-suspended", Warn, FAILURE_LINES_PER_SECOND;
     /// Timers fire late, or no longer do: this process is short of processor time, or no longer is.
