Ids in the paths and queries of clients are decoded

Callers could see: a job or item whose id has a character that a URI needs encoded was accepted, and then answered with 404 wherever the client asked for it, as it encoded the id. Likewise a query for addresses from a zone of such a name got addresses of any zone.

Cause: ids, zones and regions were taken from paths and queries as they stand there.

A plus sign stands for itself, as before: clients that write ids as they are may use it.

--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -1,7 +1,10 @@
 //! Port through which an adapter supplies header names and formats of HTTP calls.
 
+use std::borrow::Cow;
+
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, Uri};
+use percent_encoding::percent_decode_str;
 
 use crate::job::{JobItem, ResultPage};
 
@@ -159,8 +162,14 @@
     }
 }
 
-/// Returns the value of a query parameter.
-pub fn query_value<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+/// Returns the value of a query parameter, decoded; `None` also if it is not UTF-8.
+pub fn query_value(uri: &Uri, name: &str) -> Option<String> {
     let mut pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    pairs.find(|(key, _)| *key == name).and_then(|(_, value)| decode(value))
+}
+
+/// Decodes a segment of a path or a value of a query; `None` if it is not UTF-8. A plus sign stands
+/// for itself: ids are not sent by HTML forms.
+pub fn decode(text: &str) -> Option<String> {
+    percent_decode_str(text).decode_utf8().ok().map(Cow::into_owned)
 }
--- a/crates/standalone/src/dialect.rs
+++ b/crates/standalone/src/dialect.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{header, HeaderName, Method, Uri};
 use serde::{Deserialize, Serialize};
-use yokefall_serving::dialect::query_value;
+use yokefall_serving::dialect::{decode, query_value};
 use yokefall_serving::{
     AddressQuery, BadSubmission, Dialect, HeaderNames, ItemHeader, ItemState, JobCall, JobItem,
     ResultPage,
@@ -94,7 +94,7 @@
     }
 
     fn address_query(&self, uri: &Uri) -> AddressQuery {
-        let value = |name| query_value(uri, name).map(str::to_owned);
+        let value = |name| query_value(uri, name);
         AddressQuery {
             host: value("host").map(|host| host.to_ascii_lowercase()),
             zone: value("zone"),
@@ -113,12 +113,12 @@
         match (method, parts.as_slice()) {
             (&Method::GET, [job, "results"]) => {
                 let from = query_value(uri, "from").and_then(|text| text.parse().ok()).unwrap_or(0);
-                Some(JobCall::Results { job: (*job).to_owned(), from })
+                Some(JobCall::Results { job: decode(job)?, from })
             }
             (&Method::GET, [job, "items", item]) => {
-                Some(JobCall::Body { job: (*job).to_owned(), item: (*item).to_owned() })
+                Some(JobCall::Body { job: decode(job)?, item: decode(item)? })
             }
-            (&Method::DELETE, [job]) => Some(JobCall::End { job: (*job).to_owned() }),
+            (&Method::DELETE, [job]) => Some(JobCall::End { job: decode(job)? }),
             _ => None,
         }
     }
