Names in file names of claims and reports are encoded

Operators could see: with a name that has a slash, a claim could not be written, and the report that a machine is retired went to another folder or nowhere, so that the machine was never reported as empty.

Cause: names were joined to the folder as parts of a path.

Change: each file name is percent-encoded by the library in one function. Names of letters, digits, "-", "." and "_" keep their files.

--- a/crates/standalone/src/claims.rs
+++ b/crates/standalone/src/claims.rs
@@ -4,8 +4,12 @@
 use std::io::{ErrorKind, Write};
 use std::path::PathBuf;
 
+use percent_encoding::{utf8_percent_encode, AsciiSet, NON_ALPHANUMERIC};
 use yokefall_serving::{Claim, Registry, SourceError};
 
+/// Characters that are percent-encoded in file names.
+const NOT_IN_FILE_NAMES: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_');
+
 /// Registry of claims in a folder, which must be shared by all processes.
 #[derive(Debug)]
 pub struct FileRegistry {
@@ -18,6 +22,11 @@
         Self { folder }
     }
 
+    /// The file of a name, which may contain any character.
+    fn file(&self, name: &str) -> PathBuf {
+        self.folder.join(utf8_percent_encode(name, NOT_IN_FILE_NAMES).to_string())
+    }
+
     fn failed(&self, step: &'static str, cause: std::io::Error) -> SourceError {
         let peer = self.folder.display().to_string();
         SourceError::Failed { step, peer, cause: cause.to_string() }
@@ -27,9 +36,9 @@
 impl Registry for FileRegistry {
     async fn claim(&mut self, key: &str, claimant: &str) -> Result<Claim, SourceError> {
         std::fs::create_dir_all(&self.folder).map_err(|e| self.failed("create folder", e))?;
-        let path = self.folder.join(key);
+        let path = self.file(key);
         // A draft with the claimant is linked to the final name, so no claim is read without it.
-        let draft = self.folder.join(format!("{key}.{}.draft", claimant.replace('/', "-")));
+        let draft = self.file(&format!("{key}.{claimant}.draft"));
         let mut options = OpenOptions::new();
         let mut file = options
             .write(true)
@@ -55,7 +64,7 @@
         completed: bool,
     ) -> Result<(), SourceError> {
         std::fs::create_dir_all(&self.folder).map_err(|e| self.failed("create folder", e))?;
-        let path = self.folder.join(format!("retired-{machine}"));
+        let path = self.file(&format!("retired-{machine}"));
         let state = if completed { "completed" } else { "active" };
         std::fs::write(path, state).map_err(|error| self.failed("report", error))
     }
