A response with the status of no final response reaches no client

Callers saw: a server in trouble answered with status 999, and the client got it as an answer. 600, 101 and 204 beside the length of a body passed as well, 204 as a success without the server's body.

Cause: whatever status the library can represent was passed on.

Evidence: an_odd_status_reaches_no_client (platform/tests/spoilt_heads.rs) fails on the commit before (101, with that fixed 204, 600, 999). 000, 099, three digits too few or too many, letters and 100 to 199 were turned into 502 already, by the library; so were lines that are no field and odd names of fields (21 kinds, two tests that passed before and stay).

Change: `check_head` decides in `exchange`, where relayed and collected responses and items of all processes come from. A head that can't be relied upon is a failed attempt: sent again where it may be, else 502, never "not run". `SendFailure::BadResponse` tells it from a connection that failed: the back end has answered, so that it is neither asked whether it has ended nor counted among those that crashed. An answer that names another request and one that the library can't parse are of this kind as well.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -301,14 +301,16 @@
                 log_failed_attempt(context, &backend.id, &last);
                 continue;
             }
-            Ok(Err(SendFailure::MayHaveRun { cause })) => {
+            Ok(Err(failure)) => {
                 slot.outcome = Outcome::Failed;
-                slot.record_failure();
                 context.record_possible_run();
-                last = format!("{}: {cause}", backend.id);
+                last = format!("{}: {failure}", backend.id);
                 log_failed_attempt(context, &backend.id, &last);
-                let progress = ResponseProgress::Beginning;
-                suspect::record_disconnect(shared, context, &slot, progress).await;
+                if failure.is_disconnect() {
+                    slot.record_failure();
+                    let progress = ResponseProgress::Beginning;
+                    suspect::record_disconnect(shared, context, &slot, progress).await;
+                }
                 if may_retry(context) {
                     continue;
                 }
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -201,9 +201,11 @@
             Ok(Err(error)) => {
                 slot.outcome = match error {
                     SendFailure::NotSent { .. } => Outcome::Abandoned,
-                    SendFailure::MayHaveRun { .. } => Outcome::Failed,
+                    SendFailure::MayHaveRun { .. } | SendFailure::BadResponse { .. } => {
+                        Outcome::Failed
+                    }
                 };
-                if slot.outcome == Outcome::Failed {
+                if error.is_disconnect() {
                     slot.record_failure();
                     self.record_disconnect(slot, sender, item, ResponseProgress::Beginning).await;
                 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod event_stream;
 pub mod exchange;
 pub mod framing;
+pub mod head;
 pub mod pool;
 pub mod slot;
 
