The length of a back end's body is not passed on

Callers saw: a stream that may not be resumed, whose server told a length that ends within an event, was complete for its client after that many bytes.

Cause: the gateway found the body broken, but had passed on the back end's `Content-Length` before. The client counted the bytes itself and was done.

Change: `copy_headers` leaves the length out, for responses and requests, as it does what concerns one hop: what leaves is framed by what is sent. A body that breaks off is broken for its client in any case.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use http::response::Parts;
-use http::{header, HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use tokio::time::{Instant, Sleep};
 use yokefall_serving::{Outcome, RouteKind};
 use yokefall_suspects::ProgressTracker;
@@ -77,9 +77,6 @@
     let mut response = Response::new(body);
     *response.status_mut() = status;
     copy_headers(headers, response.headers_mut());
-    if hyper::body::Body::size_hint(response.body()).exact().is_some() {
-        response.headers_mut().remove(header::CONTENT_LENGTH);
-    }
     response
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,8 +13,10 @@
 /// Minimum number of shared prompt tokens for which the back end that caches them is preferred.
 const MIN_AFFINITY_TOKENS: u64 = 1_000;
 
-/// Hop-by-hop headers, which are not forwarded.
-const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
+/// Headers that are not forwarded: those of one hop, and the length of the body, which is that of the
+/// body that is sent.
+const UNFORWARDED_HEADERS: [HeaderName; 9] = [
+    header::CONTENT_LENGTH,
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
@@ -35,11 +37,11 @@
         .map(str::trim)
         .collect();
     for (name, value) in from {
-        let is_hop_by_hop = HOP_BY_HOP_HEADERS.contains(name)
+        let is_unforwarded = UNFORWARDED_HEADERS.contains(name)
             || name.as_str() == "keep-alive"
             || name.as_str() == "proxy-connection"
             || named.iter().any(|named| name.as_str().eq_ignore_ascii_case(named));
-        if !is_hop_by_hop {
+        if !is_unforwarded {
             to.append(name.clone(), value.clone());
         }
     }
@@ -58,7 +60,6 @@
     let mut request = Request::builder().method(context.parts.method.clone()).uri(path);
     let headers = request.headers_mut()?;
     copy_headers(&context.parts.headers, headers);
-    headers.remove(header::CONTENT_LENGTH);
     context.caller.set_tenant_header(&names.tenant, headers);
     let remaining_ms = context.deadline.duration_since(Instant::now()).as_millis().max(1) as u64;
     headers.insert(&names.deadline_ms, HeaderValue::from(remaining_ms));
