A response without a length must not have lost it

Callers saw: an answer whose head was spoilt where it tells the length reached them as complete with half of the body (`Content-Lengti`, body cut, connection closed), and one whose transfer coding was spoilt or unknown with the lines of the chunks as a part of the body, on routes of all kinds. An item was stored as completed with one of two events.

Cause: a body that nothing else ends was taken to end with its connection, whatever else the head said. A damaged field and an unknown coding were no different from a server that tells no length on purpose. With both a coding and a length in the head, one of them was believed.

Change: `Framing::of` accepts one coding, `chunked`, and not beside a length. A response with neither is whole with its connection, as the pages allow, only if no field looks like a damaged `Content-Length` or `Transfer-Encoding` (two characters changed, lost or added; half of them, where the length of the name is the same; a value that contains the line of one; the value `chunked` under another name), and if it has no `Keep-Alive`, with which no body ends. The check is in `exchange`, so that it holds for relayed, collected and delegated responses alike.

What is not covered: a damaged name that shares less than half of its characters, and a line that is missing altogether; such a head is that of an honest server.

The tests of cut and unframed responses pass unchanged.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,9 @@
 use yokefall_serving::{Outcome, RouteKind};
 use yokefall_suspects::ProgressTracker;
 use yokefall_telemetry::{EventName, LogLine};
-use yokefall_upstream::{BackendBody, BackendSlot, Connection, EventBoundaries, StreamPosition};
+use yokefall_upstream::{
+    announces_close, BackendBody, BackendSlot, Connection, EventBoundaries, StreamPosition,
+};
 
 use crate::context::{may_retry, RequestContext};
 use crate::forward::{log_silence, send, BackendResponse, SILENCE_TIMEOUT};
@@ -95,7 +97,7 @@
     fn new(backend_response: BackendResponse) -> (Parts, Self) {
         let BackendResponse { response, connection, slot } = backend_response;
         let (head, body) = response.into_parts();
-        let close = Connection::closes_after(&head.headers);
+        let close = announces_close(&head.headers);
         let is_success = head.status.is_success();
         let progress = ProgressTracker::default();
         (head, Self { body, connection, slot, close, is_success, progress })
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -18,7 +18,8 @@
     ProgressTracker, Registry, RequestIdentity, ResponseProgress, SuspectKeys,
 };
 use yokefall_upstream::{
-    exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody, Pool, SendFailure,
+    announces_close, exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody,
+    Pool, SendFailure,
 };
 
 use crate::state::Run;
@@ -303,7 +304,7 @@
         let retry = |cause: String| RunEnd::Retry { cause, backoff: false };
         let signature = &self.dialect.headers().signature;
         let signed = !self.dialect.signs_responses() || answer.headers().contains_key(signature);
-        let closes = Connection::closes_after(answer.headers());
+        let closes = announces_close(answer.headers());
         let mut events = answer.into_body().eventsource();
         let mut received = ProgressTracker::default();
         let mut output_bytes = 0;
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -72,9 +72,12 @@
 }
 
 impl BackendBody {
-    /// Wraps the body of a response.
-    pub fn of(response: Response<Incoming>, expected: ExpectedBody) -> Response<Self> {
-        let framing = Framing::of(&response);
+    /// Wraps the body of a response with this framing.
+    pub fn of(
+        response: Response<Incoming>,
+        framing: Framing,
+        expected: ExpectedBody,
+    ) -> Response<Self> {
         let (head, body) = response.into_parts();
         let is_event_stream = head.status.is_success()
             && (expected == ExpectedBody::Events || declares_events(&head.headers));
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -89,6 +89,6 @@
     if !is_own_response {
         return Err(SendFailure::bad_response("it names another request"));
     }
-    check_head(&response).map_err(SendFailure::bad_response)?;
-    Ok(BackendBody::of(response, expected))
+    let framing = check_head(&response).map_err(SendFailure::bad_response)?;
+    Ok(BackendBody::of(response, framing, expected))
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -14,6 +14,7 @@
 pub use body::{BackendBody, BodyError, ExpectedBody};
 pub use event_stream::{EventBoundaries, StreamPosition};
 pub use exchange::{exchange, SendFailure};
-pub use framing::Framing;
+pub use framing::{announces_close, Framing};
+pub use head::{check_head, HeadError};
 pub use pool::{ConnectFailure, Connection, Pool};
 pub use slot::{BackendSlot, SharedBalancer};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{header, HeaderMap};
+use http::HeaderMap;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -15,6 +15,8 @@
 use tokio::time::Instant;
 use yokefall_serving::{Backend, BackendIncarnation, ByIncarnation};
 
+use crate::framing::KEEP_ALIVE;
+
 /// How long an idle connection is kept when the back end announces no timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long before the announced idle timeout a connection is no longer reused: a request that
@@ -61,7 +63,7 @@
 impl Connection {
     /// Applies the `Keep-Alive` header of a response to the idle timeout of the connection.
     pub fn note_keep_alive(&mut self, headers: &HeaderMap) {
-        let Some(value) = headers.get("keep-alive").and_then(|value| value.to_str().ok()) else {
+        let Some(value) = headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()) else {
             return;
         };
         let timeout = value.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
@@ -69,12 +71,6 @@
             self.idle = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
         }
     }
-
-    /// Whether response headers announce that the connection closes after the response.
-    pub fn closes_after(headers: &HeaderMap) -> bool {
-        let value = headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
-        value.is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
 }
 
 #[derive(Debug)]
