A response that goes on after its length is not whole

Callers saw: a response whose length was spoilt into a smaller one ended there, in order, and passed as complete: 21 of 42 bytes on routes of all kinds, also at the end of an event.

Cause: the bytes after the length were thrown away with the connection. They were taken for what a faulty server may send after a whole response, and nobody looked at them.

Change: the driver of a connection keeps what the library had read when the connection ended, and the body asks for it at its end. Bytes that begin another message (`HTTP/`) belong to no request, as before; any other ones show that the length is wrong, and the body ends with an error: sent again where it may be, else 502, a visible break where the head has left. That is no evidence that the back end has ended, as an event that is too long is none (`BodyError::is_disconnect`). An aborted body is pending once before its error: the library closes the connection at an error, and the head and events that were relayed before it would not have been written.

Not covered: the rest of the body in a later segment than the end of the length, which only waiting would show.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,8 @@
 use yokefall_suspects::ProgressTracker;
 use yokefall_telemetry::{EventName, LogLine};
 use yokefall_upstream::{
-    announces_close, BackendBody, BackendSlot, Connection, EventBoundaries, StreamPosition,
+    announces_close, BackendBody, BackendSlot, BodyError, Connection, EventBoundaries,
+    StreamPosition,
 };
 
 use crate::context::{may_retry, RequestContext};
@@ -132,7 +133,7 @@
     Data(Bytes),
     /// The response has ended and is whole.
     Whole,
-    Broken(String),
+    Broken(BodyError),
     TimedOut,
 }
 
@@ -167,11 +168,14 @@
                     );
                     return Some(Err(ResponseAborted("its time ended".into())));
                 }
-                NextChunk::Broken(cause) => {
+                NextChunk::Broken(error) => {
                     source.slot.outcome = Outcome::Failed;
-                    source.slot.record_failure();
-                    self.record_disconnect().await;
+                    if error.is_disconnect() {
+                        source.slot.record_failure();
+                        self.record_disconnect().await;
+                    }
                     self.source = None;
+                    let cause = error.to_string();
                     if !self.resumes || !self.resume().await {
                         self.log(self.context.final_log_line(EventName::AnswerBroken), &cause);
                         return Some(Err(ResponseAborted(cause)));
@@ -297,7 +301,7 @@
                 }
                 NextChunk::Data(data)
             }
-            Some(Err(error)) => NextChunk::Broken(error.to_string()),
+            Some(Err(error)) => NextChunk::Broken(error),
             None => NextChunk::Whole,
         };
     }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -36,6 +36,8 @@
     retained: Option<Box<dyn std::any::Any>>,
     /// Set when the body is aborted, if the client could not see it otherwise.
     reset_on_close: Option<ResetOnClose>,
+    /// Why the body is aborted, once the chunks before have been passed on.
+    abort: Option<ResponseAborted>,
 }
 
 impl ResponseBody {
@@ -50,7 +52,7 @@
     }
 
     fn new(content: Content) -> Self {
-        Self { content, retained: None, reset_on_close: None }
+        Self { content, retained: None, reset_on_close: None, abort: None }
     }
 
     /// Resets the connection if the body is aborted.
@@ -85,11 +87,22 @@
                 .poll_frame(context)
                 .map(|frame| frame.map(|frame| frame.map_err(|never| match never {}))),
             Content::Streamed(chunks) => {
-                let polled = chunks.as_mut().poll_next(context);
-                if let (Poll::Ready(Some(Err(_))), Some(reset)) = (&polled, &this.reset_on_close) {
-                    reset.set();
+                if let Some(abort) = this.abort.take() {
+                    if let Some(reset) = &this.reset_on_close {
+                        reset.set();
+                    }
+                    return Poll::Ready(Some(Err(abort)));
+                }
+                match std::task::ready!(chunks.as_mut().poll_next(context)) {
+                    Some(Err(abort)) => {
+                        // An error closes the connection at once, before the head and the chunks
+                        // that are not written yet; those are written while the body is pending.
+                        this.abort = Some(abort);
+                        context.waker().wake_by_ref();
+                        Poll::Pending
+                    }
+                    chunk => Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data))),
                 }
-                polled.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
     }
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -7,7 +7,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use bytes::Bytes;
-use eventsource_stream::Eventsource;
+use eventsource_stream::{EventStreamError, Eventsource};
 use futures::StreamExt;
 use http::{header, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
@@ -18,8 +18,8 @@
     ProgressTracker, Registry, RequestIdentity, ResponseProgress, SuspectKeys,
 };
 use yokefall_upstream::{
-    announces_close, exchange, BackendBody, BackendSlot, ConnectFailure, Connection, ExpectedBody,
-    Pool, SendFailure,
+    announces_close, exchange, BackendBody, BackendSlot, BodyError, ConnectFailure, Connection,
+    ExpectedBody, Pool, SendFailure,
 };
 
 use crate::state::Run;
@@ -315,8 +315,10 @@
                 Ok(None) => break,
                 Ok(Some(Err(error))) => {
                     slot.outcome = Outcome::Failed;
-                    slot.record_failure();
-                    self.record_disconnect(slot, sender, item, received.progress()).await;
+                    if is_disconnect(&error) {
+                        slot.record_failure();
+                        self.record_disconnect(slot, sender, item, received.progress()).await;
+                    }
                     return retry(format!("read answer of {}: {error}", slot.backend.id));
                 }
                 Err(_) => {
@@ -356,3 +358,11 @@
         RunEnd::Completed
     }
 }
+
+/// Whether the back end may have terminated.
+fn is_disconnect(error: &EventStreamError<BodyError>) -> bool {
+    match error {
+        EventStreamError::Transport(error) => error.is_disconnect(),
+        EventStreamError::Utf8(_) | EventStreamError::Parser(_) => false,
+    }
+}
--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -14,6 +14,7 @@
 
 use crate::event_stream::EventBoundaries;
 use crate::framing::Framing;
+use crate::surplus::Surplus;
 
 /// Maximum size of one event, with the comments before it: readers hold it until it ends.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -39,6 +40,18 @@
     NoEvents,
     /// An event does not end.
     EventTooLong,
+    /// More bytes followed, which are no other response: the length in the head was wrong.
+    LongerThanLength,
+}
+
+impl BodyError {
+    /// Whether the back end may have terminated.
+    pub fn is_disconnect(&self) -> bool {
+        match self {
+            BodyError::Connection(_) | BodyError::WithinEvent | BodyError::NoEvents => true,
+            BodyError::EventTooLong | BodyError::LongerThanLength => false,
+        }
+    }
 }
 
 impl fmt::Display for BodyError {
@@ -52,6 +65,7 @@
             BodyError::EventTooLong => {
                 write!(formatter, "read body: an event exceeds {MAX_EVENT_BYTES} bytes")
             }
+            BodyError::LongerThanLength => write!(formatter, "read body: it exceeds its length"),
         }
     }
 }
@@ -63,6 +77,7 @@
 pub struct BackendBody {
     body: Incoming,
     framing: Framing,
+    surplus: Surplus,
     /// The structure read so far, if the body is an event stream.
     events: Option<EventBoundaries>,
     /// Bytes since the last end of an event.
@@ -72,18 +87,25 @@
 }
 
 impl BackendBody {
-    /// Wraps the body of a response with this framing.
-    pub fn of(
+    /// Wraps the body of a response with this framing, on a connection with this surplus.
+    pub(crate) fn of(
         response: Response<Incoming>,
-        framing: Framing,
+        (framing, surplus): (Framing, Surplus),
         expected: ExpectedBody,
     ) -> Response<Self> {
         let (head, body) = response.into_parts();
         let is_event_stream = head.status.is_success()
             && (expected == ExpectedBody::Events || declares_events(&head.headers));
         let events = is_event_stream.then(EventBoundaries::default);
-        let body =
-            Self { body, framing, events, open_event_bytes: 0, is_empty: true, has_ended: false };
+        let body = Self {
+            body,
+            framing,
+            surplus,
+            events,
+            open_event_bytes: 0,
+            is_empty: true,
+            has_ended: false,
+        };
         Response::from_parts(head, body)
     }
 
@@ -107,6 +129,9 @@
 
     /// Whether the body is whole if it ends here in the order of its framing.
     fn check_end(&self) -> Result<(), BodyError> {
+        if self.framing == Framing::Length && self.surplus.continues_response() {
+            return Err(BodyError::LongerThanLength);
+        }
         match &self.events {
             Some(events) if events.is_within_event() => Err(BodyError::WithinEvent),
             // A run produces an event at least; nothing else proves that there was one.
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -90,5 +90,5 @@
         return Err(SendFailure::bad_response("it names another request"));
     }
     let framing = check_head(&response).map_err(SendFailure::bad_response)?;
-    Ok(BackendBody::of(response, framing, expected))
+    Ok(BackendBody::of(response, (framing, connection.surplus.clone()), expected))
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod head;
 pub mod pool;
 pub mod slot;
+mod surplus;
 
 pub use body::{BackendBody, BodyError, ExpectedBody};
 pub use event_stream::{EventBoundaries, StreamPosition};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -16,6 +16,7 @@
 use yokefall_serving::{Backend, BackendIncarnation, ByIncarnation};
 
 use crate::framing::KEEP_ALIVE;
+use crate::surplus::Surplus;
 
 /// How long an idle connection is kept when the back end announces no timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -57,6 +58,7 @@
 pub struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) incarnation: BackendIncarnation,
+    pub(crate) surplus: Surplus,
     idle: Duration,
 }
 
@@ -73,6 +75,18 @@
     }
 }
 
+/// Exchanges messages until the connection ends, and keeps what it received after the last response.
+async fn drive(
+    mut driver: http1::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    surplus: Surplus,
+    open: Rc<()>,
+) {
+    // Errors are returned to the caller of the exchange.
+    let _ = std::future::poll_fn(|context| driver.poll_without_shutdown(context)).await;
+    surplus.set(driver.into_parts().read_buf);
+    drop(open);
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -119,12 +133,14 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|cause| failed(cause.to_string()))?;
-        tokio::task::spawn_local(async move {
-            // Errors are returned to the caller of the exchange.
-            let _ = driver.await;
-            drop(open);
-        });
-        Ok(Connection { sender, incarnation: backend.incarnation(), idle: DEFAULT_IDLE_TIMEOUT })
+        let surplus = Surplus::default();
+        tokio::task::spawn_local(drive(driver, surplus.clone(), open));
+        Ok(Connection {
+            sender,
+            incarnation: backend.incarnation(),
+            surplus,
+            idle: DEFAULT_IDLE_TIMEOUT,
+        })
     }
 
     fn reserve(&self, backend: &Backend, max_connections: usize) -> Option<Rc<()>> {
