A body that begins with the rest of a spoilt head is not whole

Callers saw: a line of the head that was spoilt into an empty one ended the head there; the lines after it, the length among them, were delivered as the beginning of the body, which ended with the connection.

Cause: without a length in what was left of the head, the body counts as one that its connection ends.

Change: if the connection ends the body, the first bytes of it up to an empty line must contain no line that looks like a framing field. It is asked of the first bytes that arrive, before any of them is relayed.

--- a/crates/upstream/src/body.rs
+++ b/crates/upstream/src/body.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Incoming};
 
 use crate::event_stream::EventBoundaries;
-use crate::framing::Framing;
+use crate::framing::{begins_with_framing, Framing};
 use crate::surplus::Surplus;
 
 /// Maximum size of one event, with the comments before it: readers hold it until it ends.
@@ -42,6 +42,8 @@
     EventTooLong,
     /// More bytes followed, which are no other response: the length in the head was wrong.
     LongerThanLength,
+    /// The body began with a part of the head, of which a line was damaged.
+    RestOfHead,
 }
 
 impl BodyError {
@@ -49,7 +51,7 @@
     pub fn is_disconnect(&self) -> bool {
         match self {
             BodyError::Connection(_) | BodyError::WithinEvent | BodyError::NoEvents => true,
-            BodyError::EventTooLong | BodyError::LongerThanLength => false,
+            BodyError::EventTooLong | BodyError::LongerThanLength | BodyError::RestOfHead => false,
         }
     }
 }
@@ -66,6 +68,9 @@
                 write!(formatter, "read body: an event exceeds {MAX_EVENT_BYTES} bytes")
             }
             BodyError::LongerThanLength => write!(formatter, "read body: it exceeds its length"),
+            BodyError::RestOfHead => {
+                write!(formatter, "read body: it begins with a part of the head")
+            }
         }
     }
 }
@@ -115,6 +120,9 @@
     }
 
     fn read(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        if self.is_empty && self.framing == Framing::Connection && begins_with_framing(data) {
+            return Err(BodyError::RestOfHead);
+        }
         self.is_empty &= data.is_empty();
         let Some(events) = &mut self.events else { return Ok(()) };
         self.open_event_bytes = match events.read(data) {
--- a/crates/upstream/src/framing.rs
+++ b/crates/upstream/src/framing.rs
@@ -102,6 +102,14 @@
     })
 }
 
+/// Whether the lines up to the first empty one contain a framing field, as the rest of a head does that
+/// a damaged line has ended.
+pub(crate) fn begins_with_framing(data: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(data).to_ascii_lowercase();
+    let mut lines = text.lines().take_while(|line| !line.is_empty());
+    lines.any(|line| FRAMING_FIELDS.iter().any(|field| begins_like(line, field.as_str())))
+}
+
 /// Whether a line begins with a name, but for a few characters that were changed, lost or added.
 fn begins_like(line: &str, name: &str) -> bool {
     let beginning: String = line.chars().take(name.len()).collect();
