Blank bytes after the length of a response also show that it goes on

Callers could see: a body that is shorter by its last line feed, from a response whose head has one byte more or less (`Content-Length: 41` for 42, or an empty line after the head).

Cause: white space before a surplus response was skipped, so that a body's last line end was no evidence.

Change: only the beginning of another message is not evidence. A sound server sends nothing in between.

--- a/crates/upstream/src/surplus.rs
+++ b/crates/upstream/src/surplus.rs
@@ -21,7 +21,6 @@
     /// Whether bytes followed that begin no other response, so that the last one seems to go on.
     pub(crate) fn continues_response(&self) -> bool {
         let Some(bytes) = self.0.get() else { return false };
-        let bytes = bytes.trim_ascii_start();
         let compared = bytes.len().min(MESSAGE_START.len());
         bytes[..compared] != MESSAGE_START[..compared]
     }
