Spoilt heads are no answers of plain services either

Callers of agents could see: half of an answer, stored as the whole one, from a plain service whose head was spoilt where it tells the length; and a call reported as not executed on a refusal whose head contradicts itself.

Cause: the client of agents and daemons reads responses by itself and took any head that the library parses.

Evidence: crates/backend/tests/spoilt_heads.rs on the commit before: `Content-Lengti` gives Ok, a 503 with both a length and chunks gives `Status(503)`, which proves that the call was not executed.

Change: it asks `check_head` of yokefall-upstream, as the gateway and the job stores do. Completions were safe before: they end with a mark of their own.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioExecutor;
 use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
 use yokefall_types::limits::MAX_ANSWER_BYTES;
+use yokefall_upstream::check_head;
 
 use crate::completion::CompletionStream;
 use crate::error::{BackendError, BackendStep};
@@ -121,6 +122,8 @@
                 return Err(BackendError::new(BackendStep::Stalled, address, "no status"));
             }
         };
+        check_head(&response)
+            .map_err(|error| BackendError::new(BackendStep::Request, address, error))?;
         let status = response.status();
         if status.is_success() {
             return Ok(response);
--- a/crates/backend/src/error.rs
+++ b/crates/backend/src/error.rs
@@ -7,7 +7,7 @@
 pub enum BackendStep {
     /// Building the request or opening the connection. Nothing was sent.
     Connect,
-    /// Sending the request or waiting for the response headers.
+    /// Sending the request or waiting for the response headers, which may also be unreliable.
     Request,
     /// The back end returned this HTTP status, which is not a success.
     Status(u16),
