What is held of responses is bounded over all requests

Operators could see: a gateway of 260 MB ended by its memory limit where many servers sent bodies without end to clients that read nothing: 274 MB with 1,900 requests at once. Each reader had a bound; their sum had none but the number of connections, and the requests of all other clients would have ended with it.

Cause: up to 256 KB of a response were collected, and as much of an event held, for each request.

Where that is used up, a response is passed on uncollected, and a stream whose event is longer goes on elsewhere or breaks; sound events and most responses are shorter. Request bodies are counted by the same type.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
+use yokefall_upstream::Reservation;
 
 use crate::response::{plain, rejection, ClientResponse};
 use crate::shared::Shared;
@@ -20,15 +21,7 @@
 pub struct BufferedBody {
     /// The bytes.
     pub bytes: Bytes,
-    shared: Rc<Shared>,
-    reserved: usize,
-}
-
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        let buffered = self.shared.buffered_body_bytes.get();
-        self.shared.buffered_body_bytes.set(buffered.saturating_sub(self.reserved));
-    }
+    _memory: Reservation,
 }
 
 /// Reads a body of at most `limit` bytes until `deadline`.
@@ -43,7 +36,7 @@
         let text = format!("body: give at most {limit} bytes");
         return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, text));
     }
-    let mut buffered = BufferedBody { bytes: Bytes::new(), shared: shared.clone(), reserved: 0 };
+    let mut memory = shared.body_memory.reserve();
     let mut collected = BytesMut::new();
     let mut first: Option<Bytes> = None;
     loop {
@@ -60,7 +53,7 @@
             let text = format!("body: give at most {limit} bytes");
             return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, text));
         }
-        if !reserve(&mut buffered, data.len()) {
+        if !memory.grow(data.len()) {
             let name = &shared.dialect.headers().retry_after;
             return Err(rejection(name, MEMORY_RETRY_AFTER, "no memory for the body now"));
         }
@@ -74,16 +67,6 @@
             }
         }
     }
-    buffered.bytes = first.unwrap_or_else(|| collected.freeze());
-    Ok(buffered)
-}
-
-fn reserve(buffered: &mut BufferedBody, bytes: usize) -> bool {
-    let total = buffered.shared.buffered_body_bytes.get() + bytes;
-    if total > buffered.shared.max_buffered_body_bytes {
-        return false;
-    }
-    buffered.shared.buffered_body_bytes.set(total);
-    buffered.reserved += bytes;
-    true
+    let bytes = first.unwrap_or_else(|| collected.freeze());
+    Ok(BufferedBody { bytes, _memory: memory })
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -29,7 +29,7 @@
 use yokefall_streams::{HistoryRegistry, OriginRegistry};
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{version, EventName, LogLine};
-use yokefall_upstream::{Pool, SharedBalancer};
+use yokefall_upstream::{MemoryBudget, Pool, SharedBalancer};
 
 use crate::admission::{self, Admission};
 use crate::control::{self, ControlOutputs, PeerMessages};
@@ -44,6 +44,8 @@
 /// Memory for request bodies divided by the memory for responses that slow clients have not read.
 /// Both are used at the same time, and requests take precedence.
 const READ_AHEAD_DIVISOR: usize = 2;
+/// Memory for request bodies divided by that for the parts of responses that are held back.
+const RESPONSE_MEMORY_DIVISOR: usize = 4;
 /// Fraction of the shutdown time in which new requests are still served, since clients cache
 /// gateway addresses. Later requests might not complete in time and are rejected.
 const STOP_SERVING_FRACTION: f64 = 0.35;
@@ -272,8 +274,10 @@
         stopping: Cell::new(false),
         rejecting: Cell::new(false),
         serving: Cell::new(0),
-        buffered_body_bytes: Cell::new(0),
-        max_buffered_body_bytes: options.max_buffered_body_bytes,
+        body_memory: MemoryBudget::new(options.max_buffered_body_bytes),
+        response_memory: MemoryBudget::new(
+            options.max_buffered_body_bytes / RESPONSE_MEMORY_DIVISOR,
+        ),
         read_ahead: ReadAhead::new(options.max_buffered_body_bytes / READ_AHEAD_DIVISOR),
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use yokefall_suspects::ProgressTracker;
 use yokefall_telemetry::{EventName, LogLine};
 use yokefall_upstream::{
-    announces_close, BackendBody, BackendSlot, BodyError, Connection, EventBoundaries,
+    announces_close, BackendBody, BackendSlot, Connection, EventBoundaries, Reservation,
     StreamPosition,
 };
 
@@ -27,6 +27,9 @@
 
 /// Maximum size of a response that is collected before it is relayed.
 const MAX_COLLECTED_BYTES: usize = 256 * 1024;
+/// Part of a response that is held without a reservation: sound events and most sound responses are
+/// shorter, and must not depend on the memory that others hold.
+const UNRESERVED_BYTES: usize = 16 * 1024;
 
 /// Relays a response; returns the context and the cause if it fails before any of it was sent.
 pub async fn relay(
@@ -52,23 +55,31 @@
         boundaries: EventBoundaries::default(),
         is_recorded: false,
         partial: BytesMut::new(),
+        partial_memory: shared.response_memory.reserve(),
         relayed_bytes: 0,
     };
     let mut collected = BytesMut::new();
+    let mut collected_memory = shared.response_memory.reserve();
     let first = loop {
         match relay.chunk().await {
             Some(Ok(chunk)) if streamed => break Some(chunk),
-            Some(Ok(chunk)) if collected.len() + chunk.len() > MAX_COLLECTED_BYTES => {
+            Some(Ok(chunk)) => {
+                let length = collected.len() + chunk.len();
                 collected.extend_from_slice(&chunk);
-                break Some(std::mem::take(&mut collected).freeze());
+                if length > MAX_COLLECTED_BYTES || !reserve(&mut collected_memory, length) {
+                    break Some(std::mem::take(&mut collected).freeze());
+                }
             }
-            Some(Ok(chunk)) => collected.extend_from_slice(&chunk),
             None => break None,
             Some(Err(ResponseAborted(cause))) => return Err((relay.context, cause)),
         }
     };
     let body = match first {
-        None => ResponseBody::complete(collected.freeze()),
+        None => {
+            let mut body = ResponseBody::complete(collected.freeze());
+            body.retain(Box::new(collected_memory));
+            body
+        }
         Some(first) => {
             ResponseBody::streamed(shared.read_ahead.relay(Box::pin(relay.into_chunks(first))))
         }
@@ -83,6 +94,11 @@
     response
 }
 
+/// Reserves the memory of the held part of a response; false if there is none left for it.
+fn reserve(memory: &mut Reservation, bytes: usize) -> bool {
+    memory.resize(bytes.saturating_sub(UNRESERVED_BYTES))
+}
+
 struct Source {
     body: BackendBody,
     connection: Connection,
@@ -125,6 +141,7 @@
     is_recorded: bool,
     /// Bytes of an incomplete event.
     partial: BytesMut,
+    partial_memory: Reservation,
     /// Number of bytes of the body that were relayed.
     relayed_bytes: u64,
 }
@@ -133,7 +150,11 @@
     Data(Bytes),
     /// The response has ended and is whole.
     Whole,
-    Broken(BodyError),
+    Broken {
+        cause: String,
+        /// Whether the back end may have terminated.
+        is_disconnect: bool,
+    },
     TimedOut,
 }
 
@@ -143,7 +164,8 @@
         loop {
             let source = self.source.as_mut()?;
             let request = (&*self.shared, &*self.context);
-            match next_chunk(request, source, &mut self.deadline, &mut self.silence).await {
+            let next = next_chunk(request, source, &mut self.deadline, &mut self.silence).await;
+            match self.reserve_for(next) {
                 NextChunk::Data(data) if !self.resumes => {
                     self.relayed_bytes += data.len() as u64;
                     return Some(Ok(data));
@@ -168,14 +190,14 @@
                     );
                     return Some(Err(ResponseAborted("its time ended".into())));
                 }
-                NextChunk::Broken(error) => {
-                    source.slot.outcome = Outcome::Failed;
-                    if error.is_disconnect() {
-                        source.slot.record_failure();
+                NextChunk::Broken { cause, is_disconnect } => {
+                    if let Some(source) = &mut self.source {
+                        source.slot.outcome = Outcome::Failed;
+                    }
+                    if is_disconnect {
                         self.record_disconnect().await;
                     }
                     self.source = None;
-                    let cause = error.to_string();
                     if !self.resumes || !self.resume().await {
                         self.log(self.context.final_log_line(EventName::AnswerBroken), &cause);
                         return Some(Err(ResponseAborted(cause)));
@@ -185,9 +207,24 @@
         }
     }
 
+    /// Reserves memory for the data of a stream that may be resumed, whose incomplete event is held.
+    fn reserve_for(&mut self, next: NextChunk) -> NextChunk {
+        match next {
+            NextChunk::Data(data)
+                if self.resumes
+                    && !reserve(&mut self.partial_memory, self.partial.len() + data.len()) =>
+            {
+                let cause = "no memory for an incomplete event".to_owned();
+                NextChunk::Broken { cause, is_disconnect: false }
+            }
+            next => next,
+        }
+    }
+
     /// Determines whether the back end terminated during the request.
     async fn record_disconnect(&self) {
         let Some(source) = &self.source else { return };
+        source.slot.record_failure();
         let progress = source.progress.progress();
         suspect::record_disconnect(&self.shared, &self.context, &source.slot, progress).await;
     }
@@ -230,6 +267,8 @@
         self.partial.extend_from_slice(data);
         let end = held + self.boundaries.read(data)?;
         let events = self.partial.split_to(end).freeze();
+        // Never refused: less is held than before.
+        let _ = reserve(&mut self.partial_memory, self.partial.len());
         match StreamPosition::after(&events) {
             StreamPosition::Unchanged => {}
             StreamPosition::After(event) => {
@@ -243,7 +282,8 @@
 
     /// Continues at another back end. Returns whether one has taken over.
     async fn resume(&mut self) -> bool {
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        let _ = reserve(&mut self.partial_memory, 0);
         self.boundaries = EventBoundaries::default();
         if !self.is_position_known || !may_retry(&self.context) {
             return false;
@@ -301,7 +341,9 @@
                 }
                 NextChunk::Data(data)
             }
-            Some(Err(error)) => NextChunk::Broken(error),
+            Some(Err(error)) => {
+                NextChunk::Broken { cause: error.to_string(), is_disconnect: error.is_disconnect() }
+            }
             None => NextChunk::Whole,
         };
     }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -29,11 +29,11 @@
 /// Chunks of a streamed response.
 pub type ChunkStream = Pin<Box<dyn Stream<Item = Result<Bytes, ResponseAborted>>>>;
 
-/// Body of a response, with a value that is dropped together with it.
+/// Body of a response, with values that are dropped together with it.
 pub struct ResponseBody {
     content: Content,
     /// Dropped when the response has been sent or is abandoned.
-    retained: Option<Box<dyn std::any::Any>>,
+    retained: Vec<Box<dyn std::any::Any>>,
     /// Set when the body is aborted, if the client could not see it otherwise.
     reset_on_close: Option<ResetOnClose>,
     /// Why the body is aborted, once the chunks before have been passed on.
@@ -52,7 +52,7 @@
     }
 
     fn new(content: Content) -> Self {
-        Self { content, retained: None, reset_on_close: None, abort: None }
+        Self { content, retained: Vec::new(), reset_on_close: None, abort: None }
     }
 
     /// Resets the connection if the body is aborted.
@@ -62,7 +62,7 @@
 
     /// Keeps a value alive as long as the body.
     pub fn retain(&mut self, retained: Box<dyn std::any::Any>) {
-        self.retained = Some(retained);
+        self.retained.push(retained);
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,7 +12,7 @@
 };
 use yokefall_streams::{HistoryRegistry, OriginRegistry};
 use yokefall_suspects::Registry;
-use yokefall_upstream::{Pool, SharedBalancer};
+use yokefall_upstream::{MemoryBudget, Pool, SharedBalancer};
 
 use crate::admission::Admission;
 use crate::idle_eviction::IdleEviction;
@@ -69,10 +69,10 @@
     pub rejecting: Cell<bool>,
     /// Number of requests being served.
     pub serving: Cell<usize>,
-    /// Bytes of request bodies held in memory.
-    pub buffered_body_bytes: Cell<usize>,
-    /// Upper bound for `buffered_body_bytes`.
-    pub max_buffered_body_bytes: usize,
+    /// Memory for request bodies.
+    pub body_memory: Rc<MemoryBudget>,
+    /// Memory for the parts of responses that are held back until more has arrived.
+    pub response_memory: Rc<MemoryBudget>,
 }
 
 impl Shared {
