What is held of items' outputs is bounded over all items

Operators could see: a job store that leads ended by its memory limit where many back ends sent events without end to items. Each run was bounded by 1 MB, their sum by the number of slots alone: 228 slots of a deployment with job stores of 290 MB make 285 MB of event and output.

Cause: as for responses at gateways, each reader had a bound and all of them together had none; a worker held what it had not sent to the leader, and the leader the whole, and outputs of interrupted items stayed beside.

Change: `Output` holds the data of a run and reserves what exceeds 16 KB from a budget of the process, 8 % of its memory; interrupted outputs reserve from the same. Where nothing is left, the run ends, here or at its worker, its output is dropped, and the item runs again. Sound outputs are far shorter.

--- a/crates/app/src/commands/serving.rs
+++ b/crates/app/src/commands/serving.rs
@@ -37,6 +37,8 @@
 const RESULT_PAGE_MEMORY_FRACTION: f64 = 0.06;
 /// Fraction of the memory limit available to running items.
 const RUNNING_ITEM_MEMORY_FRACTION: f64 = 0.25;
+/// Fraction of the memory limit available to their outputs beyond that.
+const OUTPUT_MEMORY_FRACTION: f64 = 0.08;
 /// Approximate memory of one running item: its connection buffers and the output of one second.
 const RUNNING_ITEM_BYTES: f64 = 40_000.0;
 const BYTES_PER_MB: f64 = 1_048_576.0;
@@ -268,6 +270,7 @@
         policy: settings.policy,
         quota: settings.quota,
         suspension: SuspensionSource::Machine,
+        output_bytes: (memory_mb * BYTES_PER_MB * OUTPUT_MEMORY_FRACTION) as usize,
         max_runs: (memory_mb * BYTES_PER_MB * RUNNING_ITEM_MEMORY_FRACTION / RUNNING_ITEM_BYTES)
             as usize
             + 1,
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -24,7 +24,7 @@
 use yokefall_streams::HistoryRegistry;
 use yokefall_suspects::Registry;
 use yokefall_telemetry::{version, EventName, LogLine};
-use yokefall_upstream::SharedBalancer;
+use yokefall_upstream::{MemoryBudget, SharedBalancer};
 
 use crate::aggregators::ReportTarget;
 use crate::client::JobClient;
@@ -82,6 +82,8 @@
     pub page_bytes: usize,
     /// Maximum number of items that run at the same time.
     pub max_runs: usize,
+    /// Memory for the outputs of running items beyond a few kilobytes of each, in bytes.
+    pub output_bytes: usize,
     /// Enabled policies.
     pub policy: Policy,
     /// Tolerances beyond the limits of tenants.
@@ -266,7 +268,8 @@
         let target = ReportTarget::new(options.name.clone())
             .in_zone(options.zone.clone(), options.zones.clone());
         suspects::start_exchange(suspects.clone(), client, fleet.clone(), target, port);
-        let items = ItemRunner::new(platform.dialect(), suspects.clone());
+        let output_memory = MemoryBudget::new(options.output_bytes);
+        let items = ItemRunner::new(platform.dialect(), suspects.clone(), output_memory);
         let worker =
             Worker::new(catalog.clone(), cold, freshness, items, balancer, options.max_runs);
         let quota = QuotaService::new(options.name.clone(), options.quota, clock());
--- a/crates/jobstore/src/delegation.rs
+++ b/crates/jobstore/src/delegation.rs
@@ -22,7 +22,7 @@
 use yokefall_upstream::BackendSlot;
 
 use crate::protocol::{decode, encode, framed, Frame, Reply, Request, RunReport, RunRequest};
-use crate::run::{Progress, RunEnd};
+use crate::run::{Progress, RunEnd, NO_OUTPUT_MEMORY};
 use crate::store::Store;
 
 /// Time without a frame from the other side after which a run ends. Must be below `cancelMs` of
@@ -41,6 +41,8 @@
 
 struct OpenRun {
     progress: Rc<RefCell<Progress>>,
+    /// Notified when there is no memory left for its output.
+    exceeds_memory: Rc<Notify>,
     report: oneshot::Sender<Reply>,
 }
 
@@ -152,7 +154,10 @@
         let call = self.next_call.get();
         self.next_call.set(call + 1);
         let (report, reported) = oneshot::channel();
-        link.runs.borrow_mut().insert(call, OpenRun { progress: progress.clone(), report });
+        let exceeds_memory = Rc::new(Notify::new());
+        let open_run =
+            OpenRun { progress: progress.clone(), exceeds_memory: exceeds_memory.clone(), report };
+        link.runs.borrow_mut().insert(call, open_run);
         let _cancel = CancelOnDrop { link: &link, call };
         let lost =
             || RunEnd::Retry { cause: format!("lost the run at worker {name}"), backoff: false };
@@ -163,6 +168,9 @@
         let mut was_preempted = false;
         let reply = tokio::select! {
             reply = &mut reported => reply.ok(),
+            () = exceeds_memory.notified() => {
+                return RunEnd::Retry { cause: NO_OUTPUT_MEMORY.into(), backoff: true };
+            }
             () = preempted.notified() => {
                 was_preempted = true;
                 // If the link has closed, no report arrives.
@@ -279,7 +287,11 @@
     match frame {
         Frame::Output { call, last_event, text } => {
             if let Some(run) = link.runs.borrow().get(&call) {
-                run.progress.borrow_mut().extend(last_event, Some(text));
+                let mut progress = run.progress.borrow_mut();
+                progress.extend(last_event, Some(text));
+                if progress.output.exceeds_memory() {
+                    run.exceeds_memory.notify_one();
+                }
             }
         }
         Frame::Suspects(report) => link.suspects.take(report),
--- a/crates/jobstore/src/interrupted_output.rs
+++ b/crates/jobstore/src/interrupted_output.rs
@@ -6,11 +6,14 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 use yokefall_serving::{Backend, SoftwareVersion};
+use yokefall_upstream::{MemoryBudget, Reservation};
 
+use crate::output::UNRESERVED_BYTES;
 use crate::running::ItemKey;
 
 /// Time for which an item waits for a slot at its software version before it starts again at
@@ -42,33 +45,42 @@
     }
 }
 
-/// Outputs by item.
-#[derive(Debug, Default)]
+/// Outputs by item, with the memory reserved for them.
+#[derive(Debug)]
 pub struct InterruptedOutputs {
-    outputs: RefCell<HashMap<ItemKey, InterruptedOutput>>,
+    outputs: RefCell<HashMap<ItemKey, (InterruptedOutput, Reservation)>>,
+    memory: Rc<MemoryBudget>,
 }
 
 impl InterruptedOutputs {
-    /// Keeps the output of an interrupted run, unless its version is not known.
+    /// Starts without outputs.
+    pub fn new(memory: Rc<MemoryBudget>) -> Self {
+        Self { outputs: RefCell::default(), memory }
+    }
+
+    /// Keeps the output of an interrupted run, unless its version is not known or no memory is left.
     pub fn keep(&self, key: ItemKey, output: InterruptedOutput) {
-        if output.software_version.is_known() {
-            self.outputs.borrow_mut().insert(key, output);
+        let mut memory = self.memory.reserve();
+        let has_memory = memory.resize(output.text.len().saturating_sub(UNRESERVED_BYTES));
+        if output.software_version.is_known() && has_memory {
+            self.outputs.borrow_mut().insert(key, (output, memory));
         }
     }
 
     /// Takes the output that a run at a back end continues; other output of the item is dropped.
     pub fn take_fitting(&self, key: &ItemKey, backend: &Backend) -> Option<InterruptedOutput> {
-        self.outputs.borrow_mut().remove(key).filter(|output| output.fits(backend))
+        let (output, _) = self.outputs.borrow_mut().remove(key)?;
+        output.fits(backend).then_some(output)
     }
 
     /// The last event of an item's output; 0 if there is none.
     pub fn last_event(&self, key: &ItemKey) -> u64 {
-        self.outputs.borrow().get(key).map_or(0, |output| output.last_event)
+        self.outputs.borrow().get(key).map_or(0, |(output, _)| output.last_event)
     }
 
     /// Applies a function to the output of an item.
     pub fn with<T>(&self, key: &ItemKey, read: impl FnOnce(Option<&InterruptedOutput>) -> T) -> T {
-        read(self.outputs.borrow().get(key))
+        read(self.outputs.borrow().get(key).map(|(output, _)| output))
     }
 
     /// Drops the outputs of items for which `keeps` returns false.
--- a/crates/jobstore/src/item_run.rs
+++ b/crates/jobstore/src/item_run.rs
@@ -50,8 +50,7 @@
             return;
         };
         let run = Run { number: rand::random(), resume_after: logged };
-        let mut progress =
-            Progress { run, committed_event: logged, last_event: logged, text: None };
+        let mut progress = Progress::after(run, logged, &self.worker.items.output_memory);
         // Output in the log, by a leader of an older build, cannot be replaced.
         if let Some(output) = self.interrupted_outputs.take_fitting(&key, &backend) {
             progress.extend(output.last_event, Some(output.text));
@@ -106,7 +105,7 @@
             .write();
         let counted = CountedItem::new(self.store.clone(), incarnation);
         let (began, events_before) = (Instant::now(), progress.borrow().last_event);
-        let continues_output = progress.borrow().text.is_some();
+        let continues_output = !progress.borrow().output.is_empty();
         let end = match worker {
             Some(worker) => {
                 let request = RunRequest {
@@ -188,8 +187,11 @@
         software_version: SoftwareVersion,
     ) {
         let mut progress = progress.borrow_mut();
+        if progress.output.exceeds_memory() {
+            return;
+        }
         // Output that does not end is not continued: it would grow with each run.
-        let text = progress.text.take().filter(|text| text.len() <= MAX_OUTPUT_BYTES);
+        let text = progress.output.take().filter(|text| text.len() <= MAX_OUTPUT_BYTES);
         let Some(text) = text else { return };
         let (last_event, interrupted_at) = (progress.last_event, Instant::now());
         let output = InterruptedOutput { software_version, last_event, text, interrupted_at };
@@ -206,7 +208,10 @@
         let (job, index) = key.clone();
         match end {
             RunEnd::Completed => {
-                let Progress { run, committed_event, text, .. } = progress.borrow().clone();
+                let (run, after_event, text) = {
+                    let mut progress = progress.borrow_mut();
+                    (progress.run, progress.committed_event, progress.output.take())
+                };
                 LogLine::new(EventName::ItemFinished)
                     .id(&item.id)
                     .text("job", &job)
@@ -217,7 +222,7 @@
                     item: index,
                     state: ItemState::Completed,
                     run,
-                    after_event: committed_event,
+                    after_event,
                     text,
                 };
                 let _ = self.store.propose(&command).await;
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod loads;
 mod log_observer;
 mod origin_history;
+pub mod output;
 pub mod packed;
 pub mod pair;
 pub mod pool_slots;
--- a/crates/jobstore/src/run.rs
+++ b/crates/jobstore/src/run.rs
@@ -19,9 +19,10 @@
 };
 use yokefall_upstream::{
     announces_close, exchange, BackendBody, BackendSlot, BodyError, ConnectFailure, Connection,
-    ExpectedBody, Pool, SendFailure,
+    ExpectedBody, MemoryBudget, Pool, SendFailure,
 };
 
+use crate::output::Output;
 use crate::state::Run;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -32,11 +33,13 @@
 /// Maximum output of a run, and of an item whose next run continues it, in bytes. It is held in
 /// memory until it is whole.
 pub(crate) const MAX_OUTPUT_BYTES: usize = 1024 * 1024;
+/// Why a run ended for which no memory was left.
+pub(crate) const NO_OUTPUT_MEMORY: &str = "no memory for the output";
 /// Maximum number of connections from this process to one back end.
 const MAX_CONNECTIONS: usize = 32;
 
 /// Output of an item since it was last committed.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug)]
 pub struct Progress {
     /// The run that produces it.
     pub run: Run,
@@ -45,20 +48,19 @@
     /// Last event received.
     pub last_event: u64,
     /// Data of the events in between.
-    pub text: Option<String>,
+    pub output: Output,
 }
 
 impl Progress {
+    /// The progress of a run that continues after `event`, which is in the log.
+    pub fn after(run: Run, event: u64, memory: &Rc<MemoryBudget>) -> Self {
+        Self { run, committed_event: event, last_event: event, output: Output::new(memory) }
+    }
+
     /// Adds the data of the next event.
     pub fn push(&mut self, event: u64, data: &str) {
         self.last_event = event;
-        match &mut self.text {
-            Some(text) => {
-                text.push('\n');
-                text.push_str(data);
-            }
-            None => self.text = Some(data.to_owned()),
-        }
+        self.output.push(data);
     }
 
     /// Adds the data of all events up to `last_event`, which another process received.
@@ -126,13 +128,19 @@
     pub pool: Pool,
     /// Requests that are suspected of crashing back ends.
     pub suspects: Rc<Registry>,
+    /// Memory for the outputs of all items that run here or for this process.
+    pub output_memory: Rc<MemoryBudget>,
     dialect: Arc<dyn Dialect>,
 }
 
 impl ItemRunner {
     /// Creates a runner without connections.
-    pub fn new(dialect: Arc<dyn Dialect>, suspects: Rc<Registry>) -> Self {
-        Self { pool: Pool::default(), suspects, dialect }
+    pub fn new(
+        dialect: Arc<dyn Dialect>,
+        suspects: Rc<Registry>,
+        output_memory: Rc<MemoryBudget>,
+    ) -> Self {
+        Self { pool: Pool::default(), suspects, output_memory, dialect }
     }
 
     /// What an item may be suspected by, the same for all attempts, whether sent in a job or as an
@@ -345,6 +353,10 @@
             }
             let event_number = progress.last_event + 1;
             progress.push(event_number, &event.data);
+            if progress.output.exceeds_memory() {
+                slot.outcome = Outcome::Failed;
+                return retry(NO_OUTPUT_MEMORY.to_owned());
+            }
         }
         drop(events);
         slot.outcome = Outcome::Answered;
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -20,9 +20,9 @@
 use crate::interrupted_output::InterruptedOutputs;
 use crate::item_waits::{ItemWaits, WaitCause};
 use crate::preemption::Phase;
-use crate::run::ItemSender;
+use crate::run::{ItemSender, Progress};
 use crate::running::{ItemKey, Running};
-use crate::state::{Command, OpenItem};
+use crate::state::{Command, OpenItem, Run};
 use crate::store::Store;
 use crate::urgency::{DurationEstimator, WaitingItem, WaitingJob};
 use crate::worker::Worker;
@@ -85,7 +85,7 @@
         let (running, estimator) = (RefCell::default(), Cell::default());
         let (backlog, held, waits) =
             (Backlog::default(), HeldItems::default(), ItemWaits::default());
-        let interrupted_outputs = InterruptedOutputs::default();
+        let interrupted_outputs = InterruptedOutputs::new(worker.items.output_memory.clone());
         Self {
             store,
             worker,
@@ -377,9 +377,10 @@
             runner.running.borrow_mut().remove(&item);
             runner.store.work_changed.notify_one();
         });
+        let progress = Progress::after(Run::default(), 0, &self.worker.items.output_memory);
         let running = Running {
             task,
-            progress: Rc::default(),
+            progress: Rc::new(RefCell::new(progress)),
             backend: None,
             started: Instant::now(),
             phase: Rc::new(Cell::new(Phase::Ended)),
--- a/crates/jobstore/src/worker.rs
+++ b/crates/jobstore/src/worker.rs
@@ -108,8 +108,7 @@
         let RunRequest { backend, host, tenant, item, after_event } = request;
         let sender = ItemSender { host, tenant };
         let run = Run { number: 0, resume_after: after_event };
-        let progress =
-            Progress { run, committed_event: after_event, last_event: after_event, text: None };
+        let progress = Progress::after(run, after_event, &self.items.output_memory);
         let progress = Rc::new(RefCell::new(progress));
         let (backend, item): (Arc<Backend>, Arc<JobItem>) = (backend.into(), item.into());
         // Checked before connecting too: connecting to a back end that has left may take long.
@@ -145,7 +144,8 @@
         };
         let outcome = slot.outcome;
         drop(slot);
-        let Progress { last_event, text, .. } = progress.take();
+        let mut progress = progress.borrow_mut();
+        let (last_event, text) = (progress.last_event, progress.output.take());
         RunReport { end, outcome, last_event, text }
     }
 }
@@ -158,7 +158,7 @@
 impl OutputSink {
     fn send_output(&self, progress: &Rc<RefCell<Progress>>) {
         let mut progress = progress.borrow_mut();
-        let Some(text) = progress.text.take() else { return };
+        let Some(text) = progress.output.take() else { return };
         let last_event = progress.last_event;
         let frame = Frame::Output { call: self.call, last_event, text };
         // If the leader is gone, the closed connection ends the run.
