Requests that a stopping gateway takes are answered

Callers saw: in a planned stop of one gateway, in calm, requests that came late were taken, passed on and cut at the end without an answer, among them some that may not be repeated.

Cause: requests were taken in the first 0.35 of the stop whatever time they needed, and the process ended 0.6 s before the stop's end with whatever was still running. With a stop of 3 s that is 1.35 s for the last one.

Change: the times of a stop are in `stop.rs`, without input or output. A request is taken if its own deadline, or four times the mean service time of its service (the route's target, if that is not known), ends before the last answers are due; otherwise it is rejected at once, before anything is sent, with another gateway's address. What still runs 0.3 s before the process ends is answered: 503 if it was not passed on, else 504, which promises nothing. That moment and the end now lie in the last sixth of a stop of any length; the process ends a twelfth before the stop's end, 0.6 s at most, as before for 8 s. Streams that have begun break off there. Uploads, submissions and reads of jobs pass the same place.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -13,6 +13,7 @@
 
 use crate::body::BufferedBody;
 use crate::quota::Token;
+use crate::stop::Stage;
 use crate::stream::StreamState;
 
 /// A request that is being forwarded.
@@ -55,6 +56,8 @@
     pub isolated_run: Option<IsolatedRun>,
     /// The stream that it begins or continues; `None` if its answer cannot be continued.
     pub stream: Option<StreamState>,
+    /// How far it has come.
+    pub stage: Stage,
 }
 
 impl RequestContext {
@@ -124,6 +127,17 @@
     pub(crate) fn record_possible_run(&mut self) {
         self.may_have_run += 1;
         self.token = None;
+        self.stage.set_may_have_run(true);
+    }
+
+    /// Records that the request is being sent. Until it is known what became of it, it may have run.
+    pub(crate) fn record_sending(&self) {
+        self.stage.set_may_have_run(true);
+    }
+
+    /// Records that the last send had no effect.
+    pub(crate) fn record_not_run(&self) {
+        self.stage.set_may_have_run(self.may_have_run > 0);
     }
 
     /// The log line of the end of this request.
@@ -137,10 +151,17 @@
 }
 
 impl Drop for RequestContext {
-    /// A context that is dropped before its end was logged is a request whose client disconnected.
+    /// A context that is dropped before its end was logged is a request whose client disconnected,
+    /// or that the stop of this process has ended.
     fn drop(&mut self) {
-        if !self.end_logged.get() {
-            self.log_line(EventName::ClientLeft).write();
+        if self.end_logged.get() {
+            return;
+        }
+        match self.stage.is_ended_by_stop() {
+            false => self.log_line(EventName::ClientLeft).write(),
+            true => {
+                self.log_line(EventName::RequestFailed).field("cause", "this gateway stops").write()
+            }
         }
     }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -40,17 +40,13 @@
 use crate::read_ahead::{self, ReadAhead};
 use crate::relay_port;
 use crate::shared::Shared;
+use crate::stop::{Stop, StopSchedule};
 
 /// Memory for request bodies divided by the memory for responses that slow clients have not read.
 /// Both are used at the same time, and requests take precedence.
 const READ_AHEAD_DIVISOR: usize = 2;
 /// Memory for request bodies divided by that for the parts of responses that are held back.
 const RESPONSE_MEMORY_DIVISOR: usize = 4;
-/// Fraction of the shutdown time in which new requests are still served, since clients cache
-/// gateway addresses. Later requests might not complete in time and are rejected.
-const STOP_SERVING_FRACTION: f64 = 0.35;
-/// Part of the shutdown time reserved for the process to exit.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Options of a gateway.
@@ -271,8 +267,7 @@
         jobs: Rc::new(JobClient::new(fleet)),
         ingress: options.ingress,
         peer: options.peer,
-        stopping: Cell::new(false),
-        rejecting: Cell::new(false),
+        stop: Stop::default(),
         serving: Cell::new(0),
         body_memory: MemoryBudget::new(options.max_buffered_body_bytes),
         response_memory: MemoryBudget::new(
@@ -334,14 +329,12 @@
 /// Graceful shutdown: keeps serving while clients still have the address cached, then rejects new
 /// requests and closes idle connections, then waits for requests in progress.
 async fn shut_down(shared: &Shared, options: &GatewayOptions, close: &watch::Sender<bool>) {
-    let begun = Instant::now();
-    shared.stopping.set(true);
+    let schedule = StopSchedule::new(Instant::now(), options.stop_time);
+    shared.stop.begin(schedule);
     LogLine::new(EventName::Stopping).field("serving", shared.serving.get()).write();
-    tokio::time::sleep(options.stop_time.mul_f64(STOP_SERVING_FRACTION)).await;
-    shared.rejecting.set(true);
+    tokio::time::sleep_until(schedule.takes_until).await;
     close.send_replace(true);
-    let end = begun + options.stop_time.saturating_sub(STOP_MARGIN);
-    while shared.serving.get() > 0 && Instant::now() < end {
+    while shared.serving.get() > 0 && Instant::now() < schedule.ends_at {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
     LogLine::new(EventName::Stopped).field("cut_off", shared.serving.get()).write();
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use http::{StatusCode, Uri};
+use rand::seq::IteratorRandom;
 
 use crate::gateway_selection::{choose, ClientLocation};
 use crate::response::{json, plain, ClientResponse};
@@ -11,6 +12,14 @@
 /// Seconds for which clients may cache a response. A gateway that shuts down serves for longer.
 const TTL_SECONDS: f64 = 2.0;
 
+/// Address of another gateway, at random.
+pub fn another_gateway(shared: &Shared) -> Option<SocketAddr> {
+    let fleet = shared.fleet.load();
+    let others = fleet.gateways().filter(|member| member.address != shared.peer);
+    let other = others.choose(&mut rand::rng())?;
+    Some(SocketAddr::new(other.ip(), shared.ingress.port()))
+}
+
 /// Answers an address query: gateways that accept requests, those in the client's region first.
 pub fn addresses(shared: &Shared, uri: &Uri) -> ClientResponse {
     let fleet = shared.fleet.load();
@@ -33,7 +42,7 @@
     let selected = chosen.gateways.iter();
     let mut addresses: Vec<String> =
         selected.map(|member| SocketAddr::new(member.ip(), port).to_string()).collect();
-    if addresses.is_empty() && !shared.stopping.get() {
+    if addresses.is_empty() && !shared.stop.has_begun() {
         addresses.push(shared.ingress.to_string());
     }
     if addresses.is_empty() {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -290,6 +290,7 @@
                 continue;
             }
         };
+        context.record_sending();
         let sent = exchange(&mut connection, request, id_header, expected_body(context), permit);
         let limit = attempt_deadline(context);
         let response = match await_response(shared, &slot, limit, sent).await {
@@ -297,6 +298,7 @@
             Ok(Err(SendFailure::NotSent { cause })) => {
                 // The back end closed an idle connection, which says nothing about its health.
                 context.tried.pop();
+                context.record_not_run();
                 last = cause;
                 log_failed_attempt(context, &backend.id, &last);
                 continue;
@@ -335,6 +337,7 @@
         match classify(shared, context, backend_response) {
             Classification::Use(backend_response) => return Ok(*backend_response),
             Classification::NotRun(cause) => {
+                context.record_not_run();
                 last = cause;
                 log_failed_attempt(context, &backend.id, &last);
             }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 use yokefall_serving::identity::{self, identify, KeyError};
 use yokefall_serving::{Caller, Catalog, RequestLimits, Route, RouteKind};
+use yokefall_streams::history::services;
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::connection::{LimitedStream, PhaseCell, ResetOnClose, TimeLimits};
@@ -25,6 +26,7 @@
 use crate::request::shared_parts;
 use crate::response::{plain, rejection, ClientResponse};
 use crate::shared::Shared;
+use crate::stop::{ArrivingRequest, Stage};
 use crate::stream::{self, StreamState};
 use crate::{body, directory, jobs, regions};
 
@@ -143,12 +145,12 @@
         Port::Directory => addresses(&shared, &request),
         Port::Ingress => {
             let id = request.headers().get(&shared.dialect.headers().request_id).cloned();
-            let response = serve_client(&shared, request).await;
+            let response = serve_client_or_stop(&shared, request).await;
             log_rejection(&shared, id.as_ref(), &response);
             response
         }
     };
-    if shared.stopping.get() && port == Port::Ingress {
+    if shared.stop.has_begun() && port == Port::Ingress {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response.body_mut().retain(Box::new(serving));
@@ -190,11 +192,53 @@
     directory::addresses(shared, request.uri())
 }
 
-async fn serve_client(shared: &Rc<Shared>, request: Request<Incoming>) -> ClientResponse {
+/// Serves a client, but answers in time if this process stops.
+async fn serve_client_or_stop(shared: &Rc<Shared>, request: Request<Incoming>) -> ClientResponse {
+    let stage = Stage::default();
+    let due = async {
+        shared.stop.answers_due().await;
+        stage.end_by_stop();
+    };
+    tokio::select! {
+        biased;
+        response = serve_client(shared, request, &stage) => response,
+        () = due => match stage.may_have_run() {
+            false => stop_rejection(shared),
+            true => plain(StatusCode::GATEWAY_TIMEOUT, "this gateway stops before the answer"),
+        },
+    }
+}
+
+/// The response to a request that was not executed because this process stops.
+fn stop_rejection(shared: &Shared) -> ClientResponse {
+    let text = match directory::another_gateway(shared) {
+        Some(other) => format!("this gateway is stopping, ask another one, for example {other}"),
+        None => "this gateway is stopping, ask another one".to_owned(),
+    };
+    rejection(&shared.dialect.headers().retry_after, Duration::ZERO, text)
+}
+
+/// Whether a request that arrives is taken, although this process may be stopping.
+fn takes(shared: &Shared, route: &Route, arrived: Instant, deadline: Instant) -> bool {
+    let Some(schedule) = shared.stop.schedule() else { return true };
+    let longest_ms = shared.balancer.with(|balancer, _| {
+        services(route).filter_map(|service| balancer.service_ms(service)).reduce(f64::max)
+    });
+    let service_time = match longest_ms {
+        Some(milliseconds) => Duration::from_secs_f64(milliseconds / 1_000.0),
+        None => Duration::from_millis(route.target_latency_ms),
+    };
+    schedule.takes(&ArrivingRequest { arrived, deadline, service_time })
+}
+
+async fn serve_client(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    stage: &Stage,
+) -> ClientResponse {
     let arrived = Instant::now();
-    if shared.rejecting.get() {
-        let name = &shared.dialect.headers().retry_after;
-        return rejection(name, Duration::ZERO, "this gateway is stopping, ask another one");
+    if shared.stop.schedule().is_some_and(|schedule| arrived >= schedule.takes_until) {
+        return stop_rejection(shared);
     }
     let catalog = shared.catalog.load_full();
     let Some(configuration) = &catalog.configuration else {
@@ -217,7 +261,7 @@
         let exempt = catalog.routes.has_exempt_batch(&host);
         return match caller_of(shared, &catalog, &parts, exempt) {
             Ok(caller) => {
-                jobs::handle_call(shared, call, caller.requester(), &parts, arrived).await
+                jobs::handle_call(shared, call, caller.requester(), &parts, arrived, stage).await
             }
             Err(error) => unauthorized(error),
         };
@@ -233,6 +277,9 @@
         Ok(deadline) => deadline,
         Err(response) => return *response,
     };
+    if route.kind != RouteKind::Batch && !takes(shared, &route, arrived, deadline) {
+        return stop_rejection(shared);
+    }
     let limit = configuration.limits.body_bytes;
     let body = match body::read(shared, incoming, limit, deadline).await {
         Ok(body) => body,
@@ -240,6 +287,7 @@
     };
     if route.kind == RouteKind::Batch {
         let submitter = jobs::Submitter { caller, host };
+        stage.set_may_have_run(true);
         return jobs::submit(shared, &route, &parts, submitter, &body.bytes, arrived).await;
     }
     let id = parts.headers.get(&shared.dialect.headers().request_id);
@@ -290,6 +338,7 @@
         suspect_keys: OnceCell::new(),
         isolated_run: None,
         stream,
+        stage: stage.clone(),
     };
     forward(shared, context).await
 }
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -16,6 +16,7 @@
 use crate::regions;
 use crate::response::{json, plain, rejection, ClientResponse, ResponseBody};
 use crate::shared::Shared;
+use crate::stop::Stage;
 
 const MAX_ITEMS: usize = 200;
 /// Timeout of a call when the caller sets none.
@@ -225,7 +226,9 @@
     requester: Requester,
     parts: &Parts,
     arrived: Instant,
+    stage: &Stage,
 ) -> ClientResponse {
+    stage.set_may_have_run(matches!(call, JobCall::End { .. }));
     let names = shared.dialect.headers();
     let wait =
         duration_header(&parts.headers, &names.wait_ms).unwrap_or_default().min(MAX_RESULT_WAIT);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod request;
 pub mod response;
 pub mod shared;
+pub mod stop;
 pub mod stream;
 pub mod suspect;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -326,6 +326,9 @@
             chunk = source.body.next() => chunk,
             () = deadline.as_mut() => return NextChunk::TimedOut,
             () = silence.as_mut() => {
+                if let Some(schedule) = shared.stop.schedule() {
+                    deadline.as_mut().reset(context.deadline.min(schedule.answers_at));
+                }
                 if waiting_since.elapsed() >= SILENCE_TIMEOUT {
                     log_silence(shared, &source.slot);
                 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::idle_eviction::IdleEviction;
 use crate::quota::Quota;
 use crate::read_ahead::ReadAhead;
+use crate::stop::Stop;
 
 /// State of the traffic thread.
 pub struct Shared {
@@ -63,10 +64,8 @@
     pub ingress: SocketAddr,
     /// Address for other processes.
     pub peer: SocketAddr,
-    /// Whether shutdown has begun.
-    pub stopping: Cell<bool>,
-    /// Whether shutdown has reached the point from which new requests are rejected.
-    pub rejecting: Cell<bool>,
+    /// The planned stop.
+    pub stop: Stop,
     /// Number of requests being served.
     pub serving: Cell<usize>,
     /// Memory for request bodies.
@@ -78,6 +77,6 @@
 impl Shared {
     /// Whether this gateway accepts requests.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.catalog.load().can_serve()
+        !self.stop.has_begun() && self.catalog.load().can_serve()
     }
 }
