A stopping gateway ends when its last answers are written

Cause: a request was over when the library had taken the body. The process ended once none was left, with up to a whole collected response in the library's buffer.

Change: a request counts until its connection has flushed the response or is gone. The connection knows a phase for it; a response after which the client has left is not waited for.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! A client connection with timeouts for idle time and for reading a request head.
 
-use std::cell::Cell;
+use std::any::Any;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -21,11 +22,20 @@
     Head,
     /// Nothing: a request is being served.
     Serving,
+    /// Nothing: the rest of a response is being written.
+    Sending,
 }
 
 /// Current phase of a connection, shared with the request handler.
-#[derive(Clone, Debug)]
-pub struct PhaseCell(Rc<Cell<(Phase, Instant)>>);
+#[derive(Clone)]
+pub struct PhaseCell(Rc<PhaseState>);
+
+struct PhaseState {
+    phase: Cell<(Phase, Instant)>,
+    /// Dropped when the response has been written, or the connection has ended.
+    until_sent: RefCell<Option<Box<dyn Any>>>,
+    is_closed: Cell<bool>,
+}
 
 impl PhaseCell {
     /// Marks that a request head is complete.
@@ -33,23 +43,39 @@
         self.set(Phase::Serving);
     }
 
-    /// Marks that the response has been sent and another request may follow.
-    pub fn set_idle(&self) {
-        self.set(Phase::Idle);
+    /// Marks that the response is complete, but not yet written. `until_sent` is dropped when it is.
+    pub fn set_sending(&self, until_sent: Box<dyn Any>) {
+        if !self.0.is_closed.get() {
+            self.set(Phase::Sending);
+            self.0.until_sent.replace(Some(until_sent));
+        }
+    }
+
+    /// Marks that everything has been written; after a response, another request may follow.
+    fn set_written(&self) {
+        if self.phase() == Phase::Sending {
+            self.set(Phase::Idle);
+            self.0.until_sent.take();
+        }
+    }
+
+    fn set_closed(&self) {
+        self.0.is_closed.set(true);
+        self.0.until_sent.take();
     }
 
     /// How long the connection has been idle; `None` while a request is in progress.
     pub fn idle_for(&self) -> Option<Duration> {
-        let (phase, since) = self.0.get();
+        let (phase, since) = self.0.phase.get();
         (phase == Phase::Idle).then(|| since.elapsed())
     }
 
     fn phase(&self) -> Phase {
-        self.0.get().0
+        self.0.phase.get().0
     }
 
     fn set(&self, phase: Phase) {
-        self.0.set((phase, Instant::now()));
+        self.0.phase.set((phase, Instant::now()));
     }
 }
 
@@ -87,7 +113,11 @@
 impl LimitedStream {
     /// Wraps a stream with timeouts.
     pub fn new(stream: TcpStream, limits: TimeLimits) -> (Self, PhaseCell) {
-        let phase = PhaseCell(Rc::new(Cell::new((Phase::Idle, Instant::now()))));
+        let phase = PhaseCell(Rc::new(PhaseState {
+            phase: Cell::new((Phase::Idle, Instant::now())),
+            until_sent: RefCell::default(),
+            is_closed: Cell::new(false),
+        }));
         let reset_on_close = ResetOnClose::default();
         let limited = Self { stream, limits, phase: phase.clone(), reset_on_close, timer: None };
         (limited, phase)
@@ -104,7 +134,7 @@
         let limit = match phase {
             Phase::Idle => self.limits.idle,
             Phase::Head => self.limits.head,
-            Phase::Serving => {
+            Phase::Serving | Phase::Sending => {
                 self.timer = None;
                 return false;
             }
@@ -125,6 +155,7 @@
 
 impl Drop for LimitedStream {
     fn drop(&mut self) {
+        self.phase.set_closed();
         if self.reset_on_close.0.get() {
             // Fails only if the connection is already gone.
             let _ = self.stream.set_zero_linger();
@@ -176,7 +207,13 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        // The caller flushes when it has written all that it holds.
+        let this = self.get_mut();
+        let flushed = Pin::new(&mut this.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            this.phase.set_written();
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -112,21 +112,38 @@
 
 /// Counts a request as being served until its response has been sent.
 struct ActiveRequest {
-    shared: Rc<Shared>,
+    count: Option<ServingCount>,
     phase: PhaseCell,
 }
 
 impl ActiveRequest {
     fn begin(shared: &Rc<Shared>, phase: PhaseCell) -> Self {
         phase.set_serving();
-        shared.serving.set(shared.serving.get() + 1);
-        Self { shared: shared.clone(), phase }
+        Self { count: Some(ServingCount::new(shared.clone())), phase }
     }
 }
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.phase.set_idle();
+        if let Some(count) = self.count.take() {
+            self.phase.set_sending(Box::new(count));
+        }
+    }
+}
+
+struct ServingCount {
+    shared: Rc<Shared>,
+}
+
+impl ServingCount {
+    fn new(shared: Rc<Shared>) -> Self {
+        shared.serving.set(shared.serving.get() + 1);
+        Self { shared }
+    }
+}
+
+impl Drop for ServingCount {
+    fn drop(&mut self) {
         self.shared.serving.set(self.shared.serving.get() - 1);
     }
 }
