A question asked before a request does not confirm what it needs

What callers saw: a client that does not name the attempt that began its stream came back, and the stream went on at another software version than the one that began it.

Cause: before a gateway decides by its own list it asks others which versions streams may have begun at. A question asked up to 20 ms before was taken for the request's own, so that answers given before the other gateways learnt of a new version confirmed the old one. On a machine that was suspended the 20 ms can be much longer, as the timer stands still.

Change: rounds of questions have numbers; a request waits until it may ask again, or joins a round that began after the request came. It takes up to 20 ms longer if another request has just asked.

Evidence: a_question_asked_before_a_request_confirms_nothing fails before (the version that the others had learnt of 5 ms earlier is not known) and passes now, in virtual time.

--- a/crates/streams/src/contacts.rs
+++ b/crates/streams/src/contacts.rs
@@ -17,6 +17,8 @@
 /// One question to several other processes.
 #[derive(Clone, Debug)]
 pub(crate) struct Round {
+    /// Its number; later ones have higher numbers.
+    pub(crate) number: u64,
     pub(crate) asked_at: Timestamp,
     /// Those that have answered before.
     expected: Vec<SocketAddr>,
@@ -52,9 +54,9 @@
     }
 
     /// Begins a question to these processes.
-    pub(crate) fn ask(&self, now: Timestamp, asked: &[SocketAddr]) -> Round {
+    pub(crate) fn ask(&self, now: Timestamp, number: u64, asked: &[SocketAddr]) -> Round {
         let expected = asked.iter().filter(|address| self.contains(address)).copied().collect();
-        Round { asked_at: now, expected }
+        Round { number, asked_at: now, expected }
     }
 
     /// Whether most of those that are expected to answer a question have done so. Those that never
--- a/crates/streams/src/history_registry.rs
+++ b/crates/streams/src/history_registry.rs
@@ -115,7 +115,7 @@
             true => STARTUP_ANSWER_WAIT,
             false => ANSWER_WAIT,
         };
-        let round = self.ask();
+        let round = self.ask_anew().await;
         loop {
             let answered = self.answered.notified();
             if self.is_complete() && self.contacts.borrow().is_answered(&round) {
@@ -200,17 +200,33 @@
         }
     }
 
+    /// Asks others, or joins a question that is asked meanwhile. One that was asked before proves nothing:
+    /// streams may have begun elsewhere since it was answered.
+    async fn ask_anew(&self) -> Round {
+        let earlier = self.last_round_number();
+        if let Some(asked_at) = self.asked_at.get() {
+            tokio::time::sleep_until(asked_at + RESEND_INTERVAL).await;
+        }
+        let joined = self.last_round.borrow().clone().filter(|round| round.number > earlier);
+        joined.unwrap_or_else(|| self.ask())
+    }
+
+    fn last_round_number(&self) -> u64 {
+        self.last_round.borrow().as_ref().map_or(0, |round| round.number)
+    }
+
     /// Asks some others, unless that was done just now.
     fn ask(&self) -> Round {
         let is_recent = self.asked_at.get().is_some_and(|at| at.elapsed() < RESEND_INTERVAL);
         if let Some(round) = self.last_round.borrow().as_ref().filter(|_| is_recent) {
             return round.clone();
         }
+        let number = self.last_round_number() + 1;
         let asked = self.choose_others();
         for address in &asked {
             self.send(*address, &HistoryMessage::Query);
         }
-        let round = self.contacts.borrow().ask(self.now(), &asked);
+        let round = self.contacts.borrow().ask(self.now(), number, &asked);
         self.asked_at.set(Some(Instant::now()));
         self.last_round.replace(Some(round.clone()));
         self.reviewed_round.borrow_mut().get_or_insert_with(|| round.clone());
--- a/crates/streams/tests/history.rs
+++ b/crates/streams/tests/history.rs
@@ -1,34 +1,15 @@
 //! Where streams may have begun, as processes that start, stop and are suspended know it.
 
+mod support;
+
+use support::{route, stream_origin};
 use yokefall_core::Timestamp;
-use yokefall_serving::{Route, RouteKind, SoftwareVersion, SplitPart};
 use yokefall_streams::history::{HistoryMessage, OriginHistory, RouteOrigin, WINDOW_MS};
-use yokefall_streams::StreamOrigin;
 
 const START: Timestamp = Timestamp(86_400_000);
 
-fn route(service: &str) -> Route {
-    Route {
-        name: "s".into(),
-        host: "maps.example".into(),
-        path_prefix: "/s/".into(),
-        kind: RouteKind::Stream,
-        timeout_ms: 4_000,
-        target_latency_ms: 300,
-        priority: 0,
-        max_attempts: 3,
-        resumable: true,
-        split: vec![SplitPart { service: service.into(), weight: 1 }],
-        batch: None,
-        auth_exempt: false,
-        allowed_regions: Vec::new(),
-    }
-}
-
 fn origin(service: &str, version: &str) -> RouteOrigin {
-    let version = SoftwareVersion::of_record(Some(version));
-    let origin = StreamOrigin::new(service, &version).expect("a known version");
-    RouteOrigin::new(&route(service), &origin)
+    RouteOrigin::new(&route(service), &stream_origin(service, version))
 }
 
 fn after(ms: u64) -> Timestamp {
--- a/crates/streams/tests/history_registry.rs
+++ b/crates/streams/tests/history_registry.rs
@@ -1,21 +1,25 @@
 //! What a process knows of origins that it may have missed, and whom it asks.
 
+mod support;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use support::{route, stream_origin};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use yokefall_clock::{ElapsedClock, SuspensionSource};
 use yokefall_serving::direct_messages::{DirectMessage, Envelope, MessageKind};
 use yokefall_serving::fleet::empty_fleet;
 use yokefall_serving::{empty_catalog, Fleet, FleetMember};
-use yokefall_streams::history::{HistoryMessage, HistoryReport, WINDOW_MS};
+use yokefall_streams::history::{HistoryMessage, HistoryReport, RouteOrigin, WINDOW_MS};
 use yokefall_streams::HistoryRegistry;
 
 const OTHERS: usize = 10;
+const SERVICE: &str = "models";
 
 fn address(number: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 2], 1_000 + number as u16))
@@ -35,6 +39,7 @@
 #[derive(Clone, Default)]
 struct Others {
     silent: Arc<Mutex<HashMap<SocketAddr, bool>>>,
+    known: Arc<Mutex<Vec<RouteOrigin>>>,
 }
 
 impl Others {
@@ -43,18 +48,29 @@
         silent.extend(numbers.map(|number| (address(number), is_silent)));
     }
 
+    /// Streams begin at another software version.
+    fn learn(&self, version: &str) {
+        let origin = RouteOrigin::new(&route(SERVICE), &stream_origin(SERVICE, version));
+        self.known.lock().expect("the others").push(origin);
+    }
+
     fn answer(&self, question: DirectMessage) -> Option<DirectMessage> {
         let is_silent = self.silent.lock().expect("the others").get(&question.peer).copied();
         if is_silent == Some(true) {
             return None;
         }
-        let report = HistoryReport { complete_ms: WINDOW_MS, origins: Vec::new() };
-        let content = borsh::to_vec(&HistoryMessage::Report(report)).expect("bytes");
-        let envelope = Envelope { kind: MessageKind::OriginHistory, content };
-        Some(DirectMessage { peer: question.peer, envelope })
+        let known = self.known.lock().expect("the others").clone();
+        let origins = known.into_iter().map(|found| (found, 0)).collect();
+        let report = HistoryReport { complete_ms: WINDOW_MS, origins };
+        Some(message(question.peer, &HistoryMessage::Report(report)))
     }
 }
 
+fn message(peer: SocketAddr, content: &HistoryMessage) -> DirectMessage {
+    let content = borsh::to_vec(content).expect("bytes");
+    DirectMessage { peer, envelope: Envelope { kind: MessageKind::OriginHistory, content } }
+}
+
 /// Runs a test with a process that started with the whole system two minutes ago.
 async fn with_process<F>(others: Others, test: impl FnOnce(Rc<HistoryRegistry>, Others) -> F)
 where
@@ -150,3 +166,21 @@
     })
     .await;
 }
+
+/// Guards against a gateway that continued streams at the version of its own list, as an earlier request
+/// had asked the others just before they learnt of another version.
+#[tokio::test(start_paused = true)]
+async fn a_question_asked_before_a_request_confirms_nothing() {
+    with_process(Others::default(), |process, others| async move {
+        assert!(process.confirm().await);
+        assert!(!process.has_other(&route(SERVICE), &stream_origin(SERVICE, "v1")));
+        others.learn("v2");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        assert!(process.confirm().await);
+        assert!(
+            process.has_other(&route(SERVICE), &stream_origin(SERVICE, "v1")),
+            "the others know v2"
+        );
+    })
+    .await;
+}
