A gateway that is cut off for long does not forget that there are others

What callers saw: none seen. By reading: a gateway that had been cut off for ten minutes forgot all others, after which nobody was expected to confirm its list, and it continued streams at the only version that it knew although others had begun some at a newer one.

Cause: a process was no longer expected to answer when its last answer was ten minutes old, whoever was silent: the absence of all answers counted as the absence of all processes.

Change: the age of an answer is measured against the latest answer of any process, so that it is only forgotten while others answer.

--- a/crates/streams/src/contacts.rs
+++ b/crates/streams/src/contacts.rs
@@ -6,8 +6,9 @@
 
 use yokefall_core::Timestamp;
 
-/// Time since its last answer for which another process is expected to answer, in milliseconds, unless
-/// most others answer and it does not: a process that is cut off remembers whom it was in touch with.
+/// How much older than the latest answer of any process the last one of another may be, in milliseconds,
+/// until that one is no longer expected to answer. A process that is cut off remembers whom it was in
+/// touch with, however long that lasts.
 const CONTACT_LIFETIME_MS: u64 = 600_000;
 /// Maximum time for an answer, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
@@ -80,7 +81,7 @@
     /// Forgets those that are gone: they did not answer a question in time, while most others did.
     /// Takes the question once the time is over.
     pub(crate) fn review(&mut self, now: Timestamp, round: &mut Option<Round>) {
-        self.answered_at.retain(|_, at| now.millis_since(*at) < CONTACT_LIFETIME_MS);
+        self.forget_old();
         let is_over = |round: &mut Round| now.millis_since(round.asked_at) >= ANSWER_TIMEOUT_MS;
         let Some(round) = round.take_if(is_over) else { return };
         if self.is_answered(&round) {
@@ -88,4 +89,9 @@
             self.answered_at.retain(|address, _| !gone.contains(address));
         }
     }
+
+    fn forget_old(&mut self) {
+        let Some(latest) = self.answered_at.values().max().copied() else { return };
+        self.answered_at.retain(|_, at| latest.millis_since(*at) < CONTACT_LIFETIME_MS);
+    }
 }
--- a/crates/streams/tests/history_registry.rs
+++ b/crates/streams/tests/history_registry.rs
@@ -184,3 +184,18 @@
     })
     .await;
 }
+
+/// Guards against a process that forgets all others after it was cut off for some minutes, and then
+/// takes what it knows itself for all that there is.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_was_cut_off_for_an_hour_does_not_know_all_origins() {
+    with_process(Others::default(), |process, others| async move {
+        assert!(process.confirm().await);
+        others.set_silent(0..OTHERS, true);
+        tokio::time::sleep(Duration::from_secs(3_600)).await;
+        assert!(!process.confirm().await);
+        others.set_silent(0..OTHERS, false);
+        assert!(process.confirm().await);
+    })
+    .await;
+}
