Late answers do not confirm where streams began

What callers saw: streams that had begun at servers of a new software version through other gateways broke, were taken up by a client that does not name the attempt at a gateway that had stood still or been cut off, and went on at a server of another version.

Cause: any report that arrived after a gateway had asked counted as the answer. Reports that others had sent before the gateway stood still, or that the network had held back, were read first when it was back, and confirmed a list that was older than the new version.

Change: each round of queries has a number and the answers repeat it; a report without the number of a round that was asked after the request came is merged and confirms nothing. The first number is random, so that answers to a process that had the address before do not count. Two forms are added to the messages; older builds drop them, so that a process that has not answered one is sent the old query as well, and its answers count as before. A fleet whose members go to the new build or back to the old one, one after the other, goes on confirming.

Evidence: answers_to_earlier_questions_confirm_nothing fails before ("nobody has answered") and passes now, in virtual time, as do processes_of_older_builds_confirm_what_they_know and processes_that_go_back_to_an_older_build_are_not_missed.

--- a/crates/streams/src/contacts.rs
+++ b/crates/streams/src/contacts.rs
@@ -25,32 +25,70 @@
     expected: Vec<SocketAddr>,
 }
 
-/// The processes that have answered, each with the time of its last answer.
+/// The last answer of a process.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    at: Timestamp,
+    /// The last round that it answers; `None` if the process runs an older build, whose answers do not
+    /// tell which round they belong to.
+    round: Option<u64>,
+}
+
+impl Answer {
+    fn is_of(&self, round: &Round) -> bool {
+        match self.round {
+            Some(number) => number >= round.number,
+            None => self.at >= round.asked_at,
+        }
+    }
+}
+
+/// The processes that have answered.
 #[derive(Debug, Default)]
 pub(crate) struct Contacts {
-    answered_at: HashMap<SocketAddr, Timestamp>,
+    answers: HashMap<SocketAddr, Answer>,
 }
 
 impl Contacts {
     /// Number of processes that have answered.
     pub(crate) fn len(&self) -> usize {
-        self.answered_at.len()
+        self.answers.len()
     }
 
     /// Whether a process has answered before.
     pub(crate) fn contains(&self, address: &SocketAddr) -> bool {
-        self.answered_at.contains_key(address)
+        self.answers.contains_key(address)
     }
 
     /// Processes that have answered before.
     pub(crate) fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.answered_at.keys().copied()
+        self.answers.keys().copied()
+    }
+
+    /// Whether the answers of a process tell which round they belong to.
+    pub(crate) fn answers_rounds(&self, address: &SocketAddr) -> bool {
+        self.answers.get(address).is_some_and(|answer| answer.round.is_some())
     }
 
-    /// Records an answer.
+    /// Records an answer that does not tell its round. It counts only from a process whose answers never
+    /// do: it may be late.
     pub(crate) fn record_answer(&mut self, now: Timestamp, from: SocketAddr) {
-        if self.answered_at.len() < MAX_CONTACTS || self.answered_at.contains_key(&from) {
-            self.answered_at.insert(from, now);
+        if !self.answers_rounds(&from) {
+            self.insert(from, Answer { at: now, round: None });
+        }
+    }
+
+    /// Records the answer to a round.
+    pub(crate) fn record_round_answer(&mut self, now: Timestamp, from: SocketAddr, number: u64) {
+        let latest = self.answers.get(&from).and_then(|answer| answer.round);
+        if latest.is_none_or(|latest| number > latest) {
+            self.insert(from, Answer { at: now, round: Some(number) });
+        }
+    }
+
+    fn insert(&mut self, from: SocketAddr, answer: Answer) {
+        if self.answers.len() < MAX_CONTACTS || self.answers.contains_key(&from) {
+            self.answers.insert(from, answer);
         }
     }
 
@@ -73,7 +111,7 @@
         round: &'a Round,
     ) -> impl Iterator<Item = SocketAddr> + 'a {
         let has_answered = |address: &SocketAddr| {
-            self.answered_at.get(address).is_some_and(|at| *at >= round.asked_at)
+            self.answers.get(address).is_some_and(|answer| answer.is_of(round))
         };
         round.expected.iter().copied().filter(move |address| !has_answered(address))
     }
@@ -86,12 +124,12 @@
         let Some(round) = round.take_if(is_over) else { return };
         if self.is_answered(&round) {
             let gone: Vec<SocketAddr> = self.unanswered(&round).collect();
-            self.answered_at.retain(|address, _| !gone.contains(address));
+            self.answers.retain(|address, _| !gone.contains(address));
         }
     }
 
     fn forget_old(&mut self) {
-        let Some(latest) = self.answered_at.values().max().copied() else { return };
-        self.answered_at.retain(|_, at| latest.millis_since(*at) < CONTACT_LIFETIME_MS);
+        let Some(latest) = self.answers.values().map(|answer| answer.at).max() else { return };
+        self.answers.retain(|_, answer| latest.millis_since(answer.at) < CONTACT_LIFETIME_MS);
     }
 }
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -79,13 +79,17 @@
     pub origins: Vec<(RouteOrigin, u64)>,
 }
 
-/// A message about histories. Each may be lost or arrive twice.
+/// A message about histories. Each may be lost, be late or arrive twice.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum HistoryMessage {
     /// Asks for a report.
     Query,
-    /// Answers a query.
+    /// Answers a `Query`.
     Report(HistoryReport),
+    /// Asks for a report, with the number of the round of queries. Older builds drop it.
+    RoundQuery(u64),
+    /// Answers a `RoundQuery` of that number.
+    RoundReport(u64, HistoryReport),
 }
 
 /// The origins of the last `WINDOW_MS`, by one process.
--- a/crates/streams/src/history_registry.rs
+++ b/crates/streams/src/history_registry.rs
@@ -59,6 +59,9 @@
     contacts: RefCell<Contacts>,
     /// The last question to others.
     last_round: RefCell<Option<Round>>,
+    /// Number of the round before the first one, at random: answers to a process that had this address
+    /// before are told apart.
+    initial_round: u64,
     /// A question whose answers are looked at once all should have come.
     reviewed_round: RefCell<Option<Round>>,
     asked_at: Cell<Option<Instant>>,
@@ -91,6 +94,7 @@
             started_at: Instant::now(),
             contacts: RefCell::default(),
             last_round: RefCell::default(),
+            initial_round: u64::from(rand::random::<u32>()) << 32,
             reviewed_round: RefCell::default(),
             asked_at: Cell::default(),
             answered: Notify::new(),
@@ -212,7 +216,7 @@
     }
 
     fn last_round_number(&self) -> u64 {
-        self.last_round.borrow().as_ref().map_or(0, |round| round.number)
+        self.last_round.borrow().as_ref().map_or(self.initial_round, |round| round.number)
     }
 
     /// Asks some others, unless that was done just now.
@@ -224,7 +228,10 @@
         let number = self.last_round_number() + 1;
         let asked = self.choose_others();
         for address in &asked {
-            self.send(*address, &HistoryMessage::Query);
+            self.send(*address, &HistoryMessage::RoundQuery(number));
+            if !self.contacts.borrow().answers_rounds(address) {
+                self.send(*address, &HistoryMessage::Query);
+            }
         }
         let round = self.contacts.borrow().ask(self.now(), number, &asked);
         self.asked_at.set(Some(Instant::now()));
@@ -252,17 +259,32 @@
 
     fn receive(&self, DirectMessage { peer, envelope }: DirectMessage) {
         // A message of a newer build that this one cannot read counts as lost.
-        match borsh::from_slice::<HistoryMessage>(&envelope.content) {
-            Ok(HistoryMessage::Query) => self.send(peer, &HistoryMessage::Report(self.report())),
-            Ok(HistoryMessage::Report(report)) => {
+        let Ok(message) = borsh::from_slice::<HistoryMessage>(&envelope.content) else { return };
+        match message {
+            HistoryMessage::Query => self.send(peer, &HistoryMessage::Report(self.report())),
+            HistoryMessage::RoundQuery(number) => {
+                self.send(peer, &HistoryMessage::RoundReport(number, self.report()));
+            }
+            HistoryMessage::Report(report) => {
                 self.merge(report);
                 self.contacts.borrow_mut().record_answer(self.now(), peer);
                 self.answered.notify_waiters();
             }
-            Err(_) => {}
+            HistoryMessage::RoundReport(number, report) => {
+                self.merge(report);
+                if self.has_asked(number) {
+                    self.contacts.borrow_mut().record_round_answer(self.now(), peer, number);
+                }
+                self.answered.notify_waiters();
+            }
         }
     }
 
+    /// Whether a round has that number.
+    fn has_asked(&self, number: u64) -> bool {
+        number > self.initial_round && number <= self.last_round_number()
+    }
+
     fn send(&self, to: SocketAddr, message: &HistoryMessage) {
         // Encoding to memory does not fail.
         let Ok(content) = borsh::to_vec(message) else { return };
--- a/crates/streams/tests/history.rs
+++ b/crates/streams/tests/history.rs
@@ -4,7 +4,9 @@
 
 use support::{route, stream_origin};
 use yokefall_core::Timestamp;
-use yokefall_streams::history::{HistoryMessage, OriginHistory, RouteOrigin, WINDOW_MS};
+use yokefall_streams::history::{
+    HistoryMessage, HistoryReport, OriginHistory, RouteOrigin, WINDOW_MS,
+};
 
 const START: Timestamp = Timestamp(86_400_000);
 
@@ -96,4 +98,10 @@
     assert_eq!(bytes.len(), 1 + 8 + 4 + 24);
     assert_eq!(&bytes[..13], [1, 7, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0]);
     assert_eq!(borsh::to_vec(&HistoryMessage::Query).expect("bytes"), [0]);
+    let round_query = borsh::to_vec(&HistoryMessage::RoundQuery(0x0102)).expect("bytes");
+    assert_eq!(round_query, [2, 2, 1, 0, 0, 0, 0, 0, 0]);
+    let empty = HistoryReport::default();
+    let round_report = borsh::to_vec(&HistoryMessage::RoundReport(0x0102, empty)).expect("bytes");
+    assert_eq!(round_report[..9], [3, 2, 1, 0, 0, 0, 0, 0, 0]);
+    assert_eq!(round_report[9..], [0; 12]);
 }
--- a/crates/streams/tests/history_registry.rs
+++ b/crates/streams/tests/history_registry.rs
@@ -40,6 +40,10 @@
 struct Others {
     silent: Arc<Mutex<HashMap<SocketAddr, bool>>>,
     known: Arc<Mutex<Vec<RouteOrigin>>>,
+    /// Answers on their way, while the network holds them back.
+    held: Arc<Mutex<Option<Vec<DirectMessage>>>>,
+    /// So many of them run the build before, which drops queries that tell their round.
+    older_builds: Arc<Mutex<usize>>,
 }
 
 impl Others {
@@ -54,6 +58,18 @@
         self.known.lock().expect("the others").push(origin);
     }
 
+    fn set_older_builds(&self, count: usize) {
+        *self.older_builds.lock().expect("the others") = count;
+    }
+
+    fn hold_answers(&self) {
+        *self.held.lock().expect("the others") = Some(Vec::new());
+    }
+
+    fn take_held(&self) -> Vec<DirectMessage> {
+        self.held.lock().expect("the others").take().unwrap_or_default()
+    }
+
     fn answer(&self, question: DirectMessage) -> Option<DirectMessage> {
         let is_silent = self.silent.lock().expect("the others").get(&question.peer).copied();
         if is_silent == Some(true) {
@@ -62,7 +78,22 @@
         let known = self.known.lock().expect("the others").clone();
         let origins = known.into_iter().map(|found| (found, 0)).collect();
         let report = HistoryReport { complete_ms: WINDOW_MS, origins };
-        Some(message(question.peer, &HistoryMessage::Report(report)))
+        let older_builds = *self.older_builds.lock().expect("the others");
+        let is_older = question.peer.port() < address(older_builds).port();
+        let query = borsh::from_slice(&question.envelope.content).expect("a query");
+        let answer = match query {
+            HistoryMessage::RoundQuery(_) if is_older => return None,
+            HistoryMessage::RoundQuery(number) => HistoryMessage::RoundReport(number, report),
+            _ => HistoryMessage::Report(report),
+        };
+        let answer = message(question.peer, &answer);
+        match self.held.lock().expect("the others").as_mut() {
+            Some(held) => {
+                held.push(answer);
+                None
+            }
+            None => Some(answer),
+        }
     }
 }
 
@@ -71,8 +102,22 @@
     DirectMessage { peer, envelope: Envelope { kind: MessageKind::OriginHistory, content } }
 }
 
+/// A process that started with the whole system two minutes ago, and what it is sent.
+struct Running {
+    process: Rc<HistoryRegistry>,
+    others: Others,
+    incoming: mpsc::UnboundedSender<DirectMessage>,
+}
+
 /// Runs a test with a process that started with the whole system two minutes ago.
 async fn with_process<F>(others: Others, test: impl FnOnce(Rc<HistoryRegistry>, Others) -> F)
+where
+    F: std::future::Future<Output = ()>,
+{
+    with_running(others, |running| test(running.process, running.others)).await;
+}
+
+async fn with_running<F>(others: Others, test: impl FnOnce(Running) -> F)
 where
     F: std::future::Future<Output = ()>,
 {
@@ -84,6 +129,7 @@
     let clock = ElapsedClock::new(SuspensionSource::Machine);
     let process = HistoryRegistry::new("me".into(), true, empty_catalog(), fleet, clock, asked);
     let answering = others.clone();
+    let incoming = answers.clone();
     LocalSet::new()
         .run_until(async {
             tokio::task::spawn_local(process.clone().run(answered));
@@ -95,7 +141,7 @@
                 }
             });
             tokio::time::sleep(Duration::from_secs(120)).await;
-            test(process, others).await;
+            test(Running { process, others, incoming }).await;
         })
         .await;
 }
@@ -167,8 +213,31 @@
     .await;
 }
 
-/// Guards against a gateway that continued streams at the version of its own list, as an earlier request
-/// had asked the others just before they learnt of another version.
+/// Guards against a gateway that continued streams at the version of its own list: what it was sent
+/// before it stood still, or was cut off, counted as the answer to what it asked afterwards.
+#[tokio::test(start_paused = true)]
+async fn answers_to_earlier_questions_confirm_nothing() {
+    with_running(Others::default(), |Running { process, others, incoming }| async move {
+        assert!(process.confirm().await);
+        others.hold_answers();
+        assert!(!process.confirm().await);
+        let held = others.take_held();
+        assert!(!held.is_empty());
+        others.learn("v2");
+        others.set_silent(0..OTHERS, true);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        for answer in held {
+            incoming.send(answer).expect("it runs");
+        }
+        assert!(!process.confirm().await, "nobody has answered");
+        others.set_silent(0..OTHERS, false);
+        assert!(process.confirm().await);
+        assert!(process.has_other(&route(SERVICE), &stream_origin(SERVICE, "v1")));
+    })
+    .await;
+}
+
+/// Guards against the same with a question that an earlier request had asked just before.
 #[tokio::test(start_paused = true)]
 async fn a_question_asked_before_a_request_confirms_nothing() {
     with_process(Others::default(), |process, others| async move {
@@ -199,3 +268,37 @@
     })
     .await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn processes_of_older_builds_confirm_what_they_know() {
+    let others = Others::default();
+    others.set_older_builds(OTHERS);
+    with_process(others, |process, others| async move {
+        assert!(process.confirm().await);
+        others.learn("v2");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        assert!(process.confirm().await);
+        assert!(process.has_other(&route(SERVICE), &stream_origin(SERVICE, "v1")));
+        others.set_silent(0..OTHERS, true);
+        assert!(!process.confirm().await);
+    })
+    .await;
+}
+
+/// Others are replaced, one after the other, by processes of the build before at the same addresses.
+#[tokio::test(start_paused = true)]
+async fn processes_that_go_back_to_an_older_build_are_not_missed() {
+    with_process(Others::default(), |process, others| async move {
+        for replaced in 1..=OTHERS {
+            others.set_older_builds(replaced);
+            for _ in 0..200 {
+                process.confirm().await;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            assert!(process.confirm().await, "{replaced} run the older build");
+        }
+        others.set_silent(0..OTHERS, true);
+        assert!(!process.confirm().await);
+    })
+    .await;
+}
