Reports of origins tell of versions that have just joined

What callers saw: as before, a stream that goes on at another software version than the one that began it, here within the first moments of a new version.

Cause: a process observed its own list every 200 ms, and what it reported was as old: gateways that knew of the new version confirmed the list of one that did not.

Change: a report begins with an observation.

Evidence: a_report_tells_of_a_version_that_has_just_joined fails before and passes now, in virtual time.

--- a/crates/streams/src/history_registry.rs
+++ b/crates/streams/src/history_registry.rs
@@ -145,8 +145,9 @@
         self.history.borrow_mut().record(self.now(), origin);
     }
 
-    /// What this process has observed.
+    /// What this process has observed, versions that have just joined among it.
     pub fn report(&self) -> HistoryReport {
+        self.observe();
         self.history.borrow().report(self.now())
     }
 
--- a/crates/streams/tests/history_registry.rs
+++ b/crates/streams/tests/history_registry.rs
@@ -14,7 +14,10 @@
 use yokefall_clock::{ElapsedClock, SuspensionSource};
 use yokefall_serving::direct_messages::{DirectMessage, Envelope, MessageKind};
 use yokefall_serving::fleet::empty_fleet;
-use yokefall_serving::{empty_catalog, Fleet, FleetMember};
+use yokefall_serving::{
+    empty_catalog, Backend, BackendState, Catalog, CatalogCell, Configuration, Fleet, FleetMember,
+    SoftwareVersion,
+};
 use yokefall_streams::history::{HistoryMessage, HistoryReport, RouteOrigin, WINDOW_MS};
 use yokefall_streams::HistoryRegistry;
 
@@ -106,6 +109,7 @@
 struct Running {
     process: Rc<HistoryRegistry>,
     others: Others,
+    catalog: CatalogCell,
     incoming: mpsc::UnboundedSender<DirectMessage>,
 }
 
@@ -123,11 +127,11 @@
 {
     let (asked, mut questions) = mpsc::unbounded_channel();
     let (answers, answered) = mpsc::unbounded_channel();
-    let fleet = empty_fleet();
+    let (fleet, catalog) = (empty_fleet(), empty_catalog());
     let members = (0..OTHERS).map(member).collect();
     fleet.store(Arc::new(Fleet { members, ..Fleet::default() }));
     let clock = ElapsedClock::new(SuspensionSource::Machine);
-    let process = HistoryRegistry::new("me".into(), true, empty_catalog(), fleet, clock, asked);
+    let process = HistoryRegistry::new("me".into(), true, catalog.clone(), fleet, clock, asked);
     let answering = others.clone();
     let incoming = answers.clone();
     LocalSet::new()
@@ -141,7 +145,7 @@
                 }
             });
             tokio::time::sleep(Duration::from_secs(120)).await;
-            test(Running { process, others, incoming }).await;
+            test(Running { process, others, catalog, incoming }).await;
         })
         .await;
 }
@@ -217,7 +221,7 @@
 /// before it stood still, or was cut off, counted as the answer to what it asked afterwards.
 #[tokio::test(start_paused = true)]
 async fn answers_to_earlier_questions_confirm_nothing() {
-    with_running(Others::default(), |Running { process, others, incoming }| async move {
+    with_running(Others::default(), |Running { process, others, incoming, .. }| async move {
         assert!(process.confirm().await);
         others.hold_answers();
         assert!(!process.confirm().await);
@@ -302,3 +306,33 @@
     })
     .await;
 }
+
+/// The catalog of a service with one back end.
+fn catalog_of(version: &str) -> Catalog {
+    let backend = Arc::new(Backend {
+        id: "i-0".into(),
+        started_ms: 1,
+        service: SERVICE.into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "hall-1".into(),
+        slots: 8,
+        state: BackendState::Ready,
+        cold_remaining_ms: 0,
+        software_version: SoftwareVersion::of_record(Some(version)),
+    });
+    let configuration = Configuration { routes: vec![route(SERVICE)], ..Configuration::default() };
+    Catalog::new(Some(Arc::new(configuration)), [backend].iter())
+}
+
+/// Guards against a process that confirms the list of another although its own tells of a version that
+/// has joined since it last observed it.
+#[tokio::test(start_paused = true)]
+async fn a_report_tells_of_a_version_that_has_just_joined() {
+    with_running(Others::default(), |Running { process, catalog, .. }| async move {
+        catalog.store(Arc::new(catalog_of("v2")));
+        let expected = RouteOrigin::new(&route(SERVICE), &stream_origin(SERVICE, "v2"));
+        let reported = process.report().origins;
+        assert!(reported.iter().any(|(found, _)| *found == expected));
+    })
+    .await;
+}
