A list goes on after the name that its page ends with, whatever is on it

Nobody saw it: the adapter's pages end with the name of one of their objects. A source whose page ends with another name, or has no objects, would have been read from its first page again and again, without a pause.

Cause: since lists may go on after an earlier name, the names to try were taken from the objects of the page alone.

Change: the name that the page ends with is always the first to be tried.

Evidence: a_list_goes_on_after_a_name_that_is_not_among_the_objects fails before (no name to go on after) and passes now; the other three tests of list_pages.rs too.

--- a/crates/serving/src/listing.rs
+++ b/crates/serving/src/listing.rs
@@ -91,7 +91,12 @@
                 self.skip_position();
                 return;
             }
-            Some(_) => self.positions = self.positions_in(&items),
+            Some(next) => {
+                self.positions = self.positions_in(&items);
+                if self.positions.last() != Some(&next) {
+                    self.positions.push(next);
+                }
+            }
         }
         self.items.extend(items);
     }
--- a/crates/serving/tests/list_pages.rs
+++ b/crates/serving/tests/list_pages.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use quickcheck::{quickcheck, TestResult};
+use yokefall_core::Timestamp;
+use yokefall_serving::listing::{ListEnd, PartialList};
 use yokefall_serving::source::{Revision, Source, SourceError, WatchResponse};
 use yokefall_serving::watch::{run_watch, Sink, WatchOptions, WatchWaits, INCOMPLETE};
 use yokefall_serving::watch_role::WatchRole;
@@ -123,6 +125,19 @@
     sink
 }
 
+/// Guards against reading the first page again and again, without a pause.
+#[tokio::test(start_paused = true)]
+async fn a_list_goes_on_after_a_name_that_is_not_among_the_objects() {
+    let mut list: PartialList<u64> = PartialList::default();
+    list.add(ListPage { items: Vec::new(), revision: 1, next: Some("b".into()) }, Timestamp(1));
+    assert_eq!(list.after(), Some("b"));
+    assert_eq!(list.end(), None);
+    let last = Change { name: "c".into(), revision: 1, value: Some(1) };
+    list.add(ListPage { items: vec![last], revision: 1, next: None }, Timestamp(2));
+    assert_eq!(list.end(), Some(ListEnd::LastPage));
+    assert_eq!(list.take().items.len(), 1);
+}
+
 const NAMES: [&str; 7] = ["a", "b", ODD, "d", "e", "f", "g"];
 
 #[tokio::test(start_paused = true)]
