One copy of what a request may hold without a reservation

Gateways and job stores had the same figure and the same subtraction each. `Reservation::hold` has both now; nothing else changes. clippy passes; the tests of memory run with the whole script.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,10 +27,6 @@
 
 /// Maximum size of a response that is collected before it is relayed.
 const MAX_COLLECTED_BYTES: usize = 256 * 1024;
-/// Part of a response that is held without a reservation: sound events and most sound responses are
-/// shorter, and must not depend on the memory that others hold.
-const UNRESERVED_BYTES: usize = 16 * 1024;
-
 /// Relays a response; returns the context and the cause if it fails before any of it was sent.
 pub async fn relay(
     shared: &Rc<Shared>,
@@ -66,7 +62,7 @@
             Some(Ok(chunk)) => {
                 let length = collected.len() + chunk.len();
                 collected.extend_from_slice(&chunk);
-                if length > MAX_COLLECTED_BYTES || !reserve(&mut collected_memory, length) {
+                if length > MAX_COLLECTED_BYTES || !collected_memory.hold(length) {
                     break Some(std::mem::take(&mut collected).freeze());
                 }
             }
@@ -94,11 +90,6 @@
     response
 }
 
-/// Reserves the memory of the held part of a response; false if there is none left for it.
-fn reserve(memory: &mut Reservation, bytes: usize) -> bool {
-    memory.resize(bytes.saturating_sub(UNRESERVED_BYTES))
-}
-
 struct Source {
     body: BackendBody,
     connection: Connection,
@@ -211,8 +202,7 @@
     fn reserve_for(&mut self, next: NextChunk) -> NextChunk {
         match next {
             NextChunk::Data(data)
-                if self.resumes
-                    && !reserve(&mut self.partial_memory, self.partial.len() + data.len()) =>
+                if self.resumes && !self.partial_memory.hold(self.partial.len() + data.len()) =>
             {
                 let cause = "no memory for an incomplete event".to_owned();
                 NextChunk::Broken { cause, is_disconnect: false }
@@ -268,7 +258,7 @@
         let end = held + self.boundaries.read(data)?;
         let events = self.partial.split_to(end).freeze();
         // Never refused: less is held than before.
-        let _ = reserve(&mut self.partial_memory, self.partial.len());
+        let _ = self.partial_memory.hold(self.partial.len());
         match StreamPosition::after(&events) {
             StreamPosition::Unchanged => {}
             StreamPosition::After(event) => {
@@ -283,7 +273,7 @@
     /// Continues at another back end. Returns whether one has taken over.
     async fn resume(&mut self) -> bool {
         self.partial = BytesMut::new();
-        let _ = reserve(&mut self.partial_memory, 0);
+        let _ = self.partial_memory.hold(0);
         self.boundaries = EventBoundaries::default();
         if !self.is_position_known || !may_retry(&self.context) {
             return false;
--- a/crates/jobstore/src/interrupted_output.rs
+++ b/crates/jobstore/src/interrupted_output.rs
@@ -13,7 +13,6 @@
 use yokefall_serving::{Backend, SoftwareVersion};
 use yokefall_upstream::{MemoryBudget, Reservation};
 
-use crate::output::UNRESERVED_BYTES;
 use crate::running::ItemKey;
 
 /// Time for which an item waits for a slot at its software version before it starts again at
@@ -61,7 +60,7 @@
     /// Keeps the output of an interrupted run, unless its version is not known or no memory is left.
     pub fn keep(&self, key: ItemKey, output: InterruptedOutput) {
         let mut memory = self.memory.reserve();
-        let has_memory = memory.resize(output.text.len().saturating_sub(UNRESERVED_BYTES));
+        let has_memory = memory.hold(output.text.len());
         if output.software_version.is_known() && has_memory {
             self.outputs.borrow_mut().insert(key, (output, memory));
         }
--- a/crates/jobstore/src/output.rs
+++ b/crates/jobstore/src/output.rs
@@ -4,10 +4,6 @@
 
 use yokefall_upstream::{MemoryBudget, Reservation};
 
-/// Part of an output that is held without a reservation: most are shorter, and must not depend on the
-/// memory that others hold.
-pub(crate) const UNRESERVED_BYTES: usize = 16 * 1024;
-
 /// Data of events, joined by line feeds, with the memory reserved for it.
 #[derive(Debug)]
 pub struct Output {
@@ -32,8 +28,7 @@
             }
             None => self.text.insert(data.to_owned()),
         };
-        let reserved = text.len().saturating_sub(UNRESERVED_BYTES);
-        self.exceeds_memory |= !self.memory.resize(reserved);
+        self.exceeds_memory |= !self.memory.hold(text.len());
     }
 
     /// Whether there was no memory left for a part of it, so that its run has to end.
--- a/crates/upstream/src/memory.rs
+++ b/crates/upstream/src/memory.rs
@@ -4,6 +4,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Part of what a request holds that needs no reservation, in bytes: most responses and events are
+/// shorter, and must not depend on the memory that others hold.
+const UNRESERVED_BYTES: usize = 16 * 1024;
+
 /// An amount of memory, in bytes, that reservations share.
 #[derive(Debug)]
 pub struct MemoryBudget {
@@ -44,6 +48,13 @@
         true
     }
 
+    /// Reserves what is held beyond the part that needs no reservation; false if there is too little
+    /// left for it.
+    #[must_use]
+    pub fn hold(&mut self, bytes: usize) -> bool {
+        self.resize(bytes.saturating_sub(UNRESERVED_BYTES))
+    }
+
     /// Adds to the reservation, or returns false.
     #[must_use]
     pub fn grow(&mut self, bytes: usize) -> bool {
