Answers of plain services that are longer than their length: a failing test

Callers of agents could see: the beginning of an answer as the whole one, from a plain service whose head tells a smaller length than its body's.

Cause: the client of plain services uses a pooling client of the library, which drops the bytes after the length with the connection, unseen. Gateways and job stores drive their connections themselves and see them.

--- a/crates/backend/tests/spoilt_heads.rs
+++ b/crates/backend/tests/spoilt_heads.rs
@@ -50,6 +50,13 @@
     }
 }
 
+/// The rest of the body comes after the length that the head tells.
+#[tokio::test]
+async fn an_answer_that_is_longer_than_its_length_is_none() {
+    let answer = call("200 OK\r\nContent-Length: 4", "a whole answer").await;
+    assert!(answer.is_err(), "{answer:?}");
+}
+
 /// A status that tells that nothing was executed proves nothing in a head that is spoilt.
 #[tokio::test]
 async fn a_spoilt_refusal_does_not_prove_that_the_call_was_not_executed() {
