The control thread of a gateway ends with the gateway

Seen: a test cut a gateway off by killing all others, and it learnt of a server that had joined afterwards.

Cause: dropping or ending a gateway ended its traffic thread. Its control thread went on to watch the store and to answer other processes until the whole process ended: in a process that runs one gateway that is the same moment, in one that runs several, as tests do, it is not.

Change: the gateway holds the control thread by a guard; when it is dropped the thread ends and its ports close.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,7 +27,7 @@
     pub direct: DirectMessages,
 }
 
-/// Runs discovery until `stop` ends the process.
+/// Runs discovery, which reports the process as leaving once `stop` is set. Never returns.
 pub async fn run<P: Platform>(
     options: GatewayOptions,
     platform: P,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use yokefall_clock::{ElapsedClock, SuspensionSource};
@@ -178,7 +178,7 @@
         let (direct, direct_port) = DirectMessages::new();
         let shared = Rc::new(shared_state(&options, &platform, direct_port.outgoing));
         let messages = PeerMessages { notices, direct };
-        start_control(&options, platform, ports, &shared, messages, stop.clone())?;
+        let _control = start_control(&options, platform, ports, &shared, messages, stop.clone())?;
 
         let (close, closing) = watch::channel(false);
         let ports =
@@ -277,6 +277,12 @@
     }
 }
 
+/// The thread of the control state, which ends when this is dropped: without the traffic thread it would
+/// go on to answer other processes.
+struct ControlThread {
+    _ends_on_drop: oneshot::Sender<()>,
+}
+
 fn start_control<P: Platform>(
     options: &GatewayOptions,
     platform: P,
@@ -284,7 +290,7 @@
     shared: &Shared,
     messages: PeerMessages,
     stop: watch::Receiver<bool>,
-) -> Result<(), StartError> {
+) -> Result<ControlThread, StartError> {
     let failed = |cause: std::io::Error| StartError {
         step: "start thread",
         peer: "control".into(),
@@ -295,14 +301,15 @@
     let exchange = exchange.into_std().map_err(failed)?;
     let (options, catalog, fleet) = (options.clone(), shared.catalog.clone(), shared.fleet.clone());
     let outputs = ControlOutputs { catalog, fleet, freshness: shared.freshness.clone() };
+    let (_ends_on_drop, ended) = oneshot::channel();
     std::thread::Builder::new()
         .name("control".into())
         .spawn(move || {
             let sockets = (datagrams, exchange);
-            run_control(options, platform, sockets, outputs, messages, stop)
+            run_control(options, platform, sockets, outputs, messages, (stop, ended))
         })
         .map_err(failed)?;
-    Ok(())
+    Ok(ControlThread { _ends_on_drop })
 }
 
 fn run_control<P: Platform>(
@@ -311,7 +318,7 @@
     (datagrams, exchange): (std::net::UdpSocket, std::net::TcpListener),
     outputs: ControlOutputs,
     messages: PeerMessages,
-    stop: watch::Receiver<bool>,
+    (stop, ended): (watch::Receiver<bool>, oneshot::Receiver<()>),
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let Ok(runtime) = runtime else { return };
@@ -322,7 +329,11 @@
             return;
         };
         let ports = PeerPorts { datagrams, exchange };
-        control::run(options, platform, ports, outputs, messages, stop).await;
+        tokio::select! {
+            () = control::run(options, platform, ports, outputs, messages, stop) => {}
+            // Resolves, with an error, when the other end is dropped.
+            _ = ended => {}
+        }
     });
 }
 
