--- a/crates/serving/src/listing.rs
+++ b/crates/serving/src/listing.rs
@@ -6,7 +6,7 @@
 //! after that name, the names before it are tried; if there is none after these either, the list
 //! ends early with the pages that were read.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -156,13 +156,8 @@
 
 /// Removes all but the last read version of each object.
 fn keep_latest<T>(items: &mut Vec<Change<T>>) {
-    let mut last = HashMap::new();
-    for (index, item) in items.iter().enumerate() {
-        last.insert(item.name.clone(), index);
-    }
-    let mut index = 0;
-    items.retain(|item| {
-        index += 1;
-        last.get(&item.name) == Some(&(index - 1))
-    });
+    let mut names = HashSet::new();
+    items.reverse();
+    items.retain(|item| names.insert(item.name.clone()));
+    items.reverse();
 }
