--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -16,7 +16,6 @@
 use tokio::time::Instant;
 use yokefall_serving::identity::{self, identify, KeyError};
 use yokefall_serving::{Caller, Catalog, RequestLimits, Route, RouteKind};
-use yokefall_streams::history::services;
 use yokefall_telemetry::{EventName, LogLine};
 
 use crate::connection::{LimitedStream, PhaseCell, ResetOnClose, TimeLimits};
@@ -239,7 +238,7 @@
 fn takes(shared: &Shared, route: &Route, arrived: Instant, deadline: Instant) -> bool {
     let Some(schedule) = shared.stop.schedule() else { return true };
     let longest_ms = shared.balancer.with(|balancer, _| {
-        services(route).filter_map(|service| balancer.service_ms(service)).reduce(f64::max)
+        route.services().filter_map(|service| balancer.service_ms(service)).reduce(f64::max)
     });
     let service_time = match longest_ms {
         Some(milliseconds) => Duration::from_secs_f64(milliseconds / 1_000.0),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,7 +6,6 @@
 
 use http::request::Parts;
 use yokefall_serving::{Backend, Route, RouteKind, SoftwareVersion};
-use yokefall_streams::history::services;
 use yokefall_streams::{QueryOutcome, StreamKey, StreamOrigin};
 use yokefall_telemetry::{EventName, LogLine};
 
@@ -156,7 +155,7 @@
         QueryOutcome::NotRecorded => return Err(ContinuationError::NotRecorded),
         QueryOutcome::Unanswered => return Err(ContinuationError::Unanswered),
     };
-    match services(route).any(|service| service == origin.service) {
+    match route.services().any(|service| service == origin.service) {
         true => Ok(origin),
         false => Err(ContinuationError::ServiceRemoved),
     }
@@ -166,7 +165,7 @@
 /// not name the attempt that began their stream.
 async fn sole_origin(shared: &Shared, route: &Route) -> Result<StreamOrigin, ContinuationError> {
     let is_confirmed = shared.origin_history.confirm().await;
-    let mut services = services(route);
+    let mut services = route.services();
     let (Some(service), None) = (services.next(), services.next()) else {
         return Err(ContinuationError::AttemptNotNamed);
     };
--- a/crates/serving/src/model.rs
+++ b/crates/serving/src/model.rs
@@ -74,6 +74,13 @@
     pub allowed_regions: Vec<String>,
 }
 
+impl Route {
+    /// Services that requests of the route are sent to.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.split.iter().filter(|part| part.weight > 0).map(|part| part.service.as_str())
+    }
+}
+
 /// Load limit for back ends that are still cold after a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct WarmUp {
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -57,19 +57,14 @@
             let of_service = versions.get(service).into_iter().flatten();
             of_service.filter_map(move |version| StreamOrigin::new(service, version))
         };
-        let of_route = |route| {
-            let origins = services(route).flat_map(origins_of);
+        let of_all_routes = continuable.flat_map(|route| {
+            let origins = route.services().flat_map(origins_of);
             origins.map(|origin| Self::new(route, &origin)).collect::<Vec<Self>>()
-        };
-        continuable.flat_map(of_route).collect()
+        });
+        of_all_routes.collect()
     }
 }
 
-/// Services that requests of a route are sent to.
-pub fn services(route: &Route) -> impl Iterator<Item = &str> {
-    route.split.iter().filter(|part| part.weight > 0).map(|part| part.service.as_str())
-}
-
 /// What a process has observed, as sent to others. Ages are those at the moment of sending.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct HistoryReport {
