--- a/crates/bench/src/soak/fleet.rs
+++ b/crates/bench/src/soak/fleet.rs
@@ -334,7 +334,13 @@
     std::fs::rename(&new, folder.join("catalog.toml")).map_err(failed)
 }
 
+/// Names of another writer: of a back end that no request can name, and of a machine.
+const ODD_NAMES: &str = "[[backend]]\nid = \"odd\\nentry & more\"\nservice = \"models\"\n\
+    address = \"127.0.0.1:1\"\nzone = \"hall-1\"\n";
+const ODD_MACHINE: &str = "../no machine/é";
+
 fn catalog(links: &[Link], retiring: &[String]) -> String {
+    let retiring: Vec<&str> = retiring.iter().map(String::as_str).chain([ODD_MACHINE]).collect();
     let mut text = format!("version = 1\nretire = {retiring:?}\n");
     let routes = [("calls", "/", "repeatable"), ("once", "/once/", "at_most_once")];
     let others = [("jobs", "/work/", "batch"), ("streams", STREAM_PATH, "stream")];
@@ -346,6 +352,7 @@
             kind == "stream"
         );
     }
+    text.push_str(ODD_NAMES);
     for (number, link) in links.iter().enumerate() {
         let _ = write!(
             text,
