Waiting items of a removed route are given up

What callers saw: items whose route was removed while they waited were neither run nor listed.

Cause: an item without a route waits, whatever the reason for having none, and only its age ends the wait. `pool_of` had one `None` for a configuration that is not read yet, no route, a route of another kind, a route without services, and an item that has ended. `runner.rs` gives up by max_queue_ms alone.

Change: the leader determines which items have no batch route, once for each configuration and when a job is accepted. Giving up cannot be undone, so that the absence must be proven: the items had no route for 3 s under each configuration that this leader used, and then the leader reads the configuration from the platform's store itself, at its version or a higher one; it has no batch route for them, and no route in it that could not be read may be theirs. Without that proof they wait, and a line says why. Waits tell the causes apart.

Why it works: no pass over the waiting items finds them too late, as they are found by the configuration, not by a free slot; a new leader, a restart or a replica that is behind starts the time anew and has to read itself. Running items are left alone; one that has to be retried is a waiting item.

--- a/crates/jobstore/src/abandon.rs
+++ b/crates/jobstore/src/abandon.rs
@@ -45,7 +45,8 @@
     }
 }
 
-fn abandonment(job: &str, item: u32) -> Command {
+/// The command that abandons an item.
+pub(crate) fn abandonment(job: &str, item: u32) -> Command {
     Command::Finish {
         job: job.to_owned(),
         item,
--- a/crates/jobstore/src/daemon.rs
+++ b/crates/jobstore/src/daemon.rs
@@ -39,7 +39,7 @@
 use crate::store::{Store, StoreLimits};
 use crate::wal::Wal;
 use crate::worker::Worker;
-use crate::{addresses, aggregators, group, origin_history, pair, server, suspects};
+use crate::{addresses, aggregators, group, origin_history, pair, route_removal, server, suspects};
 
 /// Maximum time that a planned stop waits for another leader.
 const STOP_TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -293,7 +293,10 @@
         };
         let runner =
             Runner::new(store.clone(), worker.clone(), delegation, fleet.clone(), runner_options);
-        tokio::task::spawn_local(Rc::new(runner).run());
+        let runner = Rc::new(runner);
+        let reader = platform.configuration_reader();
+        tokio::task::spawn_local(route_removal::abandon_items(reader, runner.clone()));
+        tokio::task::spawn_local(runner.run());
         let locations = (fleet.clone(), known_zones);
         let serving = server::serve(
             listener,
--- a/crates/jobstore/src/item_waits.rs
+++ b/crates/jobstore/src/item_waits.rs
@@ -23,8 +23,16 @@
 pub enum WaitCause {
     /// Back ends crashed under it or under a part of its prompt.
     HeldBack,
+    /// No configuration has been received yet.
+    NoConfiguration,
     /// The configuration has no route for it.
     NoRoute,
+    /// Its host and path belong to a route that is not for batch jobs.
+    NoBatchRoute,
+    /// Its route has no service.
+    NoService,
+    /// It has got a result, or its job was ended, since the scheduling pass began.
+    Ended,
     /// Back ends of the software version of its output have no free slot.
     SoftwareVersion,
     /// No back end has a slot for it.
@@ -34,14 +42,27 @@
 }
 
 impl WaitCause {
-    const ALL: [Self; 5] =
-        [Self::HeldBack, Self::NoRoute, Self::SoftwareVersion, Self::NoSlot, Self::NoWorker];
+    const ALL: [Self; 9] = [
+        Self::HeldBack,
+        Self::NoConfiguration,
+        Self::NoRoute,
+        Self::NoBatchRoute,
+        Self::NoService,
+        Self::Ended,
+        Self::SoftwareVersion,
+        Self::NoSlot,
+        Self::NoWorker,
+    ];
 
     /// Name of the cause in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::HeldBack => "held-back",
+            Self::NoConfiguration => "no-configuration",
             Self::NoRoute => "no-route",
+            Self::NoBatchRoute => "no-batch-route",
+            Self::NoService => "no-service",
+            Self::Ended => "ended",
             Self::SoftwareVersion => "software-version",
             Self::NoSlot => "no-slot",
             Self::NoWorker => "no-worker",
--- a/crates/jobstore/src/lib.rs
+++ b/crates/jobstore/src/lib.rs
@@ -6,6 +6,8 @@
 //! - `protocol` defines the frames, `server` answers them, and `client` is the gateways' side.
 //! - `runner` decides on the leader which item runs at which back end. `delegation` hands items to
 //!   other job stores, whose `worker` executes them; `run` is one run at a back end.
+//! - `unrouted_items` tells which items have no route, and `route_removal` abandons them once the
+//!   removal of the route is proven.
 //! - `suspects` and `origin_history` exchange and persist what must outlive all processes.
 //! - `log_observer` writes what happens to the group as lines and metrics.
 //! - `preemption` returns slots to online requests, `backlog` reports what services lack, and
@@ -42,6 +44,7 @@
 pub mod quota;
 pub mod reads;
 pub mod residency;
+mod route_removal;
 pub mod run;
 pub mod runner;
 pub mod running;
@@ -51,6 +54,7 @@
 pub mod state;
 pub mod store;
 pub mod suspects;
+pub mod unrouted_items;
 pub mod urgency;
 pub mod wal;
 pub mod worker;
--- a/crates/jobstore/src/log_observer.rs
+++ b/crates/jobstore/src/log_observer.rs
@@ -100,7 +100,7 @@
             Applied::Accepted { job } => (job, EventName::JobTaken),
             Applied::Ended { job } => (job, EventName::JobEnded),
             Applied::Forgotten { job } => (job, EventName::JobForgotten),
-            Applied::Finished { .. } | Applied::Nothing => return,
+            Applied::Finished { .. } | Applied::Several(_) | Applied::Nothing => return,
         };
         LogLine::new(event).id(id).field("position", index).write();
     }
--- a/crates/jobstore/src/reads.rs
+++ b/crates/jobstore/src/reads.rs
@@ -6,9 +6,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use yokefall_quota::Assignment;
+use yokefall_serving::table::RouteTable;
 use yokefall_serving::{Catalog, Requester, Residency, ResultPage};
 
 use crate::residency::residency_of_job;
+use crate::running::ItemKey;
 use crate::state::{Job, Jobs};
 use crate::store::Store;
 
@@ -78,6 +80,24 @@
         });
     }
 
+    /// Takes the jobs that were accepted since the last call while this replica led.
+    pub fn take_accepted(&self) -> Vec<String> {
+        std::mem::take(&mut self.inner.borrow_mut().newly_accepted)
+    }
+
+    /// Open items of a job that belong to no batch route.
+    pub fn items_without_route(&self, id: &str, routes: &RouteTable) -> Vec<ItemKey> {
+        let inner = self.inner.borrow();
+        let job = inner.jobs.get(id).into_iter();
+        job.flat_map(|job| without_route(id, job, routes)).collect()
+    }
+
+    /// Open items of all jobs that belong to no batch route.
+    pub fn all_items_without_route(&self, routes: &RouteTable) -> Vec<ItemKey> {
+        let inner = self.inner.borrow();
+        inner.jobs.iter().flat_map(|(id, job)| without_route(id, job, routes)).collect()
+    }
+
     /// Whether any job is open.
     pub fn has_open_jobs(&self) -> bool {
         self.inner.borrow().jobs.iter().any(|(_, job)| job.is_open())
@@ -93,3 +113,13 @@
         self.inner.borrow().jobs.get(id).map(visit)
     }
 }
+
+fn without_route<'a>(
+    id: &'a str,
+    job: &'a Job,
+    routes: &'a RouteTable,
+) -> impl Iterator<Item = ItemKey> + 'a {
+    let unrouted =
+        job.open.iter().filter(|(_, open)| !routes.has_batch(&job.host, &open.item.path));
+    unrouted.map(|(index, _)| (id.to_owned(), *index))
+}
--- a/crates/jobstore/src/runner.rs
+++ b/crates/jobstore/src/runner.rs
@@ -24,6 +24,7 @@
 use crate::running::{ItemKey, Running};
 use crate::state::{Command, OpenItem, Run};
 use crate::store::Store;
+use crate::unrouted_items::UnroutedItems;
 use crate::urgency::{DurationEstimator, WaitingItem, WaitingJob};
 use crate::worker::Worker;
 
@@ -59,6 +60,8 @@
     /// Items that are held back because back ends crashed while running them.
     held: HeldItems,
     waits: ItemWaits,
+    /// Items without a route.
+    pub(crate) unrouted: UnroutedItems,
     pub(crate) options: RunnerOptions,
 }
 
@@ -83,8 +86,8 @@
         options: RunnerOptions,
     ) -> Self {
         let (running, estimator) = (RefCell::default(), Cell::default());
-        let (backlog, held, waits) =
-            (Backlog::default(), HeldItems::default(), ItemWaits::default());
+        let (backlog, held) = (Backlog::default(), HeldItems::default());
+        let (waits, unrouted) = (ItemWaits::default(), UnroutedItems::default());
         let interrupted_outputs = InterruptedOutputs::new(worker.items.output_memory.clone());
         Self {
             store,
@@ -97,6 +100,7 @@
             interrupted_outputs,
             held,
             waits,
+            unrouted,
             options,
         }
     }
@@ -123,6 +127,7 @@
         // Another leader may complete these items.
         self.interrupted_outputs.clear();
         self.waits.clear();
+        self.unrouted.clear();
         oldest_open_job().set(0.0);
     }
 
@@ -134,6 +139,7 @@
             self.preempt();
             if self.store.serves() {
                 self.apply_load_reports();
+                self.review_routes();
                 self.start_items();
             }
             let now = Instant::now();
@@ -203,7 +209,7 @@
         self.waits.review(|key| self.item_id(key));
     }
 
-    fn item_id(&self, (job, index): &ItemKey) -> Option<String> {
+    pub(crate) fn item_id(&self, (job, index): &ItemKey) -> Option<String> {
         self.store.with_job(job, |job| Some(job.open.get(index)?.item.id.clone()))?
     }
 
@@ -270,8 +276,7 @@
         unstarted: usize,
         services: &mut FreeSlots,
     ) -> Result<(), WaitCause> {
-        // An item without a route must not block other items.
-        let pool = self.pool_of(key).ok_or(WaitCause::NoRoute)?;
+        let pool = self.pool_of(key)?;
         let free = services.of(&pool, || self.free_slots(&pool));
         if free.startable_items() == 0 || self.running.borrow().len() >= self.options.max_runs {
             free.queued += unstarted;
@@ -389,6 +394,10 @@
         self.running.borrow_mut().insert(key, running);
     }
 
+    pub(crate) fn is_open(&self, (job, item): &ItemKey) -> bool {
+        self.store.with_job(job, |job| job.open.contains_key(item)) == Some(true)
+    }
+
     fn purge_jobs(&self) {
         let mut removals = Vec::new();
         self.store.for_each_job(|id, job, age| {
@@ -399,11 +408,9 @@
         if !removals.is_empty() {
             self.store.propose_detached(&Command::Batch(removals));
         }
-        let is_open = |(job, item): &ItemKey| {
-            self.store.with_job(job, |job| job.open.contains_key(item)) == Some(true)
-        };
-        self.held.retain(is_open);
-        self.interrupted_outputs.retain(is_open);
+        self.held.retain(|key| self.is_open(key));
+        self.interrupted_outputs.retain(|key| self.is_open(key));
+        self.unrouted.retain(|key| self.is_open(key));
         let catalog = self.worker.catalog.load();
         self.worker.items.pool.retain(|incarnation| catalog.is_ready_incarnation(incarnation));
         self.worker.balancer.with(|balancer, now| {
--- a/crates/jobstore/src/slots.rs
+++ b/crates/jobstore/src/slots.rs
@@ -6,6 +6,7 @@
 use yokefall_serving::{Backend, Requirements, Residency, RouteKind};
 
 use crate::capacity::{Capacity, ServiceSlots, SlotPool};
+use crate::item_waits::WaitCause;
 use crate::item_worker::ItemWorkers;
 use crate::pool_slots::PoolSlots;
 use crate::preemption::{preempted, PlacedRun};
@@ -39,18 +40,25 @@
         ServiceSlots::new(capacity, backends)
     }
 
-    /// The slot pool that the current configuration assigns to an item.
-    pub(crate) fn pool_of(&self, key: &ItemKey) -> Option<SlotPool> {
+    /// The slot pool that the current configuration assigns to an open item.
+    pub(crate) fn pool_of(&self, (job, index): &ItemKey) -> Result<SlotPool, WaitCause> {
         let catalog = self.worker.catalog.load();
-        let (sender, path) = self.store.with_job(&key.0, |job| {
+        if catalog.configuration.is_none() {
+            return Err(WaitCause::NoConfiguration);
+        }
+        let target = self.store.with_job(job, |job| {
             let sender = ItemSender { host: job.host.clone(), tenant: job.tenant.clone() };
-            job.open.get(&key.1).map(|open| (sender, open.item.path.clone()))
-        })??;
-        let route = catalog.routes.find(&sender.host, &path)?;
-        let part = route.split.iter().max_by_key(|part| part.weight)?;
+            job.open.get(index).map(|open| (sender, open.item.path.clone()))
+        });
+        let (sender, path) = target.flatten().ok_or(WaitCause::Ended)?;
+        let route = catalog.routes.find(&sender.host, &path).ok_or(WaitCause::NoRoute)?;
+        if route.kind != RouteKind::Batch {
+            return Err(WaitCause::NoBatchRoute);
+        }
+        let part = route.split.iter().max_by_key(|part| part.weight);
+        let service = part.ok_or(WaitCause::NoService)?.service.clone();
         let residency = catalog.residency(route, sender.tenant.as_ref());
-        let service = part.service.clone();
-        (route.kind == RouteKind::Batch).then_some(SlotPool { service, residency })
+        Ok(SlotPool { service, residency })
     }
 
     /// Only back ends with work are examined one by one: there are up to fifty passes a second, and
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -260,6 +260,8 @@
         /// Id of the job.
         job: String,
     },
+    /// The effects of several commands in one entry.
+    Several(Vec<Applied>),
     /// No effect that anyone waits for.
     Nothing,
 }
@@ -316,10 +318,8 @@
                 Applied::Nothing
             }
             Command::Batch(commands) => {
-                for command in commands {
-                    self.apply(command);
-                }
-                Applied::Nothing
+                let each = commands.into_iter().map(|command| self.apply(command));
+                Applied::Several(each.collect())
             }
         }
     }
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -58,6 +58,8 @@
     pub(crate) readers: HashMap<String, Rc<Notify>>,
     /// When this replica applied the submission of each job.
     pub(crate) accepted_at: HashMap<String, Instant>,
+    /// Jobs accepted since the runner last took them, while this replica leads.
+    pub(crate) newly_accepted: Vec<String>,
     joining: HashMap<String, (MemberId, Instant)>,
     /// The leader according to another member; used outside the group.
     leader_hint: Option<(String, Instant)>,
@@ -134,6 +136,7 @@
             proposals: HashMap::new(),
             readers: HashMap::new(),
             accepted_at: HashMap::new(),
+            newly_accepted: Vec::new(),
             joining: HashMap::new(),
             leader_hint: None,
             role: Role::Follower,
@@ -339,7 +342,13 @@
     fn handle_applied(&self, inner: &mut Inner, index: Index, applied: Applied) {
         self.observer.applied(index, &applied);
         match applied {
+            Applied::Several(each) => {
+                each.into_iter().for_each(|one| self.handle_applied(inner, index, one));
+            }
             Applied::Accepted { job } => {
+                if inner.role == Role::Leader {
+                    inner.newly_accepted.push(job.clone());
+                }
                 inner.accepted_at.entry(job).or_insert_with(Instant::now);
                 self.work_changed.notify_one();
             }
@@ -366,6 +375,7 @@
         if role != Role::Leader {
             // Dropping the senders tells all waiting tasks that the outcome is unknown.
             inner.proposals.clear();
+            inner.newly_accepted.clear();
         }
         self.observer.role(role, inner.core.term(), inner.core.leader());
         self.deadline_changed.notify_one();
--- a/crates/jobstore/tests/state.rs
+++ b/crates/jobstore/tests/state.rs
@@ -90,6 +90,26 @@
     assert_eq!(texts(&jobs), ["a=1\n2\n\n4"]);
 }
 
+/// Readers that wait for results are notified by the effects.
+#[test]
+fn the_effects_of_several_commands_in_one_entry_are_all_returned() {
+    let mut jobs = Jobs::default();
+    jobs.apply(submit(&["a", "b"]));
+    let abandon = |item| Command::Finish {
+        job: JOB.into(),
+        item,
+        state: ItemState::Abandoned,
+        run: Run::default(),
+        after_event: 0,
+        text: None,
+    };
+    let finished = |item| Applied::Finished { job: JOB.into(), item };
+    let batch = Command::Batch(vec![abandon(1), abandon(0), abandon(1)]);
+    let expected = vec![finished(1), finished(0), Applied::Nothing];
+    assert_eq!(jobs.apply(batch), Applied::Several(expected));
+    assert_eq!(texts(&jobs), ["b=", "a="]);
+}
+
 #[test]
 fn output_after_another_event_is_not_appended() {
     let mut jobs = Jobs::default();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balance;
 pub mod catalog;
 pub(crate) mod catalog_lists;
+pub mod current_configuration;
 pub mod dialect;
 pub mod direct_messages;
 pub mod discovery;
@@ -43,6 +44,7 @@
 
 pub use balance::{Balancer, InFlight, Outcome};
 pub use catalog::{empty_catalog, Catalog, CatalogCell, ZoneState};
+pub use current_configuration::{ConfigurationReader, CurrentConfiguration, UnreadableRoute};
 pub use dialect::{
     AddressQuery, BackendLoad, BadSubmission, Dialect, HeaderNames, JobCall, PrefixPart,
 };
--- a/crates/serving/src/source.rs
+++ b/crates/serving/src/source.rs
@@ -164,6 +164,8 @@
     type Retirements: Source<Retirement> + 'static;
     /// Registry of claims.
     type Registry: Registry + 'static;
+    /// Reader of the current configuration.
+    type ConfigurationReader: crate::current_configuration::ConfigurationReader + 'static;
 
     /// Opens a source of configurations with its own connection.
     fn configurations(&self) -> Self::Configurations;
@@ -175,6 +177,8 @@
     fn retirements(&self) -> Self::Retirements;
     /// Opens the registry.
     fn registry(&self) -> Self::Registry;
+    /// Opens a reader of the current configuration, with its own connection.
+    fn configuration_reader(&self) -> Self::ConfigurationReader;
     /// Names and formats of HTTP calls.
     fn dialect(&self) -> std::sync::Arc<dyn crate::dialect::Dialect>;
 }
--- a/crates/serving/src/table.rs
+++ b/crates/serving/src/table.rs
@@ -51,13 +51,23 @@
 
     /// Finds the route for a host and path. A port after the host is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = without_port(host);
         let routes = match self.hosts.get(name) {
             Some(routes) => routes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
+
+    /// Whether a host and path belong to a batch route.
+    pub fn has_batch(&self, host: &str, path: &str) -> bool {
+        self.find(host, path).is_some_and(|route| route.kind == RouteKind::Batch)
+    }
+}
+
+/// The name in a host, without the port.
+pub(crate) fn without_port(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
 
 /// Smooth weighted round robin over each route's split; shares are exact over a full cycle.
--- a/crates/standalone/src/catalog.rs
+++ b/crates/standalone/src/catalog.rs
@@ -8,9 +8,10 @@
 use serde::Deserialize;
 use yokefall_serving::source::Revision;
 use yokefall_serving::{
-    Backend, BackendState, BatchPolicy, Change, Configuration, Evacuation, KeyDigest, ListPage,
-    RateLimit, RequestLimits, Retirement, Route, RouteKind, Service, SoftwareVersion, Source,
-    SourceError, SplitPart, Tenant, TenantName, WatchResponse,
+    Backend, BackendState, BatchPolicy, Change, Configuration, ConfigurationReader,
+    CurrentConfiguration, Evacuation, KeyDigest, ListPage, RateLimit, RequestLimits, Retirement,
+    Route, RouteKind, Service, SoftwareVersion, Source, SourceError, SplitPart, Tenant, TenantName,
+    WatchResponse,
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -152,6 +153,10 @@
 
 /// Returns the configuration defined by a file.
 pub fn configurations(file: &CatalogFile) -> Vec<(String, Configuration)> {
+    vec![("catalog".into(), configuration(file))]
+}
+
+fn configuration(file: &CatalogFile) -> Configuration {
     let mut names: Vec<&str> = file.route.iter().map(|route| route.service.as_str()).collect();
     names.sort_unstable();
     names.dedup();
@@ -161,14 +166,13 @@
         health_path: "/health".into(),
         max_connections: MAX_CONNECTIONS,
     };
-    let configuration = Configuration {
+    Configuration {
         version: file.version,
         routes: file.route.iter().map(route).collect(),
         services: names.iter().map(service).collect(),
         limits: RequestLimits::default(),
         tenants: file.tenant.iter().map(tenant).collect(),
-    };
-    vec![("catalog".into(), configuration)]
+    }
 }
 
 fn route(entry: &RouteEntry) -> Route {
@@ -343,3 +347,30 @@
         self.last_modified = None;
     }
 }
+
+/// Reads the configuration in a catalog file, which is valid as a whole or not at all.
+#[derive(Debug)]
+pub struct CatalogReader {
+    path: PathBuf,
+}
+
+impl CatalogReader {
+    /// Creates a reader of `path`.
+    pub fn new(path: PathBuf) -> Self {
+        Self { path }
+    }
+}
+
+impl ConfigurationReader for CatalogReader {
+    async fn read(&mut self) -> Result<Option<CurrentConfiguration>, SourceError> {
+        match read(&self.path) {
+            Ok(file) => Ok(Some(CurrentConfiguration::new(&configuration(&file), Vec::new()))),
+            Err(cause) => {
+                let peer = self.path.display().to_string();
+                Err(SourceError::Unusable { step: "read", peer, cause })
+            }
+        }
+    }
+
+    fn reset(&mut self) {}
+}
--- a/crates/standalone/src/lib.rs
+++ b/crates/standalone/src/lib.rs
@@ -10,7 +10,7 @@
 
 use yokefall_serving::{Backend, Configuration, Dialect, Evacuation, Platform, Retirement};
 
-use crate::catalog::FileSource;
+use crate::catalog::{CatalogReader, FileSource};
 use crate::claims::FileRegistry;
 use crate::dialect::NativeDialect;
 
@@ -33,6 +33,7 @@
     type Evacuations = FileSource<Evacuation>;
     type Retirements = FileSource<Retirement>;
     type Registry = FileRegistry;
+    type ConfigurationReader = CatalogReader;
 
     fn configurations(&self) -> Self::Configurations {
         FileSource::new(self.catalog.clone(), catalog::configurations)
@@ -54,6 +55,10 @@
         FileRegistry::new(self.catalog.with_extension("claims"))
     }
 
+    fn configuration_reader(&self) -> Self::ConfigurationReader {
+        CatalogReader::new(self.catalog.clone())
+    }
+
     fn dialect(&self) -> Arc<dyn Dialect> {
         Arc::new(NativeDialect::default())
     }
--- a/crates/telemetry/src/line.rs
+++ b/crates/telemetry/src/line.rs
@@ -176,6 +176,8 @@
     OriginHistory = "origin-history", Info, FAILURE_LINES_PER_SECOND;
     /// An item has waited for a run longer than any safeguard withholds it.
     ItemWaiting = "item-waiting", Warn, FAILURE_LINES_PER_SECOND;
+    /// Items have no route, and it could not be proven that their route was removed.
+    RouteRemovalUnproven = "route-removal-unproven", Warn, FAILURE_LINES_PER_SECOND;
     /// An item was abandoned.
     ItemAbandoned = "item-abandoned", Warn, FAILURE_LINES_PER_SECOND;
     /// The role of a replica changed.
