Items run at a part of a split that has servers, and at none without a weight

What callers saw: of a split, only the part with the greatest weight gets items. While it has no server its items wait, until maxQueueS, though another part could run them. With weights that are all 0 items run at a service from which the operator has taken all traffic.

Cause: `pool_of` takes the part with the greatest weight, whatever it is.

Change: parts without a weight get nothing; of the others, the greatest that has back ends which accept work where the item may run, or else the greatest.

--- a/crates/jobstore/src/slots.rs
+++ b/crates/jobstore/src/slots.rs
@@ -55,9 +55,11 @@
         if route.kind != RouteKind::Batch {
             return Err(WaitCause::NoBatchRoute);
         }
-        let part = route.split.iter().max_by_key(|part| part.weight);
-        let service = part.ok_or(WaitCause::NoService)?.service.clone();
         let residency = catalog.residency(route, sender.tenant.as_ref());
+        let parts = route.split.iter().filter(|part| part.weight > 0);
+        let part =
+            parts.max_by_key(|part| (catalog.has_ready(&part.service, &residency), part.weight));
+        let service = part.ok_or(WaitCause::NoService)?.service.clone();
         Ok(SlotPool { service, residency })
     }
 
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -149,6 +149,16 @@
         self.ready.get(service).map(|list| list.table())
     }
 
+    /// Whether a service has back ends that accept work where a residency allows.
+    pub fn has_ready(&self, service: &str, residency: &Residency) -> bool {
+        match residency {
+            Residency::Anywhere => self.ready_table(service).is_some(),
+            Residency::Within(regions) => {
+                self.ready_tables_within(service, regions).any(|table| !table.is_empty())
+            }
+        }
+    }
+
     /// Returns the services that have back ends accepting work.
     pub fn ready_services(&self) -> impl Iterator<Item = (&str, &BackendTable)> {
         self.ready.iter().map(|(service, list)| (service.as_str(), list.table()))
