A service with a single slot runs items

What callers saw: a route moved to a service whose only server has one slot, and none of its 12 items ran in 16 s though the server was idle.

Cause: an item starts only if the slots that a burst of online requests fills stay free, at least one. Of a single slot that is all, for good: a safeguard that withholds work without a bound of its own.

Change: the reserve for a burst leaves one slot. Online requests still go first: the item is preempted by the first request that is reported for its slot.

--- a/crates/jobstore/src/capacity.rs
+++ b/crates/jobstore/src/capacity.rs
@@ -51,10 +51,12 @@
         self.free += slots.saturating_sub(taken);
     }
 
-    /// Slots that must stay free when an item starts.
+    /// Slots that must stay free when an item starts. The burst leaves one slot: a service with a
+    /// single one would never run an item, and items give way to the first request.
     pub fn reserve(&self) -> u32 {
         let slots = f64::from(self.slots);
         let burst = (slots * self.burst_share).ceil() as u32;
+        let burst = burst.min(self.slots.saturating_sub(1));
         let unreported = (slots * self.unreported_share).floor() as u32;
         burst.max(unreported)
     }
--- a/crates/jobstore/tests/capacity.rs
+++ b/crates/jobstore/tests/capacity.rs
@@ -41,6 +41,20 @@
     assert_eq!(capacity(1, 9, 20).startable_items(), 0);
 }
 
+/// Seen: the only slot of a service was reserved for online requests for good.
+#[test]
+fn the_only_slot_of_a_service_may_run_an_item() {
+    for interval_ms in [20, 100, 5_000] {
+        let with_a_slot = |taken| {
+            let mut capacity = Capacity::new(Duration::from_millis(interval_ms));
+            capacity.add(1, taken);
+            capacity
+        };
+        assert_eq!(with_a_slot(0).startable_items(), 1);
+        assert_eq!((with_a_slot(1).startable_items(), with_a_slot(1).shortfall()), (0, 0));
+    }
+}
+
 #[test]
 fn report_rate_of_a_job_store_is_bounded() {
     for gateways in [1, 6, 25, 80, 550] {
