A back end has no more slots than it accepts connections, nor than it reports

What callers saw: one entry of a server that told "slots": drew 200 of 200 requests; the four sound servers of its service got none, whether it stood there at the start or came later.

Cause: requests are spread by slots, and the number in a record is taken as it stands.

Change: the catalog bounds the slots of a record by the connections that the configuration allows for its service, since a connection carries one request at a time; the bound follows the configuration. A balancer uses the slots that a back end reports with its answers where these are fewer.

A server whose record is wrong and that reports no load still gets what its connections allow: with 64 connections beside four servers of 8 slots two thirds of requests that come one after the other.

--- a/crates/serving/src/backend_record.rs
+++ b/crates/serving/src/backend_record.rs
@@ -2,7 +2,6 @@
 
 use yokefall_core::Timestamp;
 
-use crate::model::Backend;
 use crate::outcomes::RecentOutcomes;
 
 /// Lifetime of a reported load, in milliseconds, over which its weight falls linearly to zero.
@@ -31,10 +30,9 @@
 }
 
 /// Load of a back end as a fraction of its slots.
-pub(crate) fn load(now: Timestamp, backend: &Backend, record: Option<&BackendRecord>) -> f64 {
+pub(crate) fn load(now: Timestamp, slots: f64, record: Option<&BackendRecord>) -> f64 {
     let Some(record) = record else { return 0.0 };
-    let requests = f64::from(record.in_flight) + record.remote_in_flight * record.weight(now);
-    requests / f64::from(backend.slots.max(1))
+    (f64::from(record.in_flight) + record.remote_in_flight * record.weight(now)) / slots
 }
 
 impl BackendRecord {
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -74,6 +74,8 @@
     zone: String,
     zones: Arc<ZoneMap>,
     records: ByIncarnation<BackendRecord>,
+    /// Slots of the back ends that report fewer of them than their records tell.
+    reported_slots: ByIncarnation<u32>,
     balancers: usize,
     report_interval_ms: u64,
     /// When the requests in flight of all processes were last received.
@@ -93,6 +95,7 @@
             zone,
             zones: Arc::default(),
             records: ByIncarnation::default(),
+            reported_slots: ByIncarnation::default(),
             balancers: 1,
             report_interval_ms: DEFAULT_REPORT_INTERVAL_MS,
             totals_at: None,
@@ -194,7 +197,7 @@
         let expected = self.remote_arrivals_per_ms(now, &first.service) * in_flight_ms;
         let (remote, local): (Vec<_>, Vec<_>) =
             available.iter().copied().partition(|(_, backend)| is_remote(backend));
-        match local_fraction(&levels(&local), &levels(&remote), expected) {
+        match local_fraction(&self.levels(&local), &self.levels(&remote), expected) {
             Some(fraction) if self.policy.zone_cost => (fraction, local),
             _ => (1.0, available),
         }
@@ -260,8 +263,9 @@
         self.record_arrival(now, service);
         let unreported =
             if self.policy.poured_draw { self.unreported_arrivals(now, service) } else { 0.0 };
+        let levels = self.levels(available);
         let position =
-            choose_weighted(&mut self.generator, &levels(available), unreported * fraction + 1.0)?;
+            choose_weighted(&mut self.generator, &levels, unreported * fraction + 1.0)?;
         available.get(position).map(|(_, backend)| *backend)
     }
 
@@ -290,7 +294,7 @@
         let available = candidates.iter().filter(|backend| !self.is_ejected(now, backend));
         let level = |backend: &Arc<Backend>| LoadLevel {
             load: self.online_load(now, backend, remaining),
-            slots: f64::from(backend.slots.max(1)),
+            slots: self.slots(backend),
         };
         let levels: Vec<LoadLevel> = available.map(level).collect();
         // Without reports only own requests count: extrapolating from them would queue requests
@@ -310,7 +314,7 @@
         let Some(record) = self.records.get(backend) else { return 0.0 };
         let remote_in_flight =
             (record.remote_in_flight - record.remote_items) * remaining * record.weight(now);
-        (f64::from(record.in_flight) + remote_in_flight) / f64::from(backend.slots.max(1))
+        (f64::from(record.in_flight) + remote_in_flight) / self.slots(backend)
     }
 
     /// Mean service time at the back ends of a service, in milliseconds, once observed.
@@ -348,11 +352,25 @@
 
     /// Load of a back end as a fraction of its slots.
     pub fn load(&self, now: Timestamp, backend: &Backend) -> f64 {
-        load(now, backend, self.records.get(backend))
+        load(now, self.slots(backend), self.records.get(backend))
+    }
+
+    /// Slots of a back end: those in its record, or fewer if it reports fewer itself.
+    fn slots(&self, backend: &Backend) -> f64 {
+        let reported = self.reported_slots.get(backend).copied();
+        f64::from(reported.map_or(backend.slots, |reported| reported.min(backend.slots)).max(1))
+    }
+
+    fn levels(&self, available: &[(f64, &Arc<Backend>)]) -> Vec<LoadLevel> {
+        let level = |(load, backend): &(f64, &Arc<Backend>)| LoadLevel {
+            load: *load,
+            slots: self.slots(backend),
+        };
+        available.iter().map(level).collect()
     }
 
     fn cost(&self, now: Timestamp, backend: &Backend, record: Option<&BackendRecord>) -> f64 {
-        let load = load(now, backend, record);
+        let load = load(now, self.slots(backend), record);
         if !self.policy.zone_cost {
             return load;
         }
@@ -492,8 +510,15 @@
 
     /// Takes over the load that a back end reported itself.
     pub fn record_report(&mut self, now: Timestamp, backend: &Backend, load: BackendLoad) {
+        match self.reported_slots.get_mut(backend) {
+            Some(reported) => *reported = load.slots,
+            None if load.slots < backend.slots => {
+                *self.reported_slots.entry(backend.incarnation()) = load.slots;
+            }
+            None => {}
+        }
         let Some(record) = self.records.get_mut(backend) else { return };
-        let all = f64::from(load.running + load.waiting);
+        let all = f64::from(load.running) + f64::from(load.waiting);
         record.remote_in_flight = (all - f64::from(record.in_flight)).max(0.0);
         record.remote_items = record.remote_items.min(record.remote_in_flight);
         record.reported_at = Some(now);
@@ -502,6 +527,7 @@
     /// Drops incarnations that are no longer known and have nothing in flight.
     pub fn retain(&mut self, known: impl Fn(&BackendIncarnation) -> bool) {
         self.records.retain(|incarnation, record| record.in_flight > 0 || known(incarnation));
+        self.reported_slots.retain(|incarnation, _| known(incarnation));
     }
 
     /// Drops records that influence no choice; every load report iterates over all of them.
@@ -516,11 +542,3 @@
     /// The ejected one that returns first.
     ejected: Option<&'a Arc<Backend>>,
 }
-
-fn levels(available: &[(f64, &Arc<Backend>)]) -> Vec<LoadLevel> {
-    let slots = |backend: &Backend| f64::from(backend.slots.max(1));
-    available
-        .iter()
-        .map(|(cost, backend)| LoadLevel { load: *cost, slots: slots(backend) })
-        .collect()
-}
--- a/crates/serving/src/catalog.rs
+++ b/crates/serving/src/catalog.rs
@@ -67,8 +67,13 @@
         zone_state: ZoneState,
     ) -> Self {
         let ZoneState { evacuated, zones } = zone_state;
-        let catalog = Self { known: backends.collect(), evacuated, zones, ..Self::default() };
-        catalog.with_configuration(configuration).with_lists()
+        let catalog = Self { evacuated, zones, ..Self::default() };
+        let mut catalog = catalog.with_configuration(configuration);
+        for backend in backends {
+            let bounded = catalog.bounded(backend);
+            catalog.known.insert(bounded);
+        }
+        catalog.with_lists()
     }
 
     /// Replaces the configuration.
@@ -92,7 +97,7 @@
                 self.known.remove(&before.id);
             }
             if let Some(after) = &change.after {
-                self.known.insert(after.clone());
+                self.known.insert(self.bounded(after));
             }
         }
         if self.evacuations_unknown {
@@ -106,13 +111,26 @@
                 lists.remove(&self, before);
             }
             if let Some(after) = change.after.as_ref().filter(is_listed) {
-                lists.insert(&self, after);
+                lists.insert(&self, &self.bounded(after));
             }
         }
         lists.store_into(&mut self);
         self
     }
 
+    /// A back end with at most as many slots as it accepts connections, each of which carries one
+    /// request at a time. Otherwise a wrong number in one record would draw all requests to it.
+    pub fn bounded(&self, backend: &Arc<Backend>) -> Arc<Backend> {
+        if self.configuration.is_none() {
+            return backend.clone();
+        }
+        let most = self.max_connections(&backend.service).max(1);
+        match backend.slots > most {
+            true => Arc::new(Backend { slots: most, ..Backend::clone(backend) }),
+            false => backend.clone(),
+        }
+    }
+
     fn with_lists(mut self) -> Self {
         self.ready.clear();
         self.ready_by_region.clear();
--- a/crates/serving/src/platform_state.rs
+++ b/crates/serving/src/platform_state.rs
@@ -176,10 +176,22 @@
         }
         self.configuration = Some(Arc::new(configuration));
         let catalog = Catalog::clone(&self.cell.load());
-        self.publish(catalog.with_configuration(self.configuration.clone()));
+        let catalog = catalog.with_configuration(self.configuration.clone());
+        let changes = self.slot_changes(&catalog);
+        self.publish(catalog.with_changes(&changes));
         true
     }
 
+    /// Back ends to which the connection limits of a new configuration allow other numbers of slots.
+    fn slot_changes(&self, catalog: &Catalog) -> Vec<ObjectChange<Backend>> {
+        let change = |backend: &Arc<Backend>| {
+            let before = catalog.known.get(&backend.id)?.clone();
+            let is_changed = before.slots != catalog.bounded(backend).slots;
+            is_changed.then(|| ObjectChange { before: Some(before), after: Some(backend.clone()) })
+        };
+        self.backends.values().filter_map(change).collect()
+    }
+
     /// Region of each zone.
     pub fn zones(&self) -> &ZoneMap {
         &self.zones
