Times that no clock can tell are taken for long ones

Cause: the announced idle timeout, and the caller's time for a batch call, are added to the present instant, which panics beyond what the clock can tell and ends the task that serves the connection.

Change: an idle connection is kept for an hour at most, whatever is announced; a caller may set 1,000,000 s at most for a batch call, as for other requests.

Result: `times_beyond_any_clock_are_taken_for_long_ones` failed before ("overflow when adding duration to instant", then a connection without an answer) and passes.

--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -21,6 +21,8 @@
 const MAX_ITEMS: usize = 200;
 /// Timeout of a call when the caller sets none.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Maximum time that a caller may set for a call.
+const MAX_CALL_TIME: Duration = Duration::from_secs(1_000_000);
 /// Maximum time for which a call waits for results.
 const MAX_RESULT_WAIT: Duration = Duration::from_millis(1_000);
 /// Retry delay for callers that got no definite answer.
@@ -216,7 +218,8 @@
 
 fn duration_header(headers: &http::HeaderMap, name: &HeaderName) -> Option<Duration> {
     let milliseconds: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
-    Duration::try_from_secs_f64(milliseconds / 1_000.0).ok()
+    let duration = Duration::try_from_secs_f64(milliseconds / 1_000.0).ok()?;
+    Some(duration.min(MAX_CALL_TIME))
 }
 
 /// Handles a call about a job that was submitted before.
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -20,6 +20,8 @@
 
 /// How long an idle connection is kept when the back end announces no timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for which an idle connection is kept, whatever the back end announces.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// How long before the announced idle timeout a connection is no longer reused: a request that
 /// crosses the close may or may not have been executed.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
@@ -70,7 +72,8 @@
         };
         let timeout = value.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
         if let Some(seconds) = timeout.filter_map(|text| text.parse::<u64>().ok()).next() {
-            self.idle = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
+            let announced = Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT);
+            self.idle = announced.saturating_sub(IDLE_MARGIN);
         }
     }
 }
