Sums of slots, tokens and times do not overflow

What can be seen: items of a job with absurd numbers of tokens pass the limit of queued tokens, as the sum wraps; the runner of the leading job store ends when the expected time of an item exceeds what a duration can hold, and then no item runs; entries of servers with slots wrap the slots of their service, so that items find none or too many; a tenant with an absurd burst gets a small one.

Cause: numbers from records, submissions and the configuration are summed as they come. Tests stop at an overflow, a release build goes on with the wrapped number.

Change: these sums saturate: slots of a pool and its free ones, tokens of a submission, a queue and the pending jobs, shared tokens of a prompt, the expected time of an item and its age, the burst of a limit and its extra tokens, the warm-up time and the propagation of a record.

The burst, the warm-up and the shared tokens have no test of their own.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -78,7 +78,7 @@
 
 /// Hash of the shared part of a prompt, if it is long enough to prefer a back end.
 pub fn affinity(shared_parts: &[PrefixPart]) -> Option<u64> {
-    let tokens: u64 = shared_parts.iter().map(|part| part.tokens).sum();
+    let tokens = shared_parts.iter().map(|part| part.tokens).fold(0, u64::saturating_add);
     let last = shared_parts.last()?;
     (tokens >= MIN_AFFINITY_TOKENS).then(|| xxh3_64(last.id.as_bytes()))
 }
--- a/crates/jobstore/src/admission.rs
+++ b/crates/jobstore/src/admission.rs
@@ -75,8 +75,9 @@
             return Err(Rejection::Full);
         }
         let same_queue = pending.values().filter(|pending| pending.queue == submission.queue);
-        let pending_tokens: u64 = same_queue.map(|pending| pending.tokens).sum();
-        let waiting = usage.queued_tokens + pending_tokens + tokens;
+        let pending_tokens =
+            same_queue.map(|pending| pending.tokens).fold(tokens, u64::saturating_add);
+        let waiting = usage.queued_tokens.saturating_add(pending_tokens);
         if submission.max_queued_tokens.is_some_and(|most| waiting > most) {
             return Err(Rejection::OverQuota);
         }
--- a/crates/jobstore/src/capacity.rs
+++ b/crates/jobstore/src/capacity.rs
@@ -47,8 +47,8 @@
 
     /// Adds a back end with `taken` of its slots occupied.
     pub fn add(&mut self, slots: u32, taken: u32) {
-        self.slots += slots;
-        self.free += slots.saturating_sub(taken);
+        self.slots = self.slots.saturating_add(slots);
+        self.free = self.free.saturating_add(slots.saturating_sub(taken));
     }
 
     /// Slots that must stay free when an item starts. The burst leaves one slot: a service with a
@@ -140,7 +140,7 @@
 
     /// Returns the slot of an item that does not start after all.
     pub fn vacate_slot(&mut self) {
-        self.capacity.free += 1;
+        self.capacity.free = self.capacity.free.saturating_add(1);
     }
 
     /// Removes a back end that has no free slot left.
--- a/crates/jobstore/src/pool_slots.rs
+++ b/crates/jobstore/src/pool_slots.rs
@@ -43,17 +43,16 @@
 
     /// Adds the slots to an empty capacity.
     pub fn add_to(self, mut capacity: Capacity) -> Capacity {
-        let all: u64 = self.tables.iter().map(|table| table.slots()).sum();
-        let mut free = u32::try_from(all).unwrap_or(u32::MAX);
+        let mut free: u64 = self.tables.iter().map(|table| table.slots()).sum();
         for (id, occupied) in &self.occupied {
             let slots =
                 self.tables.iter().find_map(|table| table.get(id)).map_or(0, |found| found.slots);
-            free -= slots;
+            free -= u64::from(slots);
             if let Some(occupied) = occupied {
                 capacity.add(slots, *occupied);
             }
         }
-        capacity.add(free, 0);
+        capacity.add(u32::try_from(free).unwrap_or(u32::MAX), 0);
         capacity
     }
 }
--- a/crates/jobstore/src/protocol.rs
+++ b/crates/jobstore/src/protocol.rs
@@ -53,7 +53,7 @@
 impl Submission {
     /// Total tokens of the items.
     pub fn tokens(&self) -> u64 {
-        self.items.iter().map(|item| item.tokens).sum()
+        self.items.iter().map(|item| item.tokens).fold(0, u64::saturating_add)
     }
 }
 
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -438,7 +438,8 @@
     /// Tokens of the items without a result in a queue.
     pub fn queued_tokens(&self, queue: &str) -> u64 {
         let jobs = self.jobs.values().filter(|job| job.queue == queue);
-        jobs.flat_map(|job| job.open.values()).map(|open| open.item.tokens).sum()
+        let open = jobs.flat_map(|job| job.open.values());
+        open.map(|open| open.item.tokens).fold(0, u64::saturating_add)
     }
 
     /// Body of an item without a result.
--- a/crates/jobstore/src/urgency.rs
+++ b/crates/jobstore/src/urgency.rs
@@ -37,7 +37,7 @@
     pub fn remaining(&self, tokens: u64, events: u64) -> Duration {
         let expected = tokens as f64 * self.events_per_token;
         let remaining = (expected - events as f64).max(expected * MIN_REMAINING_SHARE);
-        Duration::from_secs_f64(remaining * self.event_ms / 1_000.0)
+        Duration::try_from_secs_f64(remaining * self.event_ms / 1_000.0).unwrap_or(Duration::MAX)
     }
 }
 
@@ -55,7 +55,7 @@
 impl Urgency {
     /// Whether it can no longer meet its due time.
     pub fn is_late(&self) -> bool {
-        self.due.is_some_and(|due| self.age + self.remaining > due)
+        self.due.is_some_and(|due| self.age.saturating_add(self.remaining) > due)
     }
 
     fn slack(&self) -> Duration {
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -40,8 +40,8 @@
     }
 
     fn capacity(&self) -> u64 {
-        let units = self.limit.burst.saturating_mul(UNITS_PER_TOKEN)
-            + self.extra_tokens * UNITS_PER_PART_TOKEN;
+        let extra = self.extra_tokens * UNITS_PER_PART_TOKEN;
+        let units = self.limit.burst.saturating_mul(UNITS_PER_TOKEN).saturating_add(extra);
         units.max(UNITS_PER_PART_TOKEN)
     }
 
--- a/crates/serving/src/balance.rs
+++ b/crates/serving/src/balance.rs
@@ -264,8 +264,7 @@
         let unreported =
             if self.policy.poured_draw { self.unreported_arrivals(now, service) } else { 0.0 };
         let levels = self.levels(available);
-        let position =
-            choose_weighted(&mut self.generator, &levels, unreported * fraction + 1.0)?;
+        let position = choose_weighted(&mut self.generator, &levels, unreported * fraction + 1.0)?;
         available.get(position).map(|(_, backend)| *backend)
     }
 
--- a/crates/serving/src/eligibility/warmth.rs
+++ b/crates/serving/src/eligibility/warmth.rs
@@ -371,7 +371,7 @@
 
 /// When a back end that restarts now is warm and its new record has reached this process.
 fn warm_after_restart(now: Timestamp, warm_up: &WarmUp) -> Timestamp {
-    now.plus_millis(warm_up.duration_ms + RECORD_PROPAGATION_MS)
+    now.plus_millis(warm_up.duration_ms).plus_millis(RECORD_PROPAGATION_MS)
 }
 
 fn recorded(now: Timestamp, remaining_ms: u64) -> Option<ColdPeriod> {
