--- a/crates/backend/tests/spoilt_heads.rs
+++ b/crates/backend/tests/spoilt_heads.rs
@@ -72,3 +72,25 @@
     let chunked = call("200 OK\r\nTransfer-Encoding: chunked", "5\r\nwhole\r\n0\r\n\r\n").await;
     assert_eq!(chunked, whole);
 }
+
+#[tokio::test]
+async fn an_answer_with_an_odd_status_is_none() {
+    for status in ["000 OK", "099 OK", "20 OK", "2000 OK", "2x0 OK", "101 OK", "600 OK"] {
+        let answer = call(&format!("{status}\r\nContent-Length: 5"), "whole").await;
+        assert!(answer.is_err(), "{status}: {answer:?}");
+    }
+}
+
+/// The service stops in the middle of the head and closes the connection.
+#[tokio::test]
+async fn an_answer_whose_head_is_cut_off_is_none() {
+    for framing in ["Content-Length: 5", "Connection: close", "Transfer-Encoding: chunked"] {
+        let head = format!("HTTP/1.1 200 OK\r\nServer: s\r\n{framing}\r\n\r\n");
+        for cut in 0..head.len() {
+            let address = service(head[..cut].to_owned()).await.to_string();
+            let client = BackendClient::new(STALL_TIMEOUT);
+            let answer = client.call_plain(&address, "r-1", 1, Bytes::from_static(b"b")).await;
+            assert!(answer.is_err(), "{:?}: {answer:?}", &head[..cut]);
+        }
+    }
+}
