Requests on a route without any weight are refused as not run

What callers saw: 502 for each request on a route whose weights are all 0, which promises nothing, so that what must not be repeated could not be sent again; and a single part of weight 0 got all requests.

Cause: the gateway told a missing service as a failed gateway, and the splitter did not look at the weight of a single part.

Change: 503 with Retry-After, at once: nothing was sent, and only a new configuration helps.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -32,6 +32,8 @@
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Retry delay for requests on a route without a service: only a new configuration gives it one.
+const NO_SERVICE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Timeout of a request when neither the client nor the route sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Minimum size of the header buffer that `hyper` requires.
@@ -326,7 +328,8 @@
         None => shared.splitter.borrow_mut().next(&route).map(str::to_owned),
     };
     let Some(service) = service else {
-        return plain(StatusCode::BAD_GATEWAY, "the route has no service");
+        let text = "no part of the route gets traffic now";
+        return rejection(&shared.dialect.headers().retry_after, NO_SERVICE_RETRY_AFTER, text);
     };
     let stream = match continued {
         Some(stream) => Some(stream.into()),
--- a/crates/serving/src/table.rs
+++ b/crates/serving/src/table.rs
@@ -78,10 +78,12 @@
 }
 
 impl Splitter {
-    /// Returns the service for the next request of a route; `None` for a route without a service.
+    /// Returns the service for the next request of a route; `None` if no part has a weight.
     pub fn next<'a>(&mut self, route: &'a Route) -> Option<&'a str> {
-        let [single] = route.split.as_slice() else { return self.next_of_many(route) };
-        Some(&single.service)
+        match route.split.as_slice() {
+            [single] => (single.weight > 0).then_some(&single.service),
+            _ => self.next_of_many(route),
+        }
     }
 
     fn next_of_many<'a>(&mut self, route: &'a Route) -> Option<&'a str> {
