Replicas keep the reason of an abandoned item

Cause: callers see dead_letter without a message that says why. The reason has a place in the form of the command, but replicas of the build before drop it there: a leader that proposed it in a group of both builds would give a position another content than the next leader.

Change: replicas of this build keep a reason that they are given; no leader proposes one yet.

Result: `an_abandoned_item_keeps_the_reason_and_no_output`; logs of earlier builds hold no reason, so that their state is the same. Golden bytes unchanged.

--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -41,7 +41,8 @@
         run: Run,
         /// The last event stored before; the command has no effect if it differs.
         after_event: u64,
-        /// Data of the events after it; `None` if there are none.
+        /// Data of the events after it; `None` if there are none. Of an abandoned item the reason, which
+        /// this build keeps and does not propose: replicas of the build before drop it.
         text: Option<String>,
     },
     /// Appends to the stored output of an item. Only leaders of older builds propose this: output in
@@ -379,14 +380,16 @@
             return Applied::Nothing;
         }
         let Some(open) = job.open.remove(&item) else { return Applied::Nothing };
-        let mut output = String::new();
-        if completed {
-            output = open.partial.text;
-            if let Some(text) = text {
+        let text = match (completed, text) {
+            (true, Some(text)) => {
+                let mut output = open.partial.text;
                 append_events(&mut output, after_event, text);
+                output
             }
-        }
-        let text = PackedText::pack(output);
+            (true, None) => open.partial.text,
+            (false, reason) => reason.unwrap_or_default().to_owned(),
+        };
+        let text = PackedText::pack(text);
         job.results.push(StoredResult { id: open.item.id.clone(), state, text });
         Applied::Finished { job: id, item }
     }
--- a/crates/jobstore/tests/state.rs
+++ b/crates/jobstore/tests/state.rs
@@ -110,6 +110,20 @@
     assert_eq!(texts(&jobs), ["b=", "a="]);
 }
 
+#[test]
+fn an_abandoned_item_keeps_the_reason_and_no_output() {
+    let mut jobs = Jobs::default();
+    jobs.apply(submit(&["a", "b"]));
+    jobs.apply(append(0, 0, 2, "1\n2"));
+    for (item, reason) in [(0, Some("the route was removed")), (1, None)] {
+        let text = reason.map(str::to_owned);
+        let (run, state) = (Run::default(), ItemState::Abandoned);
+        let job = JOB.to_owned();
+        jobs.apply(Command::Finish { job, item, state, run, after_event: 0, text });
+    }
+    assert_eq!(texts(&jobs), ["a=the route was removed", "b="]);
+}
+
 #[test]
 fn output_after_another_event_is_not_appended() {
     let mut jobs = Jobs::default();
