Waiting items are examined for a removed route only when batch paths change

Change: items are determined again only if hosts, prefixes or kinds of routes differ from those by which they were determined last.

--- a/crates/jobstore/src/route_removal.rs
+++ b/crates/jobstore/src/route_removal.rs
@@ -59,21 +59,21 @@
 }
 
 impl Runner {
-    /// Determines which items have no batch route: all of them again with each configuration, and
-    /// those of newly accepted jobs in between.
+    /// Determines which items have no batch route: all of them again with each configuration that
+    /// changes the paths of batch routes, and those of newly accepted jobs in between.
     pub(crate) fn review_routes(&self) {
         let accepted = self.store.take_accepted();
         let catalog = self.worker.catalog.load();
         if catalog.configuration.is_none() {
             return;
         }
-        if self.unrouted.is_of(catalog.version()) {
+        if self.unrouted.is_of(&catalog.routes) {
             for job in &accepted {
                 self.unrouted.extend(self.store.items_without_route(job, &catalog.routes));
             }
         } else {
             let items = self.store.all_items_without_route(&catalog.routes);
-            self.unrouted.replace(catalog.version(), items);
+            self.unrouted.replace(catalog.routes.clone(), items);
         }
         self.unrouted.request_due_check();
     }
--- a/crates/jobstore/src/unrouted_items.rs
+++ b/crates/jobstore/src/unrouted_items.rs
@@ -2,10 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use yokefall_serving::table::RouteTable;
 
 use crate::running::ItemKey;
 
@@ -19,8 +21,8 @@
 #[derive(Debug, Default)]
 pub struct UnroutedItems {
     since: RefCell<HashMap<ItemKey, Instant>>,
-    /// Version of the configuration by which they were determined.
-    version: Cell<Option<u64>>,
+    /// Routes by which they were determined.
+    routes: RefCell<Option<Arc<RouteTable>>>,
     /// When it is to be checked which of them are to be abandoned; `None` during a check and while
     /// there are no items.
     check_at: Cell<Option<Instant>>,
@@ -28,20 +30,23 @@
 }
 
 impl UnroutedItems {
-    /// Whether the items were determined by a configuration of this version.
-    pub fn is_of(&self, version: u64) -> bool {
-        self.version.get() == Some(version)
+    /// Whether the items were determined by these routes, or by others that give the same items.
+    pub fn is_of(&self, routes: &Arc<RouteTable>) -> bool {
+        let held = self.routes.borrow();
+        let is_same =
+            |held: &Arc<RouteTable>| Arc::ptr_eq(held, routes) || held.has_same_batch_paths(routes);
+        held.as_ref().is_some_and(is_same)
     }
 
-    /// Replaces the items by those without a route in another version of the configuration.
-    pub fn replace(&self, version: u64, items: Vec<ItemKey>) {
-        self.version.set(Some(version));
+    /// Replaces the items by those without a route in another configuration.
+    pub fn replace(&self, routes: Arc<RouteTable>, items: Vec<ItemKey>) {
+        *self.routes.borrow_mut() = Some(routes);
         let items: HashSet<ItemKey> = items.into_iter().collect();
         self.since.borrow_mut().retain(|key, _| items.contains(key));
         self.extend(items);
     }
 
-    /// Adds items without a route in the same version of the configuration.
+    /// Adds items without a route in the same configuration.
     pub fn extend(&self, items: impl IntoIterator<Item = ItemKey>) {
         let now = Instant::now();
         let mut since = self.since.borrow_mut();
@@ -92,7 +97,7 @@
     /// Forgets all items, as another replica leads from now on.
     pub fn clear(&self) {
         self.since.borrow_mut().clear();
-        self.version.set(None);
+        *self.routes.borrow_mut() = None;
         self.check_at.set(None);
     }
 }
--- a/crates/serving/src/table.rs
+++ b/crates/serving/src/table.rs
@@ -59,6 +59,20 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Whether the same hosts and paths belong to batch routes as in another table. May be false for
+    /// tables that differ in the order of their routes alone.
+    pub fn has_same_batch_paths(&self, other: &RouteTable) -> bool {
+        let paths = |routes: &[Arc<Route>]| -> Vec<(String, bool)> {
+            let path =
+                |route: &Arc<Route>| (route.path_prefix.clone(), route.kind == RouteKind::Batch);
+            routes.iter().map(path).collect()
+        };
+        let is_same = |(host, routes): (&String, &Vec<Arc<Route>>)| {
+            other.hosts.get(host).is_some_and(|others| paths(routes) == paths(others))
+        };
+        self.hosts.len() == other.hosts.len() && self.hosts.iter().all(is_same)
+    }
+
     /// Whether a host and path belong to a batch route.
     pub fn has_batch(&self, host: &str, path: &str) -> bool {
         self.find(host, path).is_some_and(|route| route.kind == RouteKind::Batch)
