A postponed check does not hold up items of a route that is removed later

Cause: while a malformed route may be the items' own, checks are up to 10 s apart, and items of another route that is removed meanwhile waited for the next one. A batch without items was proposed where all of its items had found a route meanwhile.

Change: new items are checked when their grace is over; an empty batch is not proposed.

Result: `a_postponed_check_is_made_when_further_items_are_due` (written with the change).

--- a/crates/jobstore/src/route_removal.rs
+++ b/crates/jobstore/src/route_removal.rs
@@ -97,7 +97,7 @@
         for items in removed.chunks(MAX_ITEMS_PER_COMMAND) {
             // The configuration may have changed while the previous command was committed.
             let items = self.due_items(items.to_vec());
-            if !self.abandon_batch(&items, version).await {
+            if !items.is_empty() && !self.abandon_batch(&items, version).await {
                 // If leadership is lost, the next leader proves the removal itself.
                 return Ok(());
             }
--- a/crates/jobstore/src/state.rs
+++ b/crates/jobstore/src/state.rs
@@ -41,8 +41,8 @@
         run: Run,
         /// The last event stored before; the command has no effect if it differs.
         after_event: u64,
-        /// Data of the events after it; `None` if there are none. Of an abandoned item the reason, which
-        /// this build keeps and does not propose: replicas of the build before drop it.
+        /// Data of the events after it; `None` if there are none. Of an abandoned item the reason,
+        /// which is kept but not proposed yet: replicas of the build before drop it.
         text: Option<String>,
     },
     /// Appends to the stored output of an item. Only leaders of older builds propose this: output in
--- a/crates/jobstore/src/unrouted_items.rs
+++ b/crates/jobstore/src/unrouted_items.rs
@@ -50,11 +50,14 @@
     pub fn extend(&self, items: impl IntoIterator<Item = ItemKey>) {
         let now = Instant::now();
         let mut since = self.since.borrow_mut();
+        let known = since.len();
         for key in items {
             since.entry(key).or_insert(now);
         }
-        if !since.is_empty() && self.check_at.get().is_none() {
-            self.check_at.set(Some(now + REMOVAL_GRACE));
+        if since.len() > known {
+            let due_at = now + REMOVAL_GRACE;
+            // Items of a malformed route may have postponed the next check for longer.
+            self.check_at.set(Some(self.check_at.get().map_or(due_at, |at| at.min(due_at))));
         }
     }
 
--- a/crates/jobstore/tests/unrouted_items.rs
+++ b/crates/jobstore/tests/unrouted_items.rs
@@ -115,3 +115,17 @@
         assert!(!items.is_of(&routes(changed)), "{changed:?}");
     }
 }
+
+/// Items that stay unproven for long do not hold up those of a route that is removed later.
+#[tokio::test(start_paused = true)]
+async fn a_postponed_check_is_made_when_further_items_are_due() {
+    let items = UnroutedItems::default();
+    items.replace(routes(&["/1/"]), vec![key(0)]);
+    tokio::time::advance(REMOVAL_GRACE).await;
+    assert!(is_check_requested(&items).await);
+    items.schedule_check(4 * REMOVAL_GRACE);
+    items.extend([key(1)]);
+    tokio::time::advance(REMOVAL_GRACE).await;
+    assert!(is_check_requested(&items).await);
+    assert_eq!(items.due().len(), 2);
+}
