Soak: a response without events has an end

Traced: job-4-item-11 has 27 events (10 + hash mod 60) and was preempted after the 27th; each of 239 further runs, which have no event left to give, got an event that never ends, since that is drawn by item, event and version alone (draw mod 24 is 1 for both versions). No run could make progress: the stand-in asks for more than can be done.

Change: as for responses without framing, only a response that has events left may be endless.

--- a/crates/bench/src/soak/back_end.rs
+++ b/crates/bench/src/soak/back_end.rs
@@ -248,13 +248,15 @@
         .map(|event| format!("id: {event}\ndata: {}\n\n", piece(&item, event, version)))
         .collect();
     let draw = xxh3_64(format!("{item} {after} {version}").as_bytes());
-    let is_unframed = draw % UNFRAMED_EVERY_NTH == 0 && !events.is_empty();
+    // Without an event no attempt would make progress.
+    let has_events = !events.is_empty();
+    let is_unframed = has_events && draw % UNFRAMED_EVERY_NTH == 0;
     let mut pieces = if is_unframed { across_events(&events) } else { events };
     if is_unframed && (draw / UNFRAMED_EVERY_NTH) % CUT_EVERY_NTH == 0 {
         // The first event remains whole, so that each attempt makes progress.
         pieces.truncate((draw as usize % pieces.len()).max(2));
     }
-    let is_endless = !is_unframed && draw % ENDLESS_EVERY_NTH == 1;
+    let is_endless = has_events && !is_unframed && draw % ENDLESS_EVERY_NTH == 1;
     if is_endless {
         pieces.truncate(2);
     }
