Routes that were compared once are not compared again

Cause: while a configuration with the same batch paths as before was in force, each scheduling pass compared all prefixes with those of the table that was held.

Change: the table that was found to be the same is held from then on.

Result: tests of unrouted_items.rs pass; by reading, a pass compares one pointer.

--- a/crates/jobstore/src/route_removal.rs
+++ b/crates/jobstore/src/route_removal.rs
@@ -67,7 +67,7 @@
         if catalog.configuration.is_none() {
             return;
         }
-        if self.unrouted.is_of(&catalog.routes) {
+        if self.unrouted.keep_for(&catalog.routes) {
             for job in &accepted {
                 self.unrouted.extend(self.store.items_without_route(job, &catalog.routes));
             }
--- a/crates/jobstore/src/unrouted_items.rs
+++ b/crates/jobstore/src/unrouted_items.rs
@@ -30,12 +30,17 @@
 }
 
 impl UnroutedItems {
-    /// Whether the items were determined by these routes, or by others that give the same items.
-    pub fn is_of(&self, routes: &Arc<RouteTable>) -> bool {
-        let held = self.routes.borrow();
-        let is_same =
-            |held: &Arc<RouteTable>| Arc::ptr_eq(held, routes) || held.has_same_batch_paths(routes);
-        held.as_ref().is_some_and(is_same)
+    /// Keeps the items for these routes if they were determined by routes that give the same ones.
+    /// Returns whether they are kept.
+    pub fn keep_for(&self, routes: &Arc<RouteTable>) -> bool {
+        let mut held = self.routes.borrow_mut();
+        let Some(held) = held.as_mut() else { return false };
+        let is_same = Arc::ptr_eq(held, routes) || held.has_same_batch_paths(routes);
+        if is_same {
+            // Later calls need not compare the paths again.
+            *held = routes.clone();
+        }
+        is_same
     }
 
     /// Replaces the items by those without a route in another configuration.
--- a/crates/jobstore/tests/unrouted_items.rs
+++ b/crates/jobstore/tests/unrouted_items.rs
@@ -71,7 +71,7 @@
     items.replace(routes(&["/1/"]), vec![key(0)]);
     tokio::time::advance(REMOVAL_GRACE).await;
     items.clear();
-    assert!(!items.is_of(&routes(&["/1/"])) && items.due().is_empty());
+    assert!(!items.keep_for(&routes(&["/1/"])) && items.due().is_empty());
     assert!(!is_check_requested(&items).await);
 }
 
@@ -108,11 +108,11 @@
 #[tokio::test(start_paused = true)]
 async fn items_are_determined_again_only_when_batch_paths_change() {
     let items = UnroutedItems::default();
-    assert!(!items.is_of(&routes(&["/1/"])));
+    assert!(!items.keep_for(&routes(&["/1/"])));
     items.replace(routes(&["/1/", "/22/"]), Vec::new());
-    assert!(items.is_of(&routes(&["/1/", "/22/"])));
+    assert!(items.keep_for(&routes(&["/1/", "/22/"])));
     for changed in [&["/1/"] as &[&str], &["/1/", "/33/"], &["/1/", "/22/", "/3/"], &[]] {
-        assert!(!items.is_of(&routes(changed)), "{changed:?}");
+        assert!(!items.keep_for(&routes(changed)), "{changed:?}");
     }
 }
 
