--- a/crates/jobstore/src/group.rs
+++ b/crates/jobstore/src/group.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::Instant;
 use yokefall_consensus::policy::{
     leaves_pair, needs_claim, next_step, tolerated_losses, DesiredMembership, Step,
 };
@@ -301,3 +302,19 @@
         }
     }
 }
+
+impl Store {
+    /// Records a join request of a member.
+    pub fn record_join_request(&self, member: MemberId) {
+        let entry = (member.clone(), Instant::now());
+        self.inner.borrow_mut().joining.insert(member.name, entry);
+        self.group_changed.notify_one();
+    }
+
+    /// Members that asked to join within a time.
+    pub fn joining(&self, within: Duration) -> Vec<MemberId> {
+        let mut inner = self.inner.borrow_mut();
+        inner.joining.retain(|_, (_, asked_at)| asked_at.elapsed() < within);
+        inner.joining.values().map(|(member, _)| member.clone()).collect()
+    }
+}
--- a/crates/jobstore/src/store.rs
+++ b/crates/jobstore/src/store.rs
@@ -60,7 +60,7 @@
     pub(crate) accepted_at: HashMap<String, Instant>,
     /// Jobs accepted since the runner last took them, while this replica leads.
     pub(crate) newly_accepted: Vec<String>,
-    joining: HashMap<String, (MemberId, Instant)>,
+    pub(crate) joining: HashMap<String, (MemberId, Instant)>,
     /// The leader according to another member; used outside the group.
     leader_hint: Option<(String, Instant)>,
     role: Role,
@@ -479,20 +479,6 @@
         self.apply_effects(inner);
         true
     }
-
-    /// Records a join request of a member.
-    pub fn record_join_request(&self, member: MemberId) {
-        let entry = (member.clone(), Instant::now());
-        self.inner.borrow_mut().joining.insert(member.name, entry);
-        self.group_changed.notify_one();
-    }
-
-    /// Members that asked to join within a time.
-    pub fn joining(&self, within: Duration) -> Vec<MemberId> {
-        let mut inner = self.inner.borrow_mut();
-        inner.joining.retain(|_, (_, asked_at)| asked_at.elapsed() < within);
-        inner.joining.values().map(|(member, _)| member.clone()).collect()
-    }
 }
 
 fn rewrite_of(core: &Consensus, snapshot: Snapshot) -> Rewrite {
