--- a/crates/bench/src/soak/route_changes.rs
+++ b/crates/bench/src/soak/route_changes.rs
@@ -1,8 +1,9 @@
 //! Changes of the route of some batch jobs while their items wait and run.
 
+use std::time::Duration;
+
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
-use std::time::Duration;
 
 /// Prefix of the paths of jobs whose route changes, and of their items.
 pub const CHANGING_PATH: &str = "/changing/";
@@ -27,12 +28,13 @@
 }
 
 impl ChangingRoute {
-    const ALL: [Self; 5] =
+    /// The states to draw from; a removal weighs twice.
+    const DRAWN: [Self; 5] =
         [Self::Whole, Self::Divided, Self::Removed, Self::Removed, Self::OtherKind];
 
     /// Another state, drawn at random.
     pub fn draw_other(self, random: &mut StdRng) -> Self {
-        let others: Vec<Self> = Self::ALL.into_iter().filter(|other| *other != self).collect();
+        let others: Vec<Self> = Self::DRAWN.into_iter().filter(|other| *other != self).collect();
         others.choose(random).copied().unwrap_or_default()
     }
 
