--- a/crates/bench/src/soak/clients.rs
+++ b/crates/bench/src/soak/clients.rs
@@ -18,6 +18,7 @@
 
 use super::back_end::{expected_answer, FATAL_PART, FATAL_PATH, ITEM_PATH};
 use super::oracle::{CallOutcome, Oracle};
+use super::route_changes::{CHANGING_ITEM_PATH, CHANGING_JOB};
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 /// Mean interval between the calls of one client, and number of these clients.
@@ -37,6 +38,8 @@
 const MAX_JOB_ITEMS: usize = 24;
 /// Number of parts that the prompts of calls share, beside one that all have.
 const SHARED_PARTS: u64 = 20;
+/// Jobs whose number is a multiple of this use the route that changes.
+const CHANGING_EVERY_NTH_JOB: u64 = 3;
 /// Accepted jobs whose number is a multiple of this are cancelled by their client.
 const CANCEL_EVERY_NTH_JOB: u64 = 6;
 
@@ -65,7 +68,7 @@
             let answer =
                 self.send_request(&mut random, Method::GET, path, "first", Bytes::new()).await;
             let call_served = answer.is_some_and(|answer| answer.status == StatusCode::OK);
-            let body = job_body(&["first-item".to_owned()]);
+            let body = job_body(ITEM_PATH, &["first-item".to_owned()]);
             let answer =
                 self.send_request(&mut random, Method::POST, "/work/jobs", "first-job", body).await;
             if call_served && answer.is_some_and(|answer| answer.status == StatusCode::ACCEPTED) {
@@ -166,14 +169,18 @@
     /// Submits a job as a client does: retries at any gateway until it is accepted.
     async fn send_job(&self, number: u64, seed: u64) {
         let mut random = StdRng::seed_from_u64(seed);
-        let id = format!("job-{number}");
+        let (path, item_path, name) = match number % CHANGING_EVERY_NTH_JOB {
+            0 => ("/changing/jobs", CHANGING_ITEM_PATH, CHANGING_JOB),
+            _ => ("/work/jobs", ITEM_PATH, "job-"),
+        };
+        let id = format!("{name}{number}");
         let count = random.random_range(1..=MAX_JOB_ITEMS);
         let items: Vec<String> = (0..count).map(|item| format!("{id}-item-{item}")).collect();
-        let body = job_body(&items);
+        let body = job_body(item_path, &items);
         let (mut is_accepted, mut is_rejected) = (false, true);
         for _ in 0..MAX_ATTEMPTS {
             let answer =
-                self.send_request(&mut random, Method::POST, "/work/jobs", &id, body.clone()).await;
+                self.send_request(&mut random, Method::POST, path, &id, body.clone()).await;
             match answer.map(|answer| answer.status) {
                 Some(StatusCode::ACCEPTED) => is_accepted = true,
                 Some(status) if is_refusal(status) => {}
@@ -275,8 +282,8 @@
     [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS].contains(&status)
 }
 
-fn job_body(items: &[String]) -> Bytes {
-    let item = |id: &String| json!({ "id": id, "path": format!("{ITEM_PATH}{id}"), "tokens": 100 });
+fn job_body(path: &str, items: &[String]) -> Bytes {
+    let item = |id: &String| json!({ "id": id, "path": format!("{path}{id}"), "tokens": 100 });
     json!({ "items": items.iter().map(item).collect::<Vec<Value>>() }).to_string().into()
 }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -4,7 +4,8 @@
 //!
 //! `fleet` runs the processes, `back_end` simulates back ends, `proxy` the links to them, `clients`
 //! and `streams` generate the load, `faults` injects faults on a schedule that follows from the seed,
-//! and `planned_work` retires, replaces and adds job stores beside them.
+//! `planned_work` retires, replaces and adds job stores beside them, and `route_changes` removes,
+//! replaces and restores the route of some jobs.
 
 mod back_end;
 mod clients;
@@ -13,6 +14,7 @@
 mod oracle;
 mod planned_work;
 mod proxy;
+mod route_changes;
 mod streams;
 
 use std::path::PathBuf;
